--- a/bins/eiderferry/src/command.rs
+++ b/bins/eiderferry/src/command.rs
@@ -18,6 +18,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(serve())
+        .subcommand(platform())
         .subcommand(check())
         .subcommand(operator("status", "Show how a node and the fleet stand"))
         .subcommand(operator(
@@ -130,6 +131,16 @@
         )
 }
 
+fn platform() -> Command {
+    Command::new("platform")
+        .about("Run one relay on the users' platform, with the platform's settings file")
+        .after_help(
+            "The path of the settings file is taken from the environment, as the platform\n\
+             sets it. SIGTERM begins a planned stop, SIGHUP reads the settings again.\n\n\
+             Example:\n  eiderferry platform",
+        )
+}
+
 fn check() -> Command {
     Command::new("check")
         .about("Check settings or a published configuration without running anything")
--- a/bins/eiderferry/src/main.rs
+++ b/bins/eiderferry/src/main.rs
@@ -17,6 +17,7 @@
     let matches = command::command().get_matches();
     let result = match matches.subcommand() {
         Some(("serve", arguments)) => serve::run(arguments),
+        Some(("platform", _)) => eiderferry_platform_adapter::run().map_err(Into::into),
         Some(("check", arguments)) => check::run(arguments),
         Some(("completions", arguments)) => {
             if let Some(shell) = arguments.get_one::<clap_complete::Shell>("shell") {
--- /dev/null
+++ b/crates/coordination/dispatch/src/cache.rs
@@ -0,0 +1,83 @@
+//! What a node believes an engine keeps of the prompts it has read.
+
+use crate::PromptPart;
+use eiderferry_routing::PartId;
+use eiderferry_types::Timestamp;
+use std::collections::{BTreeMap, HashMap};
+
+/// Part of an engine's memory assumed to hold kept prompts.
+const USABLE_PART: f64 = 0.85;
+
+#[derive(Clone, Copy, Debug)]
+struct Kept {
+    tokens: u32,
+    order: u64,
+}
+
+/// Parts of prompts that an engine is believed to keep, least recently used first
+/// to go.
+#[derive(Clone, Debug)]
+pub struct PrefixCache {
+    capacity: u64,
+    used: u64,
+    next_order: u64,
+    parts: HashMap<PartId, Kept>,
+    by_age: BTreeMap<u64, PartId>,
+    /// Time of the last reset, for explanations.
+    pub emptied_at: Option<Timestamp>,
+}
+
+impl PrefixCache {
+    /// An empty cache of an engine with memory for so many tokens.
+    pub fn new(engine_tokens: u64) -> Self {
+        Self {
+            capacity: (engine_tokens as f64 * USABLE_PART) as u64,
+            used: 0,
+            next_order: 0,
+            parts: HashMap::new(),
+            by_age: BTreeMap::new(),
+            emptied_at: None,
+        }
+    }
+
+    /// Tokens at the beginning of the prompt that need not be read.
+    pub fn kept_tokens(&self, parts: &[PromptPart]) -> u32 {
+        let kept = parts.iter().take_while(|part| self.keeps(part.id));
+        kept.map(|part| part.tokens).sum()
+    }
+
+    /// Whether a part is kept.
+    pub fn keeps(&self, part: PartId) -> bool {
+        self.parts.contains_key(&part)
+    }
+
+    /// Notes that a prompt was read.
+    pub fn insert(&mut self, parts: &[PromptPart]) {
+        for part in parts.iter().rev() {
+            self.touch(*part);
+        }
+        while self.used > self.capacity {
+            let Some((_, oldest)) = self.by_age.pop_first() else {
+                return;
+            };
+            if let Some(kept) = self.parts.remove(&oldest) {
+                self.used -= u64::from(kept.tokens);
+            }
+        }
+    }
+
+    fn touch(&mut self, part: PromptPart) {
+        let order = self.next_order;
+        self.next_order += 1;
+        let kept = Kept {
+            tokens: part.tokens,
+            order,
+        };
+        if let Some(previous) = self.parts.insert(part.id, kept) {
+            self.by_age.remove(&previous.order);
+            self.used -= u64::from(previous.tokens);
+        }
+        self.by_age.insert(order, part.id);
+        self.used += u64::from(part.tokens);
+    }
+}
--- /dev/null
+++ b/crates/coordination/dispatch/src/demand.rs
@@ -0,0 +1,108 @@
+//! What a request asks for, and what becomes of it.
+
+use eiderferry_routing::{InstanceId, PartId, PoolName};
+use eiderferry_types::{Reason, Span};
+use std::net::SocketAddr;
+
+/// Names a granted place on a back end within one dispatcher.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LeaseId(pub u64);
+
+/// A part of a prompt with its length.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Which text.
+    pub id: PartId,
+    /// Its length in tokens.
+    pub tokens: u32,
+}
+
+/// A request that wants a back end.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Demand {
+    /// Pool it goes to.
+    pub pool: PoolName,
+    /// Rank; 0 is the most urgent.
+    pub rank: u8,
+    /// Parts of its prompt in order; empty for plain services.
+    pub parts: Vec<PromptPart>,
+    /// Tokens of its prompt.
+    pub prompt_tokens: u32,
+    /// Tokens that may come out.
+    pub output_tokens: u32,
+    /// Time within which the answer, or its first event, is in time.
+    pub target: Span,
+    /// Time until the caller gives up.
+    pub remaining: Span,
+    /// Back ends that have failed it already.
+    pub excluded: Vec<InstanceId>,
+    /// Whether an earlier attempt of the same request has reached a back end.
+    pub is_repeat: bool,
+}
+
+/// A place on a back end.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Grant {
+    /// Name of the place; to be given back.
+    pub lease: LeaseId,
+    /// Back end.
+    pub instance: InstanceId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Most connections this node may hold to it.
+    pub connections: u32,
+    /// Tokens of the prompt that it is expected to read.
+    pub uncached_tokens: u32,
+    /// Expected time to the first event.
+    pub expected: Span,
+    /// Revision of the list of back ends that the choice rests on.
+    pub revision: u64,
+    /// Age of the youngest confirmation of that list.
+    pub list_age: Span,
+}
+
+/// What is decided about a demand.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// Send it there now.
+    Grant(Grant),
+    /// Refuse it; it has not run. Trying again may help after the span.
+    Refuse(Reason, Span),
+}
+
+/// How an attempt at a back end ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// A whole answer came.
+    Completed,
+    /// A whole answer that reports a failure of the back end.
+    Failed,
+    /// The back end refused it; it did not run.
+    Shed,
+    /// Another run of a back end has the address.
+    Replaced,
+    /// No connection came up.
+    Unreachable,
+    /// The answer broke off, or was none.
+    Broken,
+    /// No answer, or no further event, in time.
+    Silent,
+    /// The caller left, or a planned stop ended it; says nothing of the back end.
+    Abandoned,
+}
+
+impl Outcome {
+    /// The word used in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Outcome::Completed => "completed",
+            Outcome::Failed => "failed",
+            Outcome::Shed => "shed",
+            Outcome::Replaced => "replaced",
+            Outcome::Unreachable => "unreachable",
+            Outcome::Broken => "broken",
+            Outcome::Silent => "silent",
+            Outcome::Abandoned => "abandoned",
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/dispatch/src/health.rs
@@ -0,0 +1,114 @@
+//! Whether a back end is given work, judged by its answers alone.
+
+use crate::Outcome;
+use eiderferry_types::{Span, Timestamp};
+
+/// Failures in a row after which a back end gets no work for a while.
+const FAILURES_IN_A_ROW: u32 = 3;
+/// First time without work.
+const FIRST_EJECTION: Span = Span::from_milliseconds(1_000);
+/// Longest time without work.
+const LONGEST_EJECTION: Span = Span::from_milliseconds(8_000);
+/// Weight of the newest answer in the share of failures.
+const SMOOTHING: f64 = 0.12;
+/// Share of failures above that of the pool at which a back end is ejected.
+const EXCESS_SHARE: f64 = 0.22;
+/// Answers needed before the share counts.
+const MINIMUM_ANSWERS: u32 = 8;
+/// Time after which a back end that answers is fully trusted again.
+const PROBATION: Span = Span::from_milliseconds(10_000);
+
+/// What changed with a back end's standing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HealthChange {
+    /// It gets no work for the span.
+    Ejected(Span),
+    /// It gets work again.
+    Restored,
+}
+
+/// The standing of one back end.
+#[derive(Clone, Debug, Default)]
+pub struct Health {
+    failures_in_a_row: u32,
+    failure_share: f64,
+    answers: u32,
+    ejected_until: Option<Timestamp>,
+    ejected_at: Option<Timestamp>,
+    ejections: u32,
+}
+
+impl Health {
+    /// Share of recent answers that were failures, 0 to 1.
+    pub fn failure_share(&self) -> f64 {
+        self.failure_share
+    }
+
+    /// Whether it gets no work now.
+    pub fn is_ejected(&self, now: Timestamp) -> bool {
+        self.ejected_until.is_some_and(|until| now < until)
+    }
+
+    /// Takes an outcome in. `pool_share` is the mean share of failures in its pool.
+    pub fn record(
+        &mut self,
+        outcome: Outcome,
+        pool_share: f64,
+        now: Timestamp,
+    ) -> Option<HealthChange> {
+        let is_failure = match outcome {
+            Outcome::Abandoned => return None,
+            Outcome::Completed => false,
+            _ => true,
+        };
+        self.answers = self.answers.saturating_add(1);
+        self.failure_share += SMOOTHING * (f64::from(u8::from(is_failure)) - self.failure_share);
+        if is_failure {
+            return self.record_failure(outcome, pool_share, now);
+        }
+        self.record_success(now)
+    }
+
+    fn record_success(&mut self, now: Timestamp) -> Option<HealthChange> {
+        self.failures_in_a_row = 0;
+        if self.ejected_until.is_some_and(|until| now >= until) {
+            self.ejected_until = None;
+            return Some(HealthChange::Restored);
+        }
+        if self.ejected_at.is_some_and(|at| now.since(at) > PROBATION) {
+            self.ejections = 0;
+            self.ejected_at = None;
+        }
+        None
+    }
+
+    fn record_failure(
+        &mut self,
+        outcome: Outcome,
+        pool_share: f64,
+        now: Timestamp,
+    ) -> Option<HealthChange> {
+        self.failures_in_a_row += 1;
+        if self.is_ejected(now) {
+            return None;
+        }
+        let is_gone = matches!(outcome, Outcome::Unreachable | Outcome::Replaced);
+        let in_a_row = self.failures_in_a_row >= FAILURES_IN_A_ROW;
+        let too_many =
+            self.answers >= MINIMUM_ANSWERS && self.failure_share > pool_share + EXCESS_SHARE;
+        (is_gone || in_a_row || too_many).then(|| self.eject(now))
+    }
+
+    fn eject(&mut self, now: Timestamp) -> HealthChange {
+        let span = Span((FIRST_EJECTION.0 << self.ejections.min(3)).min(LONGEST_EJECTION.0));
+        self.ejections += 1;
+        self.ejected_at = Some(now);
+        self.ejected_until = Some(now + span);
+        HealthChange::Ejected(span)
+    }
+
+    /// Gives no work for a while on other evidence than an answer.
+    pub fn suspect(&mut self, now: Timestamp) -> Option<HealthChange> {
+        (!self.is_ejected(now)).then(|| self.eject(now))
+    }
+}
--- /dev/null
+++ b/crates/coordination/dispatch/src/knowledge.rs
@@ -0,0 +1,208 @@
+//! The documents a node works from, with their revisions.
+//!
+//! Each item carries the revision of the platform's change that made it. An item
+//! never yields to an older one, whether it comes from the platform or from a peer.
+
+use eiderferry_routing::{BackEnd, InstanceId, RoutingTable, TableDocument};
+use eiderferry_types::{Span, Timestamp};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// Removed items remembered, so that an older list can't bring them back.
+const MAXIMUM_TOMBSTONES: usize = 4_096;
+
+/// What an item is.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum DocumentKey {
+    /// The routing table.
+    Table,
+    /// A back end.
+    BackEnd(InstanceId),
+}
+
+/// What an item says.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Content {
+    /// The routing table.
+    Table(TableDocument),
+    /// A back end.
+    BackEnd(BackEnd),
+    /// The item is gone.
+    Gone,
+}
+
+/// One change.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Change {
+    /// Which item.
+    pub key: DocumentKey,
+    /// Revision of the change.
+    pub revision: u64,
+    /// What it says now.
+    pub content: Content,
+}
+
+/// What came of a change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Applied {
+    /// It is in force.
+    Taken,
+    /// Something as new was known.
+    Known,
+    /// It is not usable; what was known stays.
+    Refused(String),
+}
+
+/// All documents known to a node.
+#[derive(Clone, Debug, Default)]
+pub struct Knowledge {
+    table: Option<(u64, Arc<RoutingTable>)>,
+    refused_table: u64,
+    back_ends: BTreeMap<InstanceId, (u64, BackEnd)>,
+    gone: BTreeMap<InstanceId, u64>,
+    complete_to: u64,
+    confirmed_at: Option<Timestamp>,
+}
+
+impl Knowledge {
+    /// The table in force.
+    pub fn table(&self) -> Option<&Arc<RoutingTable>> {
+        self.table.as_ref().map(|(_, table)| table)
+    }
+
+    /// Revision of the table in force; 0 without one.
+    pub fn table_revision(&self) -> u64 {
+        self.table.as_ref().map_or(0, |(revision, _)| *revision)
+    }
+
+    /// All listed back ends.
+    pub fn back_ends(&self) -> impl Iterator<Item = &BackEnd> {
+        self.back_ends.values().map(|(_, back_end)| back_end)
+    }
+
+    /// Every change up to this revision is known.
+    pub fn complete_to(&self) -> u64 {
+        self.complete_to
+    }
+
+    /// Age of the youngest confirmation by the platform.
+    pub fn confirmed_age(&self, now: Timestamp) -> Option<Span> {
+        self.confirmed_at.map(|at| now.since(at))
+    }
+
+    /// The platform confirmed at `at` that nothing newer exists than `revision`.
+    pub fn confirm(&mut self, revision: u64, at: Timestamp) {
+        if revision < self.complete_to {
+            return;
+        }
+        self.complete_to = revision;
+        self.confirmed_at = Some(self.confirmed_at.map_or(at, |known| known.max(at)));
+    }
+
+    /// Takes a change over if it is newer than what is known.
+    pub fn apply(&mut self, change: Change) -> Applied {
+        match (change.key, change.content) {
+            (DocumentKey::Table, Content::Table(document)) => {
+                self.apply_table(change.revision, document)
+            }
+            (DocumentKey::BackEnd(instance), Content::BackEnd(back_end)) => {
+                self.apply_back_end(instance, change.revision, back_end)
+            }
+            (DocumentKey::BackEnd(instance), Content::Gone) => {
+                self.remove(instance, change.revision)
+            }
+            _ => Applied::Known,
+        }
+    }
+
+    fn apply_table(&mut self, revision: u64, document: TableDocument) -> Applied {
+        if revision <= self.table_revision().max(self.refused_table) {
+            return Applied::Known;
+        }
+        match RoutingTable::new(document) {
+            Ok(table) => {
+                self.table = Some((revision, Arc::new(table)));
+                Applied::Taken
+            }
+            Err(error) => {
+                self.refused_table = revision;
+                Applied::Refused(error.to_string())
+            }
+        }
+    }
+
+    fn known_revision(&self, instance: &InstanceId) -> u64 {
+        let listed = self.back_ends.get(instance).map(|(revision, _)| *revision);
+        let gone = self.gone.get(instance).copied();
+        listed.max(gone).unwrap_or(0)
+    }
+
+    fn apply_back_end(
+        &mut self,
+        instance: InstanceId,
+        revision: u64,
+        back_end: BackEnd,
+    ) -> Applied {
+        if revision <= self.known_revision(&instance) {
+            return Applied::Known;
+        }
+        self.gone.remove(&instance);
+        self.back_ends.insert(instance, (revision, back_end));
+        Applied::Taken
+    }
+
+    fn remove(&mut self, instance: InstanceId, revision: u64) -> Applied {
+        if revision <= self.known_revision(&instance) {
+            return Applied::Known;
+        }
+        self.back_ends.remove(&instance);
+        self.gone.insert(instance, revision);
+        while self.gone.len() > MAXIMUM_TOMBSTONES {
+            let oldest = self.gone.iter().min_by_key(|(_, revision)| **revision);
+            let Some(oldest) = oldest.map(|(instance, _)| instance.clone()) else {
+                break;
+            };
+            self.gone.remove(&oldest);
+        }
+        Applied::Taken
+    }
+
+    /// Back ends missing from a whole listing that began at `revision` are gone.
+    pub fn missing_from_listing(
+        &self,
+        listed: &BTreeSet<InstanceId>,
+        revision: u64,
+    ) -> Vec<Change> {
+        let known = self.back_ends.iter();
+        known
+            .filter(|(instance, (known, _))| *known <= revision && !listed.contains(*instance))
+            .map(|(instance, _)| Change {
+                key: DocumentKey::BackEnd(instance.clone()),
+                revision,
+                content: Content::Gone,
+            })
+            .collect()
+    }
+
+    /// All changes after a revision, for a peer that lags behind.
+    pub fn changes_after(&self, revision: u64) -> Vec<Change> {
+        let table = self.table.iter().map(|(revision, table)| Change {
+            key: DocumentKey::Table,
+            revision: *revision,
+            content: Content::Table(table.document().clone()),
+        });
+        let listed = self.back_ends.iter().map(|(instance, entry)| Change {
+            key: DocumentKey::BackEnd(instance.clone()),
+            revision: entry.0,
+            content: Content::BackEnd(entry.1.clone()),
+        });
+        let gone = self.gone.iter().map(|(instance, revision)| Change {
+            key: DocumentKey::BackEnd(instance.clone()),
+            revision: *revision,
+            content: Content::Gone,
+        });
+        let all = table.chain(listed).chain(gone);
+        all.filter(|change| change.revision > revision).collect()
+    }
+}
--- /dev/null
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -0,0 +1,32 @@
+//! Decisions of a relay, free of I/O.
+//!
+//! The [`Dispatcher`] is told of requests, outcomes, documents and messages of
+//! other nodes, together with the time, and says what to do. Each node decides
+//! alone, from its own counts and from what its peers report of theirs; nothing is
+//! asked of another node while a request waits.
+
+#![forbid(unsafe_code)]
+
+mod cache;
+mod demand;
+mod dispatcher;
+mod health;
+mod knowledge;
+mod load;
+mod message;
+mod peers;
+mod placement;
+mod retry_budget;
+
+pub use cache::PrefixCache;
+pub use demand::{Decision, Demand, Grant, LeaseId, Outcome, PromptPart};
+pub use dispatcher::{
+    Dispatcher, DispatcherSettings, ReadingDuty, Received, Snapshot, TICK, TickOutput,
+};
+pub use health::{Health, HealthChange};
+pub use knowledge::{Applied, Change, Content, DocumentKey, Knowledge};
+pub use load::{BackEndLoad, REPORT_LIFETIME};
+pub use message::{Gossip, LoadReport, Member, Placement};
+pub use peers::{PeerChange, Peers};
+pub use placement::{Candidate, choose};
+pub use retry_budget::{BudgetSettings, RetryBudget};
--- /dev/null
+++ b/crates/coordination/dispatch/src/load.rs
@@ -0,0 +1,164 @@
+//! How loaded a back end is, as this node knows it.
+
+use crate::{LeaseId, PrefixCache};
+use eiderferry_types::{Span, Timestamp};
+use std::collections::{BTreeMap, HashMap};
+
+/// Time for which another node's report counts.
+pub const REPORT_LIFETIME: Span = Span::from_milliseconds(2_500);
+/// Prompt tokens that an engine reads in a millisecond, until its answers tell.
+const ASSUMED_TOKENS_PER_MS: f64 = 38.0;
+/// Weight of the newest observation of an engine's speed.
+const SPEED_SMOOTHING: f64 = 0.15;
+/// Slowest and fastest that an engine is believed to be against the assumption.
+const SPEED_BOUNDS: (f64, f64) = (0.5, 8.0);
+/// Prompts shorter than this tell nothing of an engine's speed.
+const MINIMUM_OBSERVED_TOKENS: u32 = 1_500;
+
+/// A request that this node has at a back end.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Running {
+    pub uncached_tokens: u32,
+    pub pending_before: u64,
+    pub started: Timestamp,
+    pub has_begun: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    running: u32,
+    pending_tokens: u64,
+    at: Timestamp,
+}
+
+/// Load of one back end.
+#[derive(Clone, Debug)]
+pub struct BackEndLoad {
+    running: BTreeMap<LeaseId, Running>,
+    reports: HashMap<u64, Report>,
+    slowness: f64,
+    last_heard: Option<Timestamp>,
+    /// Prompts it is believed to keep.
+    pub cache: PrefixCache,
+}
+
+impl BackEndLoad {
+    /// A back end that nothing is known of, with memory for so many tokens.
+    pub fn new(engine_tokens: u64) -> Self {
+        Self {
+            running: BTreeMap::new(),
+            reports: HashMap::new(),
+            slowness: 1.0,
+            last_heard: None,
+            cache: PrefixCache::new(engine_tokens),
+        }
+    }
+
+    /// Requests of this node there.
+    pub fn own_running(&self) -> u32 {
+        self.running.len() as u32
+    }
+
+    /// Prompt tokens of this node's requests that are still to be read there.
+    pub fn own_pending_tokens(&self, now: Timestamp) -> u64 {
+        let waiting = self.running.values().filter(|running| !running.has_begun);
+        let rate = ASSUMED_TOKENS_PER_MS / self.slowness;
+        let total: u64 = waiting
+            .clone()
+            .map(|running| u64::from(running.uncached_tokens))
+            .sum();
+        let oldest = waiting.map(|running| running.started).min();
+        let elapsed = oldest.map_or(0, |started| now.since(started).milliseconds());
+        let read = (elapsed as f64 * rate / 2.0) as u64;
+        total.saturating_sub(read.min(total / 2))
+    }
+
+    /// Requests of all nodes there.
+    pub fn total_running(&self, now: Timestamp) -> u32 {
+        self.own_running() + self.fresh(now).map(|report| report.running).sum::<u32>()
+    }
+
+    /// Prompt tokens of all nodes' requests that are still to be read there.
+    pub fn total_pending_tokens(&self, now: Timestamp) -> u64 {
+        let others: u64 = self.fresh(now).map(|report| report.pending_tokens).sum();
+        self.own_pending_tokens(now) + others
+    }
+
+    fn fresh(&self, now: Timestamp) -> impl Iterator<Item = &Report> {
+        let is_fresh = move |report: &&Report| now.since(report.at) < REPORT_LIFETIME;
+        self.reports.values().filter(is_fresh)
+    }
+
+    /// Expected time to read so many prompt tokens.
+    pub fn reading_time(&self, tokens: u64) -> Span {
+        let milliseconds = tokens as f64 / ASSUMED_TOKENS_PER_MS * self.slowness;
+        Span::from_seconds(milliseconds / 1_000.0)
+    }
+
+    /// How slow it is against the assumption; 1 is as assumed.
+    pub fn slowness(&self) -> f64 {
+        self.slowness
+    }
+
+    /// Takes over what another node reports of its requests there.
+    pub fn report(&mut self, node: u64, running: u32, pending_tokens: u64, at: Timestamp) {
+        let report = Report {
+            running,
+            pending_tokens,
+            at,
+        };
+        self.reports.insert(node, report);
+    }
+
+    /// Forgets what a node reported.
+    pub fn forget(&mut self, node: u64) {
+        self.reports.remove(&node);
+    }
+
+    pub(crate) fn begin(&mut self, lease: LeaseId, uncached_tokens: u32, now: Timestamp) {
+        let running = Running {
+            uncached_tokens,
+            pending_before: self.total_pending_tokens(now),
+            started: now,
+            has_begun: false,
+        };
+        self.running.insert(lease, running);
+    }
+
+    /// The first event of a request came.
+    pub(crate) fn first_event(&mut self, lease: LeaseId, now: Timestamp) {
+        self.last_heard = Some(now);
+        let Some(running) = self.running.get_mut(&lease) else {
+            return;
+        };
+        if std::mem::replace(&mut running.has_begun, true) {
+            return;
+        }
+        let running = *running;
+        if running.uncached_tokens >= MINIMUM_OBSERVED_TOKENS {
+            self.observe_speed(&running, now);
+        }
+    }
+
+    fn observe_speed(&mut self, running: &Running, now: Timestamp) {
+        let tokens = running.pending_before + u64::from(running.uncached_tokens);
+        let expected = tokens as f64 / ASSUMED_TOKENS_PER_MS;
+        let observed = now.since(running.started).milliseconds() as f64;
+        let ratio = (observed / expected).clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
+        self.slowness += SPEED_SMOOTHING * (ratio - self.slowness);
+    }
+
+    /// Any sign of life.
+    pub(crate) fn heard(&mut self, now: Timestamp) {
+        self.last_heard = Some(now);
+    }
+
+    /// When it last gave a sign of life.
+    pub fn last_heard(&self) -> Option<Timestamp> {
+        self.last_heard
+    }
+
+    pub(crate) fn end(&mut self, lease: LeaseId) {
+        self.running.remove(&lease);
+    }
+}
--- /dev/null
+++ b/crates/coordination/dispatch/src/message.rs
@@ -0,0 +1,65 @@
+//! What nodes tell each other.
+
+use eiderferry_routing::{NodeName, PartId, ZoneName};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Requests of one node at one back end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Digest of the back end's instance.
+    pub back_end: u32,
+    /// Requests that the sender has there.
+    pub running: u16,
+    /// Prompt tokens of these that it has still to read, in hundreds.
+    pub pending_hundreds: u16,
+}
+
+/// A prompt part that was sent to a back end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placement {
+    /// Digest of the back end's instance.
+    pub back_end: u32,
+    /// The part.
+    pub part: PartId,
+    /// Its length in tokens.
+    pub tokens: u32,
+}
+
+/// A node as others tell of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its address for messages.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// How long ago it was heard, in milliseconds, by whoever heard it last.
+    pub silent_ms: u32,
+}
+
+/// The one message of the protocol; each node sends it at a steady rate.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Gossip {
+    /// Sender.
+    pub from: NodeName,
+    /// Run of the sender: another number after each start.
+    pub incarnation: u32,
+    /// Zone of the sender.
+    pub zone: ZoneName,
+    /// Whether the sender is stopping.
+    pub is_stopping: bool,
+    /// Whether an answer is wanted at once.
+    pub wants_answer: bool,
+    /// The sender knows all changes up to this revision.
+    pub complete_to: u64,
+    /// Version of the routing table in force at the sender.
+    pub table_revision: u64,
+    /// How long ago the platform confirmed that, in milliseconds.
+    pub confirmed_ms: Option<u32>,
+    /// Requests of the sender at back ends.
+    pub loads: Vec<LoadReport>,
+    /// Prompts placed since the last message; within a zone only.
+    pub placements: Vec<Placement>,
+    /// Some other nodes.
+    pub members: Vec<Member>,
+}
--- /dev/null
+++ b/crates/coordination/dispatch/src/peers.rs
@@ -0,0 +1,191 @@
+//! The other nodes: known from a few seeds and from what nodes tell each other.
+
+use crate::{Gossip, Member};
+use eiderferry_routing::{NodeName, ZoneName};
+use eiderferry_types::{Span, Timestamp};
+use rand::Rng;
+use rand::seq::IteratorRandom;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Silence after which a peer counts as lost.
+pub const SILENCE: Span = Span::from_milliseconds(900);
+/// Silence after which a peer is forgotten.
+const FORGET: Span = Span::from_milliseconds(60_000);
+/// Other nodes named in one message.
+const MEMBERS_PER_MESSAGE: usize = 4;
+
+/// What changed with a peer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PeerChange {
+    /// It was heard for the first time, or again.
+    Regained(NodeName),
+    /// It fell silent.
+    Lost(NodeName),
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    name: NodeName,
+    zone: ZoneName,
+    incarnation: u32,
+    heard: Timestamp,
+    is_lost: bool,
+    is_stopping: bool,
+    confirmed_at: Option<Timestamp>,
+}
+
+/// What is known of the other nodes.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    own: SocketAddr,
+    zone: ZoneName,
+    peers: BTreeMap<SocketAddr, Peer>,
+    hearsay: BTreeMap<SocketAddr, (ZoneName, Timestamp)>,
+    seeds: Vec<SocketAddr>,
+    most_known: u32,
+}
+
+impl Peers {
+    /// Nothing but the seeds is known.
+    pub fn new(own: SocketAddr, zone: ZoneName, seeds: Vec<SocketAddr>) -> Self {
+        Self {
+            own,
+            zone,
+            peers: BTreeMap::new(),
+            hearsay: BTreeMap::new(),
+            seeds,
+            most_known: 1,
+        }
+    }
+
+    /// Takes over new seeds.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+    }
+
+    /// The largest number of nodes ever known at once, this one included.
+    pub fn most_known(&self) -> u32 {
+        self.most_known
+    }
+
+    /// Takes a message in.
+    pub fn heard(
+        &mut self,
+        address: SocketAddr,
+        message: &Gossip,
+        now: Timestamp,
+    ) -> Option<PeerChange> {
+        self.take_members(&message.members, now);
+        self.hearsay.remove(&address);
+        let confirmed_at = message
+            .confirmed_ms
+            .map(|age| now - Span::from_milliseconds(u64::from(age)));
+        let previous = self.peers.insert(
+            address,
+            Peer {
+                name: message.from.clone(),
+                zone: message.zone.clone(),
+                incarnation: message.incarnation,
+                heard: now,
+                is_lost: false,
+                is_stopping: message.is_stopping,
+                confirmed_at,
+            },
+        );
+        self.most_known = self.most_known.max(self.peers.len() as u32 + 1);
+        let was_there =
+            previous.is_some_and(|peer| !peer.is_lost && peer.incarnation == message.incarnation);
+        (!was_there).then(|| PeerChange::Regained(message.from.clone()))
+    }
+
+    fn take_members(&mut self, members: &[Member], now: Timestamp) {
+        for member in members {
+            let is_known = member.address == self.own || self.peers.contains_key(&member.address);
+            let silent = Span::from_milliseconds(u64::from(member.silent_ms));
+            if !is_known && silent < FORGET {
+                let heard = now - silent;
+                self.hearsay
+                    .insert(member.address, (member.zone.clone(), heard));
+            }
+        }
+    }
+
+    /// Marks silent peers as lost and forgets those silent for long.
+    pub fn tick(&mut self, now: Timestamp) -> Vec<PeerChange> {
+        let mut changes = Vec::new();
+        for peer in self.peers.values_mut() {
+            if !peer.is_lost && now.since(peer.heard) > SILENCE {
+                peer.is_lost = true;
+                changes.push(PeerChange::Lost(peer.name.clone()));
+            }
+        }
+        self.peers.retain(|_, peer| now.since(peer.heard) < FORGET);
+        self.hearsay
+            .retain(|_, (_, heard)| now.since(*heard) < FORGET);
+        changes
+    }
+
+    /// After a pause of this process, silence is no fault of the others.
+    pub fn pardon(&mut self, now: Timestamp) {
+        for peer in self.peers.values_mut().filter(|peer| !peer.is_lost) {
+            peer.heard = now;
+        }
+    }
+
+    /// Peers of the own zone that are there.
+    pub fn near(&self) -> Vec<SocketAddr> {
+        self.living(|peer| peer.zone == self.zone)
+    }
+
+    /// Peers of other zones that are there.
+    pub fn far(&self) -> Vec<SocketAddr> {
+        self.living(|peer| peer.zone != self.zone)
+    }
+
+    fn living(&self, fits: impl Fn(&Peer) -> bool) -> Vec<SocketAddr> {
+        let living = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| !peer.is_lost && fits(peer));
+        living.map(|(address, _)| *address).collect()
+    }
+
+    /// Addresses to try that are not known to be there.
+    pub fn doubtful(&self, count: usize, random: &mut impl Rng) -> Vec<SocketAddr> {
+        let lost = self.peers.iter().filter(|(_, peer)| peer.is_lost);
+        let lost = lost.map(|(address, _)| *address);
+        let seeds = self.seeds.iter().copied();
+        let unknown = seeds.chain(self.hearsay.keys().copied());
+        let unknown = unknown.filter(|address| *address != self.own);
+        let unknown = unknown.filter(|address| !self.peers.contains_key(address));
+        unknown.chain(lost).choose_multiple(random, count)
+    }
+
+    /// Some nodes to name in a message.
+    pub fn sample(&self, now: Timestamp, random: &mut impl Rng) -> Vec<Member> {
+        let living = self.peers.iter().filter(|(_, peer)| !peer.is_lost);
+        let members = living.map(|(address, peer)| Member {
+            address: *address,
+            zone: peer.zone.clone(),
+            silent_ms: now.since(peer.heard).milliseconds() as u32,
+        });
+        members.choose_multiple(random, MEMBERS_PER_MESSAGE)
+    }
+
+    /// Nodes of the own zone that may read the platform for the others, by address.
+    pub fn readers(&self) -> Vec<SocketAddr> {
+        self.living(|peer| peer.zone == self.zone && !peer.is_stopping)
+    }
+
+    /// The youngest confirmation by the platform that a living peer reports.
+    pub fn youngest_confirmation(&self) -> Option<Timestamp> {
+        let living = self.peers.values().filter(|peer| !peer.is_lost);
+        living.filter_map(|peer| peer.confirmed_at).max()
+    }
+
+    /// Number of living peers.
+    pub fn living_count(&self) -> usize {
+        self.peers.values().filter(|peer| !peer.is_lost).count()
+    }
+}
--- a/crates/protocol/peer/src/lib.rs
+++ b/crates/protocol/peer/src/lib.rs
@@ -9,6 +9,8 @@
 
 mod bulk;
 mod codec;
+mod documents;
 
 pub use bulk::{BulkTransfer, BulkTransferClient};
 pub use codec::{CodecError, MAXIMUM_DATAGRAM_BYTES, decode, encode};
+pub use documents::{Documents, DocumentsClient};
--- /dev/null
+++ b/crates/state/routing/src/identity.rs
@@ -0,0 +1,73 @@
+//! Identifiers that are words.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_64;
+
+macro_rules! text_identifier {
+    ($(#[$documentation:meta])* $name:ident) => {
+        $(#[$documentation])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(from = "String", into = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// The identifier as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+
+            /// A well-mixed number that stands for the identifier.
+            pub fn digest(&self) -> u64 {
+                xxh3_64(self.0.as_bytes())
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self(Arc::from(text))
+            }
+        }
+
+        impl From<String> for $name {
+            fn from(text: String) -> Self {
+                Self(Arc::from(text))
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> String {
+                name.0.to_string()
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                formatter.write_str(&self.0)
+            }
+        }
+    };
+}
+
+text_identifier!(
+    /// Name of a pool of interchangeable back ends.
+    PoolName
+);
+text_identifier!(
+    /// One run of a back end: a restarted one has another.
+    InstanceId
+);
+text_identifier!(
+    /// Name of an entry node.
+    NodeName
+);
+text_identifier!(
+    /// Name of an availability zone.
+    ZoneName
+);
+
+/// One part of a prompt, as named by callers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct PartId(pub u64);
--- /dev/null
+++ b/crates/state/routing/src/lib.rs
@@ -0,0 +1,19 @@
+//! What a relay works from: routes, pools, tenants, limits and back ends.
+//!
+//! The values here are free of any platform's names. An adapter builds them from
+//! the documents that a platform publishes; the nodes pass them on to each other.
+
+#![forbid(unsafe_code)]
+
+mod back_end;
+mod error;
+mod identity;
+mod table;
+
+pub use back_end::BackEnd;
+pub use error::TableError;
+pub use identity::{InstanceId, NodeName, PartId, PoolName, ZoneName};
+pub use table::{
+    EngineSpecification, Limits, Pool, Route, RouteKind, RouteMatch, RoutingTable, Split,
+    TableDocument, Tenant,
+};
--- /dev/null
+++ b/crates/transport/relay/src/control.rs
@@ -0,0 +1,306 @@
+//! The control thread: the one place that touches the dispatcher.
+
+use crate::clock::Clock;
+use crate::events;
+use crate::gossip::PeerSocket;
+use crate::metrics;
+use arc_swap::ArcSwapOption;
+use eiderferry_dispatch::{
+    Applied, Change, Decision, Demand, Dispatcher, LeaseId, Outcome, ReadingDuty, TICK,
+};
+use eiderferry_routing::{InstanceId, RoutingTable};
+use eiderferry_types::{Span, Timestamp};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// A tick this much later than planned shows that the process stood still.
+const PAUSE: Span = Span::from_milliseconds(700);
+/// Ticks between two updates of the gauges.
+const GAUGE_TICKS: u64 = 10;
+/// Time between two looks at whether this node has to read documents.
+const DUTY_CHECK: Span = Span::from_milliseconds(150);
+
+/// A table that every thread may read.
+pub(crate) type SharedTable = Arc<ArcSwapOption<RoutingTable>>;
+
+/// What the control thread is told by others.
+pub(crate) enum Command {
+    /// A request wants a back end.
+    Ask {
+        demand: Box<Demand>,
+        is_first: bool,
+        reply: async_channel::Sender<Decision>,
+    },
+    /// The first event of a request came.
+    FirstEvent(LeaseId),
+    /// A place is given back.
+    End(LeaseId, Outcome),
+    /// A planned stop has begun.
+    Stop,
+}
+
+/// The way to the control thread.
+#[derive(Clone, Debug)]
+pub(crate) struct ControlHandle {
+    commands: async_channel::Sender<Command>,
+}
+
+impl ControlHandle {
+    pub fn new(commands: async_channel::Sender<Command>) -> Self {
+        Self { commands }
+    }
+
+    /// Asks for a back end; `None` if the control thread is gone.
+    pub async fn ask(&self, demand: Demand, is_first: bool) -> Option<Decision> {
+        let (reply, answer) = async_channel::bounded(1);
+        let command = Command::Ask {
+            demand: Box::new(demand),
+            is_first,
+            reply,
+        };
+        self.commands.send(command).await.ok()?;
+        answer.recv().await.ok()
+    }
+
+    pub fn first_event(&self, lease: LeaseId) {
+        self.tell(Command::FirstEvent(lease));
+    }
+
+    pub fn end(&self, lease: LeaseId, outcome: Outcome) {
+        self.tell(Command::End(lease, outcome));
+    }
+
+    pub fn stop(&self) {
+        self.tell(Command::Stop);
+    }
+
+    fn tell(&self, command: Command) {
+        // The channel is unbounded; it only fails when the control thread is gone.
+        let _ = self.commands.try_send(command);
+    }
+}
+
+/// State of the control thread, shared by its tasks.
+pub(crate) struct Control {
+    pub dispatcher: RefCell<Dispatcher>,
+    pub clock: Clock,
+    table: SharedTable,
+    socket: PeerSocket,
+    fetching: Cell<bool>,
+}
+
+impl Control {
+    pub fn new(
+        dispatcher: Dispatcher,
+        clock: Clock,
+        table: SharedTable,
+        socket: PeerSocket,
+    ) -> Self {
+        Self {
+            dispatcher: RefCell::new(dispatcher),
+            clock,
+            table,
+            socket,
+            fetching: Cell::new(false),
+        }
+    }
+
+    /// Carries commands out until all their senders are gone.
+    pub async fn run_commands(&self, commands: async_channel::Receiver<Command>) {
+        while let Ok(command) = commands.recv().await {
+            self.run_command(command);
+        }
+    }
+
+    fn run_command(&self, command: Command) {
+        let now = self.clock.now();
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        match command {
+            Command::Ask {
+                demand,
+                is_first,
+                reply,
+            } => {
+                if is_first {
+                    dispatcher.count_request(&demand.pool, now);
+                }
+                let _ = reply.try_send(dispatcher.ask(&demand, now));
+            }
+            Command::FirstEvent(lease) => dispatcher.first_event(lease, now),
+            Command::End(lease, outcome) => {
+                if let Some((instance, change)) = dispatcher.end(lease, outcome, now) {
+                    events::back_end_standing(&instance, change, outcome);
+                }
+            }
+            Command::Stop => dispatcher.stop(),
+        }
+    }
+
+    /// Ticks the dispatcher for ever.
+    pub async fn run_ticks(&self) {
+        let mut previous = self.clock.now();
+        let mut count: u64 = 0;
+        loop {
+            smol::Timer::after(crate::clock::duration(TICK)).await;
+            let now = self.clock.now();
+            let gap = now.since(previous);
+            previous = now;
+            if gap.0 > TICK.0 + PAUSE.0 {
+                events::paused(gap);
+                self.dispatcher.borrow_mut().resume_after_pause(now);
+            }
+            self.tick(now);
+            count += 1;
+            if count.is_multiple_of(GAUGE_TICKS) {
+                metrics::set_gauges(&self.dispatcher.borrow().snapshot(now));
+            }
+        }
+    }
+
+    fn tick(&self, now: Timestamp) {
+        let output = self.dispatcher.borrow_mut().tick(now);
+        for change in &output.peer_changes {
+            events::peer(change);
+        }
+        for (address, message) in &output.messages {
+            self.socket.send(*address, message);
+        }
+    }
+
+    /// Receives messages of other nodes for ever.
+    pub async fn run_messages(self: &Rc<Self>, executor: &smol::LocalExecutor<'static>) {
+        loop {
+            let Some((from, message)) = self.socket.receive().await else {
+                continue;
+            };
+            let now = self.clock.now();
+            let received = self.dispatcher.borrow_mut().receive(from, &message, now);
+            if let Some(change) = &received.change {
+                events::peer(change);
+            }
+            if received.wants_answer {
+                let answer = self.dispatcher.borrow_mut().gossip(false, false, now);
+                self.socket.send(from, &answer);
+            }
+            if received.is_newer && !self.fetching.replace(true) {
+                let control = Rc::clone(self);
+                executor
+                    .spawn(async move { control.fetch(from).await })
+                    .detach();
+            }
+        }
+    }
+
+    async fn fetch(&self, from: SocketAddr) {
+        let (known, table) = {
+            let dispatcher = self.dispatcher.borrow();
+            let knowledge = dispatcher.knowledge();
+            (knowledge.complete_to(), knowledge.table_revision())
+        };
+        let result = crate::documents::fetch(from, known.min(table)).await;
+        self.fetching.set(false);
+        match result {
+            Ok(package) => {
+                let heard = self.clock.now();
+                let age = package.confirmed_ms.map(Span::from_milliseconds);
+                self.take(package.changes, "peer");
+                let at = age.map(|age| heard - age);
+                self.confirm(package.complete_to, at.unwrap_or_default());
+            }
+            Err(error) => events::fetch_failed(from, &error),
+        }
+    }
+
+    /// Takes changes over; tells the other nodes when anything was new.
+    fn take(&self, changes: Vec<Change>, source: &'static str) {
+        let mut is_news = false;
+        for change in changes {
+            let key = change.key.clone();
+            let revision = change.revision;
+            let applied = self.dispatcher.borrow_mut().apply(change);
+            is_news |= applied == Applied::Taken;
+            events::document(&key, revision, &applied, source);
+        }
+        if !is_news {
+            return;
+        }
+        let table = self.dispatcher.borrow().knowledge().table().cloned();
+        self.table.store(table);
+    }
+
+    fn confirm(&self, revision: u64, at: Timestamp) {
+        let before = self.dispatcher.borrow().knowledge().complete_to();
+        self.dispatcher.borrow_mut().confirm(revision, at);
+        if revision > before {
+            self.announce();
+        }
+    }
+
+    fn announce(&self) {
+        let now = self.clock.now();
+        let messages = self.dispatcher.borrow_mut().announce(now);
+        for (address, message) in &messages {
+            self.socket.send(*address, message);
+        }
+    }
+}
+
+/// How a source of documents hands over what it reads.
+#[derive(Clone)]
+pub struct DocumentFeed {
+    control: Rc<Control>,
+}
+
+impl DocumentFeed {
+    pub(crate) fn new(control: Rc<Control>) -> Self {
+        Self { control }
+    }
+
+    /// Waits until this node has to read.
+    pub async fn wait_for_duty(&self) {
+        loop {
+            let now = self.control.clock.now();
+            if self.control.dispatcher.borrow().reading_duty(now) == ReadingDuty::Read {
+                return;
+            }
+            smol::Timer::after(crate::clock::duration(DUTY_CHECK)).await;
+        }
+    }
+
+    /// Every change up to this revision is known, from here or from peers.
+    pub fn complete_to(&self) -> u64 {
+        self.control.dispatcher.borrow().knowledge().complete_to()
+    }
+
+    /// Whether a routing table is in force.
+    pub fn has_table(&self) -> bool {
+        let dispatcher = self.control.dispatcher.borrow();
+        dispatcher.knowledge().table().is_some()
+    }
+
+    /// Hands changes over; `revision` is the one up to which all is then known.
+    pub fn take(&self, changes: Vec<Change>, revision: u64) {
+        self.control.take(changes, "store");
+        self.control.confirm(revision, self.control.clock.now());
+    }
+
+    /// Hands a whole listing over that began at `revision`.
+    pub fn take_listing(&self, changes: Vec<Change>, listed: &BTreeSet<InstanceId>, revision: u64) {
+        self.control.take(changes, "store");
+        let missing = {
+            let dispatcher = self.control.dispatcher.borrow();
+            dispatcher
+                .knowledge()
+                .missing_from_listing(listed, revision)
+        };
+        self.take(missing, revision);
+    }
+
+    /// Takes over new addresses of other nodes.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        self.control.dispatcher.borrow_mut().set_seeds(seeds);
+    }
+}
--- /dev/null
+++ b/crates/transport/relay/src/events.rs
@@ -0,0 +1,160 @@
+//! The log: one function for each kind of line, so that names stay stable.
+//!
+//! Every line names its `event`; docs/operations/LOGS.md explains each field. Keys,
+//! bodies and prompts never appear.
+
+use crate::documents::FetchError;
+use crate::own_answer::OwnAnswer;
+use eiderferry_dispatch::{Applied, DocumentKey, Grant, HealthChange, Outcome, PeerChange};
+use eiderferry_routing::InstanceId;
+use eiderferry_types::{Reason, Span};
+use std::net::SocketAddr;
+
+/// A node serves callers from now on.
+pub(crate) fn started(node: &str, zone: &str, listen: SocketAddr) {
+    log::info!(event = "started", node = node, zone = zone, listen:% = listen; "started");
+}
+
+/// A planned stop has begun, or goes on to its next phase.
+pub(crate) fn stopping(phase: &'static str, open_requests: u32) {
+    log::info!(event = "stopping", phase = phase, open = open_requests; "stopping");
+}
+
+/// The process ends.
+pub(crate) fn stopped(open_requests: u32) {
+    log::info!(event = "stopped", open = open_requests; "stopped");
+}
+
+/// The settings were read again.
+pub fn reloaded(seeds: usize) {
+    log::info!(event = "reloaded", seeds = seeds; "settings read again");
+}
+
+/// The process stood still.
+pub(crate) fn paused(gap: Span) {
+    log::warn!(event = "paused", gap_ms = gap.milliseconds(); "the process stood still");
+}
+
+/// The source of documents gives no answers.
+pub fn source_lost(error: &str) {
+    log::warn!(event = "source_lost", error = error; "the source of documents gives no answers");
+}
+
+/// The source of documents gives answers again.
+pub fn source_regained(silent_ms: u64) {
+    log::info!(event = "source_regained", silent_ms = silent_ms; "the source of documents is back");
+}
+
+/// A peer was lost or regained.
+pub(crate) fn peer(change: &PeerChange) {
+    match change {
+        PeerChange::Regained(node) => {
+            log::info!(event = "peer_regained", peer = node.as_str(); "peer heard");
+        }
+        PeerChange::Lost(node) => {
+            log::warn!(event = "peer_lost", peer = node.as_str(); "peer silent");
+        }
+    }
+}
+
+/// Documents could not be fetched from a peer.
+pub(crate) fn fetch_failed(peer: SocketAddr, error: &FetchError) {
+    log::warn!(event = "fetch_failed", peer:% = peer, error:% = error; "documents not fetched");
+}
+
+/// A document was taken, or refused.
+pub(crate) fn document(key: &DocumentKey, revision: u64, applied: &Applied, source: &'static str) {
+    let item = match key {
+        DocumentKey::Table => "table",
+        DocumentKey::BackEnd(instance) => instance.as_str(),
+    };
+    match applied {
+        Applied::Known => {}
+        Applied::Taken => log::info!(
+            event = "document_taken", item = item, revision = revision, source = source;
+            "document in force"
+        ),
+        Applied::Refused(error) => log::warn!(
+            event = "document_refused", item = item, revision = revision, source = source,
+            error = error.as_str();
+            "document refused; the previous one stays"
+        ),
+    }
+}
+
+/// A back end's standing changed.
+pub(crate) fn back_end_standing(instance: &InstanceId, change: HealthChange, outcome: Outcome) {
+    let (event, span) = match change {
+        HealthChange::Ejected(span) => ("back_end_ejected", span),
+        HealthChange::Restored => ("back_end_restored", Span::ZERO),
+    };
+    log::warn!(
+        event = event, back_end = instance.as_str(), for_ms = span.milliseconds(),
+        after = outcome.as_str();
+        "standing changed"
+    );
+}
+
+/// A request got a place on a back end.
+pub(crate) fn granted(id: &str, route: &str, rank: u8, attempt: u32, grant: &Grant) {
+    log::info!(
+        event = "granted", request = id, route = route, rank = rank, attempt = attempt,
+        back_end = grant.instance.as_str(), expected_ms = grant.expected.milliseconds(),
+        uncached = grant.uncached_tokens, revision = grant.revision,
+        list_age_ms = grant.list_age.milliseconds();
+        "granted"
+    );
+}
+
+/// A request got no place.
+pub(crate) fn not_granted(id: &str, reason: Reason, retry_after: Span) {
+    log::warn!(
+        event = "not_granted", request = id, reason = reason.as_str(),
+        retry_after_ms = retry_after.milliseconds();
+        "no place"
+    );
+}
+
+/// An attempt at a back end failed.
+pub(crate) fn attempt_failed(id: &str, attempt: u32, back_end: &str, outcome: Outcome) {
+    log::warn!(
+        event = "attempt_failed", request = id, attempt = attempt, back_end = back_end,
+        outcome = outcome.as_str();
+        "attempt failed"
+    );
+}
+
+/// A stream goes on at another back end.
+pub(crate) fn resumed(id: &str, back_end: &str, after_event: u64) {
+    log::warn!(
+        event = "resumed", request = id, back_end = back_end, after_event = after_event;
+        "stream taken up elsewhere"
+    );
+}
+
+/// A request was answered by this node itself.
+pub(crate) fn answered_here(id: &str, answer: &OwnAnswer, elapsed: Span) {
+    log::warn!(
+        event = "answered_here", request = id, status = answer.status().as_u16(),
+        reason = answer.reason(), verdict = answer.verdict().as_str(),
+        elapsed_ms = elapsed.milliseconds();
+        "answered here"
+    );
+}
+
+/// A request ended with a back end's answer, whole or not.
+pub(crate) fn ended(id: &str, how: &'static str, status: u16, attempts: u32, elapsed: Span) {
+    if how == "whole" {
+        log::info!(
+            event = "ended", request = id, how = how, status = status, attempts = attempts,
+            elapsed_ms = elapsed.milliseconds();
+            "ended"
+        );
+        return;
+    }
+    log::warn!(
+        event = "ended", request = id, how = how, status = status, attempts = attempts,
+        elapsed_ms = elapsed.milliseconds();
+        "ended"
+    );
+}
--- /dev/null
+++ b/crates/transport/relay/src/exchange.rs
@@ -0,0 +1,552 @@
+//! One request from its head to its final answer.
+
+use crate::answer::RelayBody;
+use crate::clock::{Clock, duration};
+use crate::control::{ControlHandle, SharedTable};
+use crate::lease::Lease;
+use crate::own_answer::OwnAnswer;
+use crate::request_head::RequestHead;
+use crate::stream::StreamRelay;
+use crate::upstream::{Connection, SendError, Upstream};
+use crate::vocabulary::Vocabulary;
+use crate::{events, metrics};
+use bytes::{Bytes, BytesMut};
+use eiderferry_dispatch::{Decision, Demand, Outcome};
+use eiderferry_routing::{InstanceId, PoolName, RouteKind};
+use eiderferry_types::{Reason, Span, Timestamp};
+use futures_lite::FutureExt;
+use http::header::{self, HeaderName, HeaderValue};
+use http::request::Parts;
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http_body::Body;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use std::rc::Rc;
+
+/// Headers that belong to one connection.
+const CONNECTION_HEADERS: [HeaderName; 8] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::EXPECT,
+];
+/// Answers up to this size are read whole before they are passed on.
+const WHOLE_ANSWER_BYTES: usize = 256 * 1024;
+/// Time after which a request without a configuration is worth sending again.
+const NOT_READY_RETRY: Span = Span::from_milliseconds(300);
+/// Back ends tried without a connection coming up.
+const MAXIMUM_UNREACHABLE: u32 = 3;
+/// Attempt's time for an answer that may be asked for again, in targets.
+const ATTEMPT_TARGETS: u64 = 2;
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+/// Least urgent rank that back ends know.
+const LOWEST_RANK: u8 = 9;
+
+/// What all requests of a traffic thread share.
+pub(crate) struct Traffic {
+    pub upstream: Upstream,
+    pub control: ControlHandle,
+    pub table: SharedTable,
+    pub vocabulary: Vocabulary,
+    pub clock: Clock,
+}
+
+/// How an attempt ended.
+pub(crate) enum AttemptEnd {
+    /// With an answer for the caller.
+    Answer(Response<RelayBody>),
+    /// With a back end's failure, which may be passed on or tried again.
+    FailedAnswer(Response<RelayBody>),
+    /// Without an answer.
+    None(Outcome),
+}
+
+/// A request and what has become of it.
+pub(crate) struct Exchange {
+    pub traffic: Rc<Traffic>,
+    pub head: RequestHead,
+    pool: PoolName,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+    pub started: Timestamp,
+    pub deadline: Timestamp,
+    pub attempts: u32,
+    unreachable: u32,
+    excluded: Vec<InstanceId>,
+    may_have_run: bool,
+    pub status: u16,
+    is_over: bool,
+}
+
+/// Serves one request.
+pub(crate) async fn serve(traffic: Rc<Traffic>, request: Request<Incoming>) -> Response<RelayBody> {
+    let started = traffic.clock.now();
+    match prepare(traffic, request, started).await {
+        Ok(exchange) => exchange.run().await,
+        Err((id, answer)) => {
+            metrics::own_answer(answer.reason());
+            events::answered_here(&id, &answer, Span::ZERO);
+            answer.response()
+        }
+    }
+}
+
+async fn prepare(
+    traffic: Rc<Traffic>,
+    request: Request<Incoming>,
+    started: Timestamp,
+) -> Result<Exchange, (String, OwnAnswer)> {
+    let (parts, body) = request.into_parts();
+    let id = request_id(&parts, &traffic.vocabulary);
+    let table = traffic.table.load_full();
+    let Some(table) = table else {
+        let answer = OwnAnswer::NotRun(Reason::NotReady, NOT_READY_RETRY);
+        return Err((id, answer));
+    };
+    let head = RequestHead::read(&parts, &table, &traffic.vocabulary)
+        .map_err(|answer| (id.clone(), answer))?;
+    let deadline = started + head.remaining;
+    let limit = table.limits().maximum_body_bytes;
+    let body = read_body(body, limit)
+        .await
+        .map_err(|answer| (id, answer))?;
+    let point = rand::random::<f64>();
+    let pool = head.route.pool(point).cloned();
+    let pool = pool.unwrap_or_else(|| PoolName::from(""));
+    let headers = forwarded_headers(&parts.headers, &traffic.vocabulary);
+    Ok(Exchange {
+        traffic,
+        head,
+        pool,
+        method: parts.method,
+        uri: path_and_query(parts.uri),
+        headers,
+        body,
+        started,
+        deadline,
+        attempts: 0,
+        unreachable: 0,
+        excluded: Vec::new(),
+        may_have_run: false,
+        status: 0,
+        is_over: false,
+    })
+}
+
+fn request_id(parts: &Parts, vocabulary: &Vocabulary) -> String {
+    let value = parts.headers.get(&vocabulary.request_id);
+    let text = value.and_then(|value| value.to_str().ok());
+    text.unwrap_or_default().to_owned()
+}
+
+fn path_and_query(uri: Uri) -> Uri {
+    uri.into_parts()
+        .path_and_query
+        .map_or_else(Uri::default, Uri::from)
+}
+
+async fn read_body(mut body: Incoming, limit: u64) -> Result<Bytes, OwnAnswer> {
+    if body.size_hint().lower() > limit {
+        return Err(OwnAnswer::BodyTooLarge);
+    }
+    let mut collected = BytesMut::with_capacity(body.size_hint().lower() as usize);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| OwnAnswer::BodyBroken)?;
+        if let Ok(data) = frame.into_data() {
+            collected.extend_from_slice(&data);
+        }
+        if collected.len() as u64 > limit {
+            return Err(OwnAnswer::BodyTooLarge);
+        }
+    }
+    Ok(collected.freeze())
+}
+
+fn forwarded_headers(headers: &HeaderMap, vocabulary: &Vocabulary) -> HeaderMap {
+    let own = [
+        &header::AUTHORIZATION,
+        &header::CONTENT_LENGTH,
+        &vocabulary.tenant,
+        &vocabulary.remaining_ms,
+        &vocabulary.expected_instance,
+        &vocabulary.rank,
+    ];
+    let mut forwarded = without_connection_headers(headers);
+    for name in own {
+        forwarded.remove(name);
+    }
+    forwarded
+}
+
+/// A copy without what belongs to the connection.
+pub(crate) fn without_connection_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut copy = headers.clone();
+    let listed = headers.get_all(header::CONNECTION).iter();
+    let listed = listed.filter_map(|value| value.to_str().ok());
+    for name in listed.flat_map(|value| value.split(',')) {
+        copy.remove(name.trim());
+    }
+    for name in &CONNECTION_HEADERS {
+        copy.remove(name);
+    }
+    copy
+}
+
+impl Exchange {
+    async fn run(mut self) -> Response<RelayBody> {
+        let mut fallback = None;
+        loop {
+            let lease = match self.ask().await {
+                Ok(lease) => lease,
+                Err(answer) => return self.conclude(fallback, answer),
+            };
+            let instance = lease.grant.instance.clone();
+            self.excluded.push(instance.clone());
+            let (next, end) = self.attempt(lease).await;
+            let Some(exchange) = next else {
+                return match end {
+                    AttemptEnd::Answer(response) | AttemptEnd::FailedAnswer(response) => response,
+                    AttemptEnd::None(_) => OwnAnswer::AnswerLost.response(),
+                };
+            };
+            self = exchange;
+            let outcome = match end {
+                AttemptEnd::Answer(response) => return self.pass_on(response),
+                AttemptEnd::FailedAnswer(response) => {
+                    fallback = Some(response);
+                    Outcome::Failed
+                }
+                AttemptEnd::None(outcome) => outcome,
+            };
+            events::attempt_failed(&self.head.id, self.attempts, instance.as_str(), outcome);
+            if !self.may_try_again() {
+                let answer = self.final_answer(outcome);
+                return self.conclude(fallback, answer);
+            }
+        }
+    }
+
+    fn pass_on(mut self, response: Response<RelayBody>) -> Response<RelayBody> {
+        self.status = response.status().as_u16();
+        self.end("whole");
+        response
+    }
+
+    fn conclude(
+        mut self,
+        fallback: Option<Response<RelayBody>>,
+        answer: OwnAnswer,
+    ) -> Response<RelayBody> {
+        if let Some(response) = fallback {
+            return self.pass_on(response);
+        }
+        self.is_over = true;
+        let elapsed = self.elapsed();
+        events::answered_here(&self.head.id, &answer, elapsed);
+        metrics::own_answer(answer.reason());
+        metrics::request(&self.head.route, self.head.rank, answer.reason(), elapsed);
+        answer.response()
+    }
+
+    /// Notes how the request ended.
+    pub fn end(&mut self, how: &'static str) {
+        if std::mem::replace(&mut self.is_over, true) {
+            return;
+        }
+        let elapsed = self.elapsed();
+        events::ended(&self.head.id, how, self.status, self.attempts, elapsed);
+        metrics::request(&self.head.route, self.head.rank, how, elapsed);
+    }
+
+    fn elapsed(&self) -> Span {
+        self.traffic.clock.now().since(self.started)
+    }
+
+    fn final_answer(&self, outcome: Outcome) -> OwnAnswer {
+        if self.may_have_run {
+            return if self.traffic.clock.now() >= self.deadline {
+                OwnAnswer::TimedOut
+            } else {
+                OwnAnswer::AnswerLost
+            };
+        }
+        let reason = match outcome {
+            Outcome::Shed => Reason::QueueFull,
+            _ => Reason::NoBackEnd,
+        };
+        OwnAnswer::NotRun(reason, NOT_READY_RETRY)
+    }
+
+    /// Whether another back end may be tried.
+    pub fn may_try_again(&self) -> bool {
+        let may_run = !self.may_have_run || self.head.route.may_repeat();
+        may_run
+            && self.attempts < self.head.route.maximum_attempts
+            && self.unreachable < MAXIMUM_UNREACHABLE
+            && self.traffic.clock.now() < self.deadline
+    }
+
+    /// Asks for a place.
+    pub async fn ask(&mut self) -> Result<Lease, OwnAnswer> {
+        let now = self.traffic.clock.now();
+        let demand = Demand {
+            pool: self.pool.clone(),
+            rank: self.head.rank,
+            parts: self.head.parts.clone(),
+            prompt_tokens: self.head.prompt_tokens,
+            output_tokens: self.head.output_tokens,
+            target: self.head.route.target,
+            remaining: now.until(self.deadline),
+            excluded: self.excluded.clone(),
+            is_repeat: self.attempts > 0,
+        };
+        let is_first = self.attempts == 0 && self.unreachable == 0;
+        let decision = self.traffic.control.ask(demand, is_first).await;
+        match decision {
+            Some(Decision::Grant(grant)) => {
+                let head = &self.head;
+                let attempt = self.attempts + 1;
+                events::granted(&head.id, &head.route.name, head.rank, attempt, &grant);
+                let kept = head.prompt_tokens.saturating_sub(grant.uncached_tokens);
+                metrics::prompt(kept, grant.uncached_tokens);
+                Ok(Lease::new(grant, self.traffic.control.clone()))
+            }
+            Some(Decision::Refuse(reason, retry_after)) => {
+                events::not_granted(&self.head.id, reason, retry_after);
+                Err(self.refusal(reason, retry_after))
+            }
+            None => Err(self.refusal(Reason::Draining, NOT_READY_RETRY)),
+        }
+    }
+
+    fn refusal(&self, reason: Reason, retry_after: Span) -> OwnAnswer {
+        if self.may_have_run {
+            OwnAnswer::AnswerLost
+        } else {
+            OwnAnswer::NotRun(reason, retry_after)
+        }
+    }
+
+    /// Sends the request to a back end and waits for the head of its answer.
+    pub async fn send(
+        &mut self,
+        lease: &Lease,
+        last_event_id: Option<u64>,
+    ) -> Result<(Response<Incoming>, Connection), Outcome> {
+        let request = self.request(lease, last_event_id);
+        let may_repeat = self.head.route.may_repeat();
+        let limit = self.head_deadline(lease);
+        let timeout = async {
+            smol::Timer::after(duration(limit)).await;
+            None
+        };
+        let send = self
+            .traffic
+            .upstream
+            .send(&lease.grant, request, may_repeat);
+        let result = async { Some(send.await) }.or(timeout).await;
+        self.judge(result)
+    }
+
+    fn judge(
+        &mut self,
+        result: Option<Result<(Response<Incoming>, Connection), SendError>>,
+    ) -> Result<(Response<Incoming>, Connection), Outcome> {
+        match result {
+            Some(Err(SendError::Unreachable(_) | SendError::NoConnection)) => {
+                self.unreachable += 1;
+                Err(Outcome::Unreachable)
+            }
+            Some(Err(SendError::Broken(_))) => {
+                self.attempts += 1;
+                self.may_have_run = true;
+                Err(Outcome::Broken)
+            }
+            None => {
+                self.attempts += 1;
+                self.may_have_run = true;
+                Err(Outcome::Silent)
+            }
+            Some(Ok((response, connection))) => {
+                self.attempts += 1;
+                self.judge_head(response, connection)
+            }
+        }
+    }
+
+    fn judge_head(
+        &mut self,
+        response: Response<Incoming>,
+        connection: Connection,
+    ) -> Result<(Response<Incoming>, Connection), Outcome> {
+        let vocabulary = &self.traffic.vocabulary;
+        let id = response.headers().get(&vocabulary.request_id);
+        let is_ours = id.is_some_and(|id| id.as_bytes() == self.head.id.as_bytes());
+        if response.status() == StatusCode::MISDIRECTED_REQUEST {
+            return Err(Outcome::Replaced);
+        }
+        if response.headers().contains_key(&vocabulary.not_run) && id.is_none_or(|_| is_ours) {
+            return Err(Outcome::Shed);
+        }
+        self.may_have_run = true;
+        if !is_ours || response.headers().contains_key(header::CONTENT_ENCODING) {
+            return Err(Outcome::Broken);
+        }
+        Ok((response, connection))
+    }
+
+    /// Longest wait for the head: until the request's time is over, or shorter where
+    /// another back end may be asked.
+    fn head_deadline(&self, lease: &Lease) -> Span {
+        let now = self.traffic.clock.now();
+        let left = now.until(self.deadline);
+        let route = &self.head.route;
+        let is_last = self.attempts + 1 >= route.maximum_attempts;
+        if !route.may_repeat() || is_last {
+            return left;
+        }
+        let patience = match route.kind {
+            RouteKind::Streaming => Span(route.target.0 + 2 * lease.grant.expected.0),
+            _ => Span(route.target.0 * ATTEMPT_TARGETS),
+        };
+        left.min(patience)
+    }
+
+    fn request(&self, lease: &Lease, last_event_id: Option<u64>) -> Request<Full<Bytes>> {
+        let vocabulary = &self.traffic.vocabulary;
+        let mut headers = self.headers.clone();
+        let left = self.traffic.clock.now().until(self.deadline);
+        let mut set = |name: &HeaderName, value: &str| {
+            if let Ok(value) = HeaderValue::from_str(value) {
+                headers.insert(name.clone(), value);
+            }
+        };
+        set(
+            &vocabulary.remaining_ms,
+            &left.milliseconds().max(1).to_string(),
+        );
+        set(&vocabulary.expected_instance, lease.grant.instance.as_str());
+        set(
+            &vocabulary.rank,
+            &self.head.rank.min(LOWEST_RANK).to_string(),
+        );
+        if let Some(tenant) = &self.head.tenant {
+            set(&vocabulary.tenant, tenant);
+        }
+        if let Some(id) = last_event_id {
+            set(&vocabulary.last_event_id, &id.to_string());
+        }
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = headers;
+        request
+    }
+
+    /// One attempt at a back end. The exchange comes back unless a stream holds it.
+    async fn attempt(mut self, lease: Lease) -> (Option<Self>, AttemptEnd) {
+        match self.send(&lease, None).await {
+            Err(outcome) => {
+                metrics::attempt(outcome.as_str());
+                lease.end(outcome);
+                (Some(self), AttemptEnd::None(outcome))
+            }
+            Ok((response, connection)) if is_event_stream(&response) => {
+                StreamRelay::start(self, lease, response, connection).await
+            }
+            Ok((response, connection)) => {
+                let end = self.whole_answer(lease, response, connection).await;
+                (Some(self), end)
+            }
+        }
+    }
+
+    async fn whole_answer(
+        &mut self,
+        lease: Lease,
+        response: Response<Incoming>,
+        connection: Connection,
+    ) -> AttemptEnd {
+        let (parts, body) = response.into_parts();
+        let limit = self.head_deadline(&lease);
+        let timeout = async {
+            smol::Timer::after(duration(limit)).await;
+            Err(Outcome::Silent)
+        };
+        let outcome = match read_answer(body).or(timeout).await {
+            Err(outcome) => outcome,
+            Ok(bytes) => {
+                self.traffic.upstream.keep(connection, &parts.headers);
+                let elapsed = self.elapsed();
+                metrics::first_event(&self.head.route, self.head.rank, elapsed);
+                lease.first_event();
+                return self.judge_answer(lease, &parts, bytes);
+            }
+        };
+        metrics::attempt(outcome.as_str());
+        lease.end(outcome);
+        AttemptEnd::None(outcome)
+    }
+
+    fn judge_answer(
+        &self,
+        lease: Lease,
+        parts: &http::response::Parts,
+        bytes: Bytes,
+    ) -> AttemptEnd {
+        let response = answer(parts, RelayBody::from(bytes));
+        let is_failure = parts.status.is_server_error();
+        let outcome = if is_failure {
+            Outcome::Failed
+        } else {
+            Outcome::Completed
+        };
+        metrics::attempt(outcome.as_str());
+        lease.end(outcome);
+        if is_failure && self.head.route.may_repeat() {
+            AttemptEnd::FailedAnswer(response)
+        } else {
+            AttemptEnd::Answer(response)
+        }
+    }
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        self.end("caller_left");
+    }
+}
+
+fn is_event_stream(response: &Response<Incoming>) -> bool {
+    let kind = response.headers().get(header::CONTENT_TYPE);
+    kind.is_some_and(|kind| kind.as_bytes().starts_with(EVENT_STREAM))
+}
+
+/// An answer with a back end's head.
+pub(crate) fn answer(parts: &http::response::Parts, body: RelayBody) -> Response<RelayBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = without_connection_headers(&parts.headers);
+    response.headers_mut().remove(header::CONTENT_LENGTH);
+    response
+}
+
+async fn read_answer(mut body: Incoming) -> Result<Bytes, Outcome> {
+    let mut collected = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Outcome::Broken)?;
+        if let Ok(data) = frame.into_data() {
+            collected.extend_from_slice(&data);
+        }
+        if collected.len() > WHOLE_ANSWER_BYTES * 16 {
+            return Err(Outcome::Broken);
+        }
+    }
+    Ok(collected.freeze())
+}
--- /dev/null
+++ b/crates/transport/relay/src/lease.rs
@@ -0,0 +1,41 @@
+//! A granted place that gives itself back.
+
+use crate::control::ControlHandle;
+use eiderferry_dispatch::{Grant, Outcome};
+
+/// A place on a back end. Dropped without a word, it was abandoned.
+#[derive(Debug)]
+pub(crate) struct Lease {
+    pub grant: Grant,
+    control: ControlHandle,
+    is_over: bool,
+}
+
+impl Lease {
+    pub fn new(grant: Grant, control: ControlHandle) -> Self {
+        Self {
+            grant,
+            control,
+            is_over: false,
+        }
+    }
+
+    /// The first event, or the whole answer, came.
+    pub fn first_event(&self) {
+        self.control.first_event(self.grant.lease);
+    }
+
+    /// Gives the place back.
+    pub fn end(mut self, outcome: Outcome) {
+        self.is_over = true;
+        self.control.end(self.grant.lease, outcome);
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        if !self.is_over {
+            self.control.end(self.grant.lease, Outcome::Abandoned);
+        }
+    }
+}
--- /dev/null
+++ b/crates/transport/relay/src/logging.rs
@@ -0,0 +1,168 @@
+//! Log lines to standard output: bounded, and never waited for.
+//!
+//! Lines go into a queue that a thread of its own writes out. A full queue, a slow
+//! reader or a spent budget costs lines, which are counted and told; what concerns
+//! failures is kept before what concerns success.
+
+use log::LevelFilter;
+use logforth::append::Append;
+use logforth::layout::{JsonLayout, Layout};
+use logforth::record::{Level, Record};
+use logforth::{Diagnostic, Error};
+use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Lines that may wait to be written.
+const QUEUE_LINES: usize = 4_096;
+/// Time between two writes, so that lines are written together.
+const WRITE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Lines allowed in a second.
+#[derive(Clone, Copy, Debug)]
+pub struct LogBudget {
+    /// Lines about success.
+    pub information_per_second: u32,
+    /// Lines about failures.
+    pub warnings_per_second: u32,
+}
+
+impl Default for LogBudget {
+    fn default() -> Self {
+        Self {
+            information_per_second: 200,
+            warnings_per_second: 400,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Window {
+    since: Instant,
+    information: u32,
+    warnings: u32,
+}
+
+/// A queue of lines with a budget.
+#[derive(Debug)]
+pub struct LogQueue {
+    lines: SyncSender<Vec<u8>>,
+    budget: LogBudget,
+    window: Mutex<Window>,
+    left_out: Arc<AtomicU64>,
+}
+
+impl LogQueue {
+    /// A queue of so many lines with its reading end.
+    pub fn new(lines: usize, budget: LogBudget) -> (Self, Receiver<Vec<u8>>) {
+        let (sender, receiver) = sync_channel(lines);
+        let queue = Self {
+            lines: sender,
+            budget,
+            window: Mutex::new(Window {
+                since: Instant::now(),
+                information: 0,
+                warnings: 0,
+            }),
+            left_out: Arc::default(),
+        };
+        (queue, receiver)
+    }
+
+    /// Lines left out since the last time this was asked.
+    pub fn take_left_out(&self) -> u64 {
+        self.left_out.swap(0, Ordering::Relaxed)
+    }
+
+    /// Whether the budget has room for a line.
+    pub fn admits(&self, is_warning: bool) -> bool {
+        let Ok(mut window) = self.window.lock() else {
+            return false;
+        };
+        if window.since.elapsed() >= Duration::from_secs(1) {
+            window.since = Instant::now();
+            window.information = 0;
+            window.warnings = 0;
+        }
+        let (used, most) = if is_warning {
+            (&mut window.warnings, self.budget.warnings_per_second)
+        } else {
+            (&mut window.information, self.budget.information_per_second)
+        };
+        let admits = *used < most;
+        *used += u32::from(admits);
+        if !admits {
+            self.left_out.fetch_add(1, Ordering::Relaxed);
+        }
+        admits
+    }
+
+    /// Queues a line unless the queue is full; never waits.
+    pub fn push(&self, line: Vec<u8>) {
+        if self.lines.try_send(line).is_err() {
+            self.left_out.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+#[derive(Debug)]
+struct QueueAppend {
+    queue: LogQueue,
+    layout: JsonLayout,
+}
+
+impl Append for QueueAppend {
+    fn append(&self, record: &Record, diagnostics: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
+        let is_warning = record.level() >= Level::Warn;
+        if self.queue.admits(is_warning) {
+            let mut line = self.layout.format(record, diagnostics)?;
+            line.push(b'\n');
+            self.queue.push(line);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> Result<(), Error> {
+        Ok(())
+    }
+}
+
+/// Starts logging to standard output.
+pub fn start(budget: LogBudget) {
+    let (queue, lines) = LogQueue::new(QUEUE_LINES, budget);
+    let left_out = Arc::clone(&queue.left_out);
+    let append = QueueAppend {
+        queue,
+        layout: JsonLayout::default(),
+    };
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| dispatch.append(append))
+        .apply();
+    log::set_max_level(LevelFilter::Info);
+    let writer = std::thread::Builder::new().name("log".to_owned());
+    // Without the thread the queue fills, and lines are left out.
+    let _ = writer.spawn(move || write_lines(&lines, &left_out));
+}
+
+fn write_lines(lines: &Receiver<Vec<u8>>, left_out: &AtomicU64) {
+    let mut output = std::io::stdout();
+    while let Ok(mut batch) = lines.recv() {
+        std::thread::sleep(WRITE_INTERVAL);
+        for line in lines.try_iter() {
+            batch.extend_from_slice(&line);
+        }
+        let count = left_out.swap(0, Ordering::Relaxed);
+        if count > 0 {
+            batch.extend_from_slice(left_out_line(count).as_bytes());
+        }
+        // Where standard output is gone, there is nobody to tell.
+        let _ = output.write_all(&batch);
+        let _ = output.flush();
+    }
+}
+
+fn left_out_line(count: u64) -> String {
+    format!("{{\"level\":\"WARN\",\"kvs\":{{\"event\":\"lines_left_out\",\"count\":{count}}}}}\n")
+}
--- /dev/null
+++ b/crates/transport/relay/src/metrics.rs
@@ -0,0 +1,86 @@
+//! Counters, gauges and histograms.
+//!
+//! Labels are kinds of route, ranks and outcomes: their number does not grow with
+//! routes, tenants or requests.
+
+use eiderferry_dispatch::Snapshot;
+use eiderferry_routing::{Route, RouteKind};
+use eiderferry_types::Span;
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+
+/// Bounds of the histograms in seconds.
+const SECONDS: [f64; 12] = [
+    0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 1.5, 2.5, 5.0, 12.0,
+];
+
+/// Installs the recorder of the process.
+pub(crate) fn install() -> Option<PrometheusHandle> {
+    let builder = PrometheusBuilder::new().set_buckets(&SECONDS).ok()?;
+    let recorder = builder.build_recorder();
+    let handle = recorder.handle();
+    metrics::set_global_recorder(recorder).ok()?;
+    Some(handle)
+}
+
+fn kind(route: &Route) -> &'static str {
+    match route.kind {
+        RouteKind::Repeatable => "repeatable",
+        RouteKind::NotRepeatable => "not_repeatable",
+        RouteKind::Streaming if route.is_resumable => "resumable_stream",
+        RouteKind::Streaming => "stream",
+    }
+}
+
+/// A request ended.
+pub(crate) fn request(route: &Route, rank: u8, outcome: &'static str, elapsed: Span) {
+    let rank = rank.to_string();
+    metrics::counter!(
+        "eiderferry_requests_total",
+        "kind" => kind(route), "rank" => rank.clone(), "outcome" => outcome
+    )
+    .increment(1);
+    metrics::histogram!("eiderferry_request_seconds", "kind" => kind(route), "rank" => rank)
+        .record(elapsed.seconds());
+}
+
+/// The first event, or the whole answer, of a request came.
+pub(crate) fn first_event(route: &Route, rank: u8, elapsed: Span) {
+    let in_time = if elapsed <= route.target { "yes" } else { "no" };
+    let rank = rank.to_string();
+    metrics::counter!(
+        "eiderferry_first_events_total",
+        "kind" => kind(route), "rank" => rank.clone(), "in_time" => in_time
+    )
+    .increment(1);
+    metrics::histogram!("eiderferry_first_event_seconds", "kind" => kind(route), "rank" => rank)
+        .record(elapsed.seconds());
+}
+
+/// An attempt at a back end ended.
+pub(crate) fn attempt(outcome: &'static str) {
+    metrics::counter!("eiderferry_attempts_total", "outcome" => outcome).increment(1);
+}
+
+/// This node answered a request by itself.
+pub(crate) fn own_answer(reason: &'static str) {
+    metrics::counter!("eiderferry_own_answers_total", "reason" => reason).increment(1);
+}
+
+/// Prompt tokens found kept, and still to be read.
+pub(crate) fn prompt(kept: u32, uncached: u32) {
+    metrics::counter!("eiderferry_prompt_tokens_total", "found" => "kept")
+        .increment(u64::from(kept));
+    metrics::counter!("eiderferry_prompt_tokens_total", "found" => "uncached")
+        .increment(u64::from(uncached));
+}
+
+/// How the dispatcher stands.
+pub(crate) fn set_gauges(snapshot: &Snapshot) {
+    metrics::gauge!("eiderferry_living_peers").set(snapshot.living_peers as f64);
+    metrics::gauge!("eiderferry_back_ends").set(snapshot.back_ends as f64);
+    metrics::gauge!("eiderferry_back_ends_ejected").set(snapshot.ejected as f64);
+    metrics::gauge!("eiderferry_places").set(snapshot.leases as f64);
+    metrics::gauge!("eiderferry_documents_revision").set(snapshot.complete_to as f64);
+    metrics::gauge!("eiderferry_table_version").set(snapshot.table_version as f64);
+    metrics::gauge!("eiderferry_confirmation_age_seconds").set(snapshot.confirmed_age_seconds);
+}
--- /dev/null
+++ b/crates/transport/relay/src/node.rs
@@ -0,0 +1,226 @@
+//! Threads and sockets of a relay.
+
+use crate::clock::{Clock, duration};
+use crate::control::{Control, ControlHandle, DocumentFeed, SharedTable};
+use crate::documents;
+use crate::exchange::Traffic;
+use crate::gossip::PeerSocket;
+use crate::server::{Phase, Server};
+use crate::settings::{RelaySettings, StopSettings};
+use crate::upstream::Upstream;
+use crate::{events, metrics};
+use arc_swap::ArcSwapOption;
+use eiderferry_dispatch::{Dispatcher, DispatcherSettings};
+use metrics_exporter_prometheus::PrometheusHandle;
+use quick_error::quick_error;
+use smol::net::TcpListener;
+use smol::{LocalExecutor, Timer};
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time between two looks for rested connections.
+const CLEANING_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time between two looks at whether all requests have ended.
+const END_CHECK: Duration = Duration::from_millis(50);
+/// Time for log lines to be written before the process ends.
+const LAST_LINES: Duration = Duration::from_millis(250);
+
+quick_error! {
+    /// Why a relay can't start.
+    #[derive(Debug)]
+    pub enum StartError {
+        /// An address can't be used.
+        Bind(what: &'static str, address: SocketAddr, cause: std::io::Error) {
+            display("{what}: can't listen on {address}: {cause}; name a free address of this machine")
+        }
+        /// A thread can't be started.
+        Thread(cause: std::io::Error) {
+            display("can't start the control thread: {cause}")
+        }
+    }
+}
+
+/// A source of documents: runs on the control thread for as long as the process.
+pub type Source =
+    Box<dyn FnOnce(DocumentFeed) -> Pin<Box<dyn Future<Output = ()>>> + Send + 'static>;
+
+/// A relay that is about to serve.
+pub struct Relay {
+    settings: RelaySettings,
+    clock: Clock,
+    table: SharedTable,
+    control: ControlHandle,
+    metrics: Option<PrometheusHandle>,
+}
+
+impl Relay {
+    /// Starts the control thread.
+    pub fn start(settings: RelaySettings, source: Source) -> Result<Self, StartError> {
+        let clock = Clock::start();
+        let table: SharedTable = Arc::new(ArcSwapOption::empty());
+        let (sender, commands) = async_channel::unbounded();
+        let socket = bind_datagrams(settings.peer)?;
+        let listener = std::net::TcpListener::bind(settings.peer)
+            .map_err(|cause| StartError::Bind("documents", settings.peer, cause))?;
+        let dispatcher = Dispatcher::new(DispatcherSettings {
+            node: settings.node.clone(),
+            zone: settings.zone.clone(),
+            address: settings.peer,
+            seeds: settings.seeds.clone(),
+            incarnation: rand::random(),
+            budget: settings.budget,
+        });
+        let shared = Arc::clone(&table);
+        let thread = std::thread::Builder::new().name("control".to_owned());
+        thread
+            .spawn(move || {
+                let control = Control::new(dispatcher, clock, shared, socket);
+                run_control(Rc::new(control), commands, listener, source);
+            })
+            .map_err(StartError::Thread)?;
+        Ok(Self {
+            settings,
+            clock,
+            table,
+            control: ControlHandle::new(sender),
+            metrics: metrics::install(),
+        })
+    }
+
+    /// Serves callers on this thread until `stop` is over and the planned stop that
+    /// follows it is done.
+    pub fn serve(self, stop: impl Future<Output = ()>) -> Result<(), StartError> {
+        let executor: Rc<LocalExecutor<'static>> = Rc::new(LocalExecutor::new());
+        let (close, closing) = async_channel::bounded::<Infallible>(1);
+        let traffic = Rc::new(Traffic {
+            upstream: Upstream::new(Rc::clone(&executor)),
+            control: self.control.clone(),
+            table: Arc::clone(&self.table),
+            vocabulary: self.settings.vocabulary.clone(),
+            clock: self.clock,
+        });
+        let server = Rc::new(Server {
+            traffic,
+            executor: Rc::clone(&executor),
+            phase: Cell::new(Phase::Serving),
+            open_requests: Cell::new(0),
+            closing,
+        });
+        smol::block_on(executor.run(self.serve_until(server, stop, close)))
+    }
+
+    async fn serve_until(
+        self,
+        server: Rc<Server>,
+        stop: impl Future<Output = ()>,
+        close: async_channel::Sender<Infallible>,
+    ) -> Result<(), StartError> {
+        self.open(&server).await?;
+        let settings = &self.settings;
+        let (node, zone) = (settings.node.as_str(), settings.zone.as_str());
+        events::started(node, zone, settings.listen);
+        stop.await;
+        self.control.stop();
+        stop_server(&server, settings.stop, close, self.clock).await;
+        events::stopped(server.open_requests.get());
+        Timer::after(LAST_LINES).await;
+        Ok(())
+    }
+
+    async fn open(&self, server: &Rc<Server>) -> Result<(), StartError> {
+        let settings = &self.settings;
+        let executor = &server.executor;
+        let ready = bind("readiness", settings.ready).await?;
+        let path = settings.ready_path.clone();
+        executor
+            .spawn(Rc::clone(server).accept_readiness(ready, path))
+            .detach();
+        if let (Some(address), Some(handle)) = (settings.metrics, self.metrics.clone()) {
+            let listener = bind("metrics", address).await?;
+            executor
+                .spawn(Rc::clone(server).accept_metrics(listener, handle))
+                .detach();
+        }
+        let callers = bind("callers", settings.listen).await?;
+        executor.spawn(Rc::clone(server).accept(callers)).detach();
+        executor.spawn(clean(Rc::clone(server))).detach();
+        Ok(())
+    }
+}
+
+async fn bind(what: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|cause| StartError::Bind(what, address, cause))
+}
+
+fn bind_datagrams(address: SocketAddr) -> Result<PeerSocket, StartError> {
+    let error = |cause| StartError::Bind("messages", address, cause);
+    let socket = std::net::UdpSocket::bind(address).map_err(error)?;
+    let socket = smol::Async::new(socket).map_err(error)?;
+    Ok(PeerSocket::new(socket))
+}
+
+async fn clean(server: Rc<Server>) {
+    loop {
+        Timer::after(CLEANING_INTERVAL).await;
+        server.traffic.upstream.close_rested();
+    }
+}
+
+async fn stop_server(
+    server: &Server,
+    settings: StopSettings,
+    close: async_channel::Sender<Infallible>,
+    clock: Clock,
+) {
+    let begun = clock.now();
+    server.phase.set(Phase::Leaving);
+    events::stopping("leaving", server.open_requests.get());
+    Timer::after(duration(settings.refuse_after)).await;
+    server.phase.set(Phase::Refusing);
+    close.close();
+    events::stopping("refusing", server.open_requests.get());
+    while server.open_requests.get() > 0 && clock.now().since(begun) < settings.end_after {
+        Timer::after(END_CHECK).await;
+    }
+}
+
+fn run_control(
+    control: Rc<Control>,
+    commands: async_channel::Receiver<crate::control::Command>,
+    listener: std::net::TcpListener,
+    source: Source,
+) {
+    let executor: LocalExecutor<'static> = LocalExecutor::new();
+    let (requests, package_requests) = async_channel::unbounded();
+    let ticking = Rc::clone(&control);
+    executor
+        .spawn(async move { ticking.run_ticks().await })
+        .detach();
+    let clock = control.clock;
+    executor
+        .spawn(documents::answer(
+            Rc::clone(&control),
+            clock,
+            package_requests,
+        ))
+        .detach();
+    executor
+        .spawn(documents::serve(listener, requests))
+        .detach();
+    executor
+        .spawn(source(DocumentFeed::new(Rc::clone(&control))))
+        .detach();
+    smol::block_on(executor.run(async {
+        let commands = control.run_commands(commands);
+        let messages = control.run_messages(&executor);
+        futures_lite::future::or(commands, messages).await;
+    }));
+}
--- /dev/null
+++ b/crates/transport/relay/src/own_answer.rs
@@ -0,0 +1,82 @@
+//! Answers that this node gives by itself.
+
+use crate::answer::RelayBody;
+use eiderferry_types::{Reason, Span, Verdict};
+use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderValue, Response, StatusCode};
+
+/// Why a request gets no back end's answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum OwnAnswer {
+    /// No route begins the path.
+    NoRoute,
+    /// The key is missing or unknown.
+    UnknownKey,
+    /// A header is missing or can't be read.
+    BadHeader(&'static str),
+    /// The body is longer than allowed.
+    BodyTooLarge,
+    /// The body did not come.
+    BodyBroken,
+    /// The request has not run and will not.
+    NotRun(Reason, Span),
+    /// The request may have run; its answer is lost.
+    AnswerLost,
+    /// The time of the request's route has passed; it may have run.
+    TimedOut,
+}
+
+impl OwnAnswer {
+    pub fn status(&self) -> StatusCode {
+        match self {
+            OwnAnswer::NoRoute => StatusCode::NOT_FOUND,
+            OwnAnswer::UnknownKey => StatusCode::UNAUTHORIZED,
+            OwnAnswer::BadHeader(_) | OwnAnswer::BodyBroken => StatusCode::BAD_REQUEST,
+            OwnAnswer::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            OwnAnswer::NotRun(..) => StatusCode::SERVICE_UNAVAILABLE,
+            OwnAnswer::AnswerLost => StatusCode::BAD_GATEWAY,
+            OwnAnswer::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    pub fn reason(&self) -> &'static str {
+        match self {
+            OwnAnswer::NoRoute => "no_route",
+            OwnAnswer::UnknownKey => "unknown_key",
+            OwnAnswer::BadHeader(name) => name,
+            OwnAnswer::BodyTooLarge => "body_too_large",
+            OwnAnswer::BodyBroken => "body_broken",
+            OwnAnswer::NotRun(reason, _) => reason.as_str(),
+            OwnAnswer::AnswerLost => "answer_lost",
+            OwnAnswer::TimedOut => "timed_out",
+        }
+    }
+
+    pub fn verdict(&self) -> Verdict {
+        match self {
+            OwnAnswer::AnswerLost | OwnAnswer::TimedOut => Verdict::MayHaveRun,
+            _ => Verdict::NotRun,
+        }
+    }
+
+    fn closes_connection(&self) -> bool {
+        matches!(self, OwnAnswer::BodyTooLarge | OwnAnswer::BodyBroken)
+    }
+
+    pub fn response(&self) -> Response<RelayBody> {
+        let text = format!("{}\n", self.reason());
+        let mut response = Response::new(RelayBody::from(text));
+        *response.status_mut() = self.status();
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        if let OwnAnswer::NotRun(_, span) = self
+            && let Ok(value) = HeaderValue::from_str(&format!("{:.2}", span.seconds()))
+        {
+            headers.insert(RETRY_AFTER, value);
+        }
+        if self.closes_connection() {
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/transport/relay/src/request_head.rs
@@ -0,0 +1,119 @@
+//! What a request's head tells: route, tenant, time and prompt.
+
+use crate::Vocabulary;
+use crate::own_answer::OwnAnswer;
+use eiderferry_dispatch::PromptPart;
+use eiderferry_routing::{PartId, Route, RouteMatch, RoutingTable, Tenant};
+use eiderferry_types::Span;
+use http::header::{AUTHORIZATION, HOST};
+use http::request::Parts;
+use http::{HeaderMap, HeaderName};
+
+const BEARER: &str = "Bearer ";
+/// Tokens assumed to come out where nothing is said.
+const ASSUMED_OUTPUT_TOKENS: u32 = 100;
+/// Parts of a prompt that are looked at.
+const MAXIMUM_PARTS: usize = 64;
+
+/// What is known of a request from its head.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestHead {
+    pub id: String,
+    pub route: Route,
+    pub tenant: Option<String>,
+    pub rank: u8,
+    pub remaining: Span,
+    pub parts: Vec<PromptPart>,
+    pub prompt_tokens: u32,
+    pub output_tokens: u32,
+}
+
+impl RequestHead {
+    /// Reads a head against the table in force.
+    pub fn read(
+        parts: &Parts,
+        table: &RoutingTable,
+        vocabulary: &Vocabulary,
+    ) -> Result<Self, OwnAnswer> {
+        let headers = &parts.headers;
+        let route = find_route(parts, table)?;
+        let tenant = find_tenant(headers, table, route)?;
+        let id = text(headers, &vocabulary.request_id)
+            .filter(|id| !id.is_empty())
+            .ok_or(OwnAnswer::BadHeader("request_id_missing"))?;
+        let remaining = remaining(headers, vocabulary, route)?;
+        let usage = text(headers, &vocabulary.token_usage).unwrap_or_default();
+        let (prompt_tokens, most_output) = token_usage(usage);
+        let hint = text(headers, &vocabulary.length_hint).and_then(|hint| hint.parse().ok());
+        let rank = tenant.and_then(|tenant| tenant.rank).unwrap_or(route.rank);
+        Ok(Self {
+            id: id.to_owned(),
+            route: route.clone(),
+            tenant: tenant.map(|tenant| tenant.name.clone()),
+            rank,
+            remaining,
+            parts: prompt_parts(text(headers, &vocabulary.prompt_parts).unwrap_or_default()),
+            prompt_tokens,
+            output_tokens: hint.or(most_output).unwrap_or(ASSUMED_OUTPUT_TOKENS),
+        })
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok().map(str::trim)
+}
+
+fn find_route<'a>(parts: &Parts, table: &'a RoutingTable) -> Result<&'a Route, OwnAnswer> {
+    let host = text(&parts.headers, &HOST).unwrap_or_default();
+    match table.route(host, parts.uri.path()) {
+        RouteMatch::Found(route) => Ok(route),
+        RouteMatch::Missing => Err(OwnAnswer::NoRoute),
+    }
+}
+
+fn find_tenant<'a>(
+    headers: &HeaderMap,
+    table: &'a RoutingTable,
+    route: &Route,
+) -> Result<Option<&'a Tenant>, OwnAnswer> {
+    let key = text(headers, &AUTHORIZATION).and_then(|value| value.strip_prefix(BEARER));
+    let tenant = key.and_then(|key| table.tenant(key.trim()));
+    let needs_key = !route.is_public && !table.document().tenants.is_empty();
+    if needs_key && tenant.is_none() {
+        return Err(OwnAnswer::UnknownKey);
+    }
+    Ok(tenant)
+}
+
+fn remaining(
+    headers: &HeaderMap,
+    vocabulary: &Vocabulary,
+    route: &Route,
+) -> Result<Span, OwnAnswer> {
+    let Some(value) = text(headers, &vocabulary.remaining_ms) else {
+        return Ok(route.timeout);
+    };
+    let milliseconds: f64 = value
+        .parse()
+        .map_err(|_| OwnAnswer::BadHeader("remaining_time_unreadable"))?;
+    Ok(Span::from_seconds(milliseconds / 1_000.0).min(route.timeout))
+}
+
+fn token_usage(value: &str) -> (u32, Option<u32>) {
+    let mut numbers = value.split(',').map(|number| number.trim().parse().ok());
+    let prompt = numbers.next().flatten().unwrap_or(0);
+    (prompt, numbers.next().flatten())
+}
+
+fn prompt_parts(value: &str) -> Vec<PromptPart> {
+    let parts = value.split(',').take(MAXIMUM_PARTS);
+    parts.filter_map(prompt_part).collect()
+}
+
+fn prompt_part(text: &str) -> Option<PromptPart> {
+    let (id, tokens) = text.trim().split_once(':')?;
+    Some(PromptPart {
+        id: PartId(u64::from_str_radix(id, 16).ok()?),
+        tokens: tokens.parse().ok()?,
+    })
+}
--- /dev/null
+++ b/crates/transport/relay/src/server.rs
@@ -0,0 +1,224 @@
+//! Callers' connections, readiness and metrics.
+
+use crate::answer::RelayBody;
+use crate::exchange::{self, Traffic};
+use crate::own_answer::OwnAnswer;
+use eiderferry_types::{Reason, Span};
+use futures_lite::FutureExt;
+use http::header::{CONNECTION, HeaderValue};
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use metrics_exporter_prometheus::PrometheusHandle;
+use smol::net::{TcpListener, TcpStream};
+use smol::{LocalExecutor, Timer};
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Longest rest of a connection before anything is known of the limits.
+const ASSUMED_IDLE: Duration = Duration::from_secs(30);
+/// Times the idle limit that a connection may rest: the limit may grow meanwhile.
+const IDLE_FACTOR: u32 = 2;
+/// Smallest buffer for heads that the library takes.
+const MINIMUM_HEAD_BYTES: usize = 8_192;
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// When a caller refused for a planned stop is asked to come back: at once, elsewhere.
+const STOPPING_RETRY: Span = Span::from_milliseconds(50);
+
+/// How far a planned stop has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// No stop.
+    Serving,
+    /// Not ready for new callers; all requests are served.
+    Leaving,
+    /// New requests are refused, kept connections closed.
+    Refusing,
+}
+
+/// What all connections share.
+pub(crate) struct Server {
+    pub traffic: Rc<Traffic>,
+    pub executor: Rc<LocalExecutor<'static>>,
+    pub phase: Cell<Phase>,
+    pub open_requests: Cell<u32>,
+    /// Closed when kept connections are to be closed.
+    pub closing: async_channel::Receiver<Infallible>,
+}
+
+struct OpenRequest {
+    server: Rc<Server>,
+}
+
+impl OpenRequest {
+    fn new(server: Rc<Server>) -> Self {
+        server.open_requests.set(server.open_requests.get() + 1);
+        Self { server }
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        let open = &self.server.open_requests;
+        open.set(open.get().saturating_sub(1));
+    }
+}
+
+impl Server {
+    /// Accepts callers for ever.
+    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let server = Rc::clone(&self);
+                    self.executor
+                        .spawn(async move { server.serve_connection(stream).await })
+                        .detach();
+                }
+                Err(error) => {
+                    log::warn!("a connection could not be accepted: {error}");
+                    Timer::after(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn serve_connection(self: Rc<Self>, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let limits = self.traffic.table.load_full();
+        let limits = limits.as_ref().map(|table| table.limits());
+        let idle = limits.map_or(ASSUMED_IDLE, |limits| {
+            crate::clock::duration(limits.idle_timeout.max(limits.header_timeout)) * IDLE_FACTOR
+        });
+        let head_bytes = limits.map_or(MINIMUM_HEAD_BYTES, |limits| limits.maximum_header_bytes);
+        let server = Rc::clone(&self);
+        let service = service_fn(move |request| {
+            let server = Rc::clone(&server);
+            async move { Ok::<_, Infallible>(server.serve_request(request).await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(SmolTimer::new())
+            .header_read_timeout(idle)
+            .max_buf_size(head_bytes.max(MINIMUM_HEAD_BYTES))
+            .auto_date_header(false)
+            .serve_connection(FuturesIo::new(stream), service);
+        let mut connection = std::pin::pin!(connection);
+        let closing = async {
+            let _ = self.closing.recv().await;
+            None
+        };
+        let ended = async { Some(connection.as_mut().await) }.or(closing).await;
+        if ended.is_none() {
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.await;
+        }
+    }
+
+    async fn serve_request(self: Rc<Self>, request: Request<Incoming>) -> Response<RelayBody> {
+        if self.phase.get() == Phase::Refusing {
+            let answer = OwnAnswer::NotRun(Reason::Draining, STOPPING_RETRY);
+            return closing(answer.response());
+        }
+        let open = OpenRequest::new(Rc::clone(&self));
+        let response = exchange::serve(Rc::clone(&self.traffic), request).await;
+        let response = response.map(|body| hold_open(body, open));
+        if self.phase.get() == Phase::Serving {
+            response
+        } else {
+            closing(response)
+        }
+    }
+
+    /// Answers whether this node wants callers, for ever.
+    pub async fn accept_readiness(self: Rc<Self>, listener: TcpListener, path: String) {
+        let path: Rc<str> = Rc::from(path);
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                Timer::after(ACCEPT_PAUSE).await;
+                continue;
+            };
+            let server = Rc::clone(&self);
+            let path = Rc::clone(&path);
+            let service = service_fn(move |request: Request<Incoming>| {
+                let status = server.readiness(request.uri().path() == &*path);
+                async move { Ok::<_, Infallible>(empty(status)) }
+            });
+            self.spawn_plain(stream, service);
+        }
+    }
+
+    fn readiness(&self, is_known_path: bool) -> StatusCode {
+        let has_table = self.traffic.table.load().is_some();
+        match (is_known_path, has_table, self.phase.get()) {
+            (false, _, _) => StatusCode::NOT_FOUND,
+            (true, true, Phase::Serving) => StatusCode::OK,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    /// Tells metrics for ever.
+    pub async fn accept_metrics(self: Rc<Self>, listener: TcpListener, handle: PrometheusHandle) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                Timer::after(ACCEPT_PAUSE).await;
+                continue;
+            };
+            let handle = handle.clone();
+            let service = service_fn(move |_: Request<Incoming>| {
+                let text = handle.render();
+                async move { Ok::<_, Infallible>(Response::new(RelayBody::from(text))) }
+            });
+            self.spawn_plain(stream, service);
+        }
+    }
+
+    fn spawn_plain<S>(&self, stream: TcpStream, service: S)
+    where
+        S: hyper::service::Service<
+                Request<Incoming>,
+                Response = Response<RelayBody>,
+                Error = Infallible,
+            > + 'static,
+    {
+        let connection = http1::Builder::new()
+            .timer(SmolTimer::new())
+            .header_read_timeout(ASSUMED_IDLE)
+            .serve_connection(FuturesIo::new(stream), service);
+        self.executor
+            .spawn(async move {
+                let _ = connection.await;
+            })
+            .detach();
+    }
+}
+
+fn empty(status: StatusCode) -> Response<RelayBody> {
+    let mut response = Response::new(RelayBody::from(String::new()));
+    *response.status_mut() = status;
+    response
+}
+
+fn closing(mut response: Response<RelayBody>) -> Response<RelayBody> {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    response
+}
+
+/// Counts a request as open until its answer has been sent.
+fn hold_open(body: RelayBody, open: OpenRequest) -> RelayBody {
+    match body {
+        RelayBody::Whole(bytes) => RelayBody::Whole(bytes),
+        RelayBody::Pieces(pieces) => {
+            let held = futures_lite::stream::unfold((pieces, open), |(mut pieces, open)| async {
+                let piece = futures_lite::StreamExt::next(&mut pieces).await?;
+                Some((piece, (pieces, open)))
+            });
+            RelayBody::Pieces(Box::pin(held))
+        }
+    }
+}
--- /dev/null
+++ b/crates/transport/relay/src/settings.rs
@@ -0,0 +1,43 @@
+//! What a relay is told at its start.
+
+use crate::Vocabulary;
+use eiderferry_dispatch::BudgetSettings;
+use eiderferry_routing::{NodeName, ZoneName};
+use eiderferry_types::Span;
+use std::net::SocketAddr;
+
+/// Times of a planned stop, from its beginning.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StopSettings {
+    /// When kept connections are closed and new requests refused.
+    pub refuse_after: Span,
+    /// When the process ends whatever still runs.
+    pub end_after: Span,
+}
+
+/// Settings of one relay.
+#[derive(Clone, Debug)]
+pub struct RelaySettings {
+    /// Name of this node.
+    pub node: NodeName,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address that answers whether this node wants callers.
+    pub ready: SocketAddr,
+    /// Path asked there.
+    pub ready_path: String,
+    /// Address that tells metrics, if any.
+    pub metrics: Option<SocketAddr>,
+    /// Address for messages of other nodes: datagrams, and documents over TCP.
+    pub peer: SocketAddr,
+    /// Other nodes' addresses, perhaps out of date.
+    pub seeds: Vec<SocketAddr>,
+    /// Bound of repeats over all nodes.
+    pub budget: BudgetSettings,
+    /// Planned stops.
+    pub stop: StopSettings,
+    /// Header names.
+    pub vocabulary: Vocabulary,
+}
--- /dev/null
+++ b/crates/transport/relay/src/stream.rs
@@ -0,0 +1,234 @@
+//! Streams of events, passed on as they come and taken up elsewhere when they break.
+
+use crate::answer::{BrokenAnswer, RelayBody};
+use crate::clock::duration;
+use crate::event_stream::EventSplitter;
+use crate::exchange::{AttemptEnd, Exchange, answer};
+use crate::lease::Lease;
+use crate::upstream::Connection;
+use crate::{events, metrics};
+use bytes::Bytes;
+use eiderferry_dispatch::Outcome;
+use eiderferry_types::Span;
+use futures_lite::FutureExt;
+use futures_lite::stream::unfold;
+use http::response::Parts;
+use http::{HeaderMap, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+/// Longest pause of a resumable stream, in its targets for pauses.
+const PAUSE_TARGETS: u64 = 3;
+/// Shortest pause that makes a resumable stream go on elsewhere.
+const MINIMUM_PAUSE: Span = Span::from_milliseconds(1_500);
+
+/// What came next of a stream.
+enum Piece {
+    Events(Bytes),
+    End,
+    Broken(Outcome),
+    TimedOut,
+}
+
+/// The source of a stream: one back end's answer.
+struct Source {
+    lease: Lease,
+    connection: Connection,
+    headers: HeaderMap,
+    body: Incoming,
+}
+
+/// A stream on its way to the caller.
+pub(crate) struct StreamRelay {
+    exchange: Exchange,
+    source: Option<Source>,
+    splitter: EventSplitter,
+    ready: Option<Bytes>,
+}
+
+impl StreamRelay {
+    /// Waits for the first event, then answers with the stream.
+    pub async fn start(
+        exchange: Exchange,
+        lease: Lease,
+        response: Response<Incoming>,
+        connection: Connection,
+    ) -> (Option<Exchange>, AttemptEnd) {
+        let (parts, body) = response.into_parts();
+        let mut relay = Self {
+            exchange,
+            source: Some(Source {
+                lease,
+                connection,
+                headers: parts.headers.clone(),
+                body,
+            }),
+            splitter: EventSplitter::default(),
+            ready: None,
+        };
+        match relay.next_piece(true).await {
+            Piece::Events(events) => {
+                relay.note_first_event();
+                relay.ready = Some(events);
+                (None, AttemptEnd::Answer(relay.into_response(&parts)))
+            }
+            Piece::End => {
+                relay.finish_source(Outcome::Completed);
+                let response = answer(&parts, RelayBody::from(Bytes::new()));
+                (Some(relay.exchange), AttemptEnd::Answer(response))
+            }
+            Piece::Broken(outcome) => {
+                relay.finish_source(outcome);
+                (Some(relay.exchange), AttemptEnd::None(outcome))
+            }
+            Piece::TimedOut => {
+                relay.finish_source(Outcome::Silent);
+                (Some(relay.exchange), AttemptEnd::None(Outcome::Silent))
+            }
+        }
+    }
+
+    fn note_first_event(&self) {
+        let exchange = &self.exchange;
+        let elapsed = exchange.traffic.clock.now().since(exchange.started);
+        metrics::first_event(&exchange.head.route, exchange.head.rank, elapsed);
+        if let Some(source) = &self.source {
+            source.lease.first_event();
+        }
+    }
+
+    fn into_response(mut self, parts: &Parts) -> Response<RelayBody> {
+        self.exchange.status = parts.status.as_u16();
+        let pieces = unfold(self, |relay| relay.next());
+        answer(parts, RelayBody::Pieces(Box::pin(pieces)))
+    }
+
+    async fn next(mut self) -> Option<(Result<Bytes, BrokenAnswer>, Self)> {
+        if let Some(events) = self.ready.take() {
+            return Some((Ok(events), self));
+        }
+        loop {
+            match self.next_piece(false).await {
+                Piece::Events(events) => return Some((Ok(events), self)),
+                Piece::End => {
+                    self.finish_source(Outcome::Completed);
+                    self.exchange.end("whole");
+                    return None;
+                }
+                Piece::TimedOut => {
+                    self.finish_source(Outcome::Abandoned);
+                    self.exchange.end("timed_out");
+                    return Some((Err(BrokenAnswer::TimedOut), self));
+                }
+                Piece::Broken(outcome) => {
+                    self.finish_source(outcome);
+                    if !self.resume().await {
+                        self.exchange.end("broken_off");
+                        return Some((Err(BrokenAnswer::BackEnd), self));
+                    }
+                }
+            }
+        }
+    }
+
+    /// The next whole events.
+    async fn next_piece(&mut self, is_first: bool) -> Piece {
+        loop {
+            let limit = self.patience(is_first);
+            let left = self.left();
+            let Some(source) = &mut self.source else {
+                return Piece::Broken(Outcome::Broken);
+            };
+            let timeout = async {
+                smol::Timer::after(duration(limit.min(left))).await;
+                None
+            };
+            let frame = async { Some(source.body.frame().await) }.or(timeout).await;
+            match frame {
+                None if limit < left => return Piece::Broken(Outcome::Silent),
+                None => return Piece::TimedOut,
+                Some(Some(Err(_))) => return Piece::Broken(Outcome::Broken),
+                Some(None) if self.splitter.has_partial_event() => {
+                    return Piece::Broken(Outcome::Broken);
+                }
+                Some(None) => return Piece::End,
+                Some(Some(Ok(frame))) => {
+                    let Ok(data) = frame.into_data() else {
+                        continue;
+                    };
+                    let events = self.splitter.push(&data);
+                    if !events.is_empty() {
+                        return Piece::Events(events);
+                    }
+                }
+            }
+        }
+    }
+
+    fn left(&self) -> Span {
+        let now = self.exchange.traffic.clock.now();
+        now.until(self.exchange.deadline)
+    }
+
+    /// Longest silence before the stream goes on elsewhere.
+    fn patience(&self, is_first: bool) -> Span {
+        let route = &self.exchange.head.route;
+        if !self.exchange.may_try_again() {
+            return Span(u64::MAX);
+        }
+        let expected = self
+            .source
+            .as_ref()
+            .map_or(Span::ZERO, |source| source.lease.grant.expected);
+        if is_first {
+            return Span(route.target.0 + 2 * expected.0);
+        }
+        let pause = route.pause_target.unwrap_or(MINIMUM_PAUSE);
+        Span(pause.0 * PAUSE_TARGETS).max(MINIMUM_PAUSE)
+    }
+
+    fn finish_source(&mut self, outcome: Outcome) {
+        let Some(source) = self.source.take() else {
+            return;
+        };
+        metrics::attempt(outcome.as_str());
+        if outcome == Outcome::Completed {
+            let upstream = &self.exchange.traffic.upstream;
+            upstream.keep(source.connection, &source.headers);
+        }
+        source.lease.end(outcome);
+    }
+
+    /// Takes the stream up at another back end.
+    async fn resume(&mut self) -> bool {
+        while self.exchange.may_try_again() {
+            let Ok(lease) = self.exchange.ask().await else {
+                return false;
+            };
+            let last_id = self.splitter.last_id();
+            let sent = self.exchange.send(&lease, last_id).await;
+            match sent {
+                Ok((response, connection)) if response.status() == StatusCode::OK => {
+                    let back_end = lease.grant.instance.as_str();
+                    events::resumed(&self.exchange.head.id, back_end, last_id.unwrap_or(0));
+                    self.take_source(lease, response, connection);
+                    return true;
+                }
+                Ok(_) => lease.end(Outcome::Failed),
+                Err(outcome) => lease.end(outcome),
+            }
+        }
+        false
+    }
+
+    fn take_source(&mut self, lease: Lease, response: Response<Incoming>, connection: Connection) {
+        let (parts, body) = response.into_parts();
+        self.splitter = EventSplitter::after(self.splitter.last_id());
+        self.source = Some(Source {
+            lease,
+            connection,
+            headers: parts.headers,
+            body,
+        });
+    }
+}
--- /dev/null
+++ b/crates/transport/relay/src/upstream.rs
@@ -0,0 +1,251 @@
+//! Connections to back ends.
+
+use bytes::Bytes;
+use eiderferry_dispatch::Grant;
+use eiderferry_routing::InstanceId;
+use futures_lite::FutureExt;
+use http::{HeaderMap, Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use quick_error::quick_error;
+use smol::net::TcpStream;
+use smol::{Async, LocalExecutor, Task, Timer};
+use smol_hyper::rt::FuturesIo;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Longest time for a connection to come up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest rest of a kept connection.
+const MAXIMUM_REST: Duration = Duration::from_secs(4);
+/// Longest rest of a kept connection for a request that may not be repeated: one that
+/// a back end closes meanwhile loses the request's answer.
+const MAXIMUM_REST_UNREPEATABLE: Duration = Duration::from_millis(700);
+/// Part of the rest that a back end allows which is used.
+const REST_PART: f64 = 0.7;
+/// Unanswered bytes older than this break a connection.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(3);
+
+quick_error! {
+    /// Why a request got no head of an answer.
+    #[derive(Debug)]
+    pub enum SendError {
+        /// No connection came up; nothing was sent.
+        Unreachable(cause: std::io::Error) {
+            display("no connection: {cause}")
+        }
+        /// This node holds all the connections that it may; nothing was sent.
+        NoConnection {
+            display("all connections are in use")
+        }
+        /// The request may have arrived.
+        Broken(cause: hyper::Error) {
+            display("no whole answer: {cause}")
+        }
+    }
+}
+
+type Key = (SocketAddr, InstanceId);
+
+#[derive(Default)]
+struct Pool {
+    idle: Vec<Idle>,
+    open: u32,
+}
+
+struct Idle {
+    connection: Connection,
+    since: Instant,
+    limit: Duration,
+}
+
+/// A connection to a back end; dropped, it is closed at once.
+pub(crate) struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    _driver: Task<()>,
+    _count: OpenCount,
+    key: Key,
+}
+
+struct OpenCount {
+    pools: Pools,
+    key: Key,
+}
+
+impl Drop for OpenCount {
+    fn drop(&mut self) {
+        if let Ok(mut pools) = self.pools.try_borrow_mut()
+            && let Some(pool) = pools.get_mut(&self.key)
+        {
+            pool.open = pool.open.saturating_sub(1);
+        }
+    }
+}
+
+type Pools = Rc<RefCell<HashMap<Key, Pool>>>;
+
+/// All connections of a traffic thread.
+pub(crate) struct Upstream {
+    executor: Rc<LocalExecutor<'static>>,
+    pools: Pools,
+}
+
+impl Upstream {
+    pub fn new(executor: Rc<LocalExecutor<'static>>) -> Self {
+        Self {
+            executor,
+            pools: Rc::default(),
+        }
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub async fn send(
+        &self,
+        grant: &Grant,
+        mut request: Request<Full<Bytes>>,
+        may_repeat: bool,
+    ) -> Result<(Response<Incoming>, Connection), SendError> {
+        let key = (grant.address, grant.instance.clone());
+        while let Some(mut connection) = self.take_idle(&key, may_repeat) {
+            match connection.sender.try_send_request(request).await {
+                Ok(response) => return Ok((response, connection)),
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) => request = unsent,
+                    None => return Err(SendError::Broken(error.into_error())),
+                },
+            }
+        }
+        let mut connection = self.connect(key, grant.connections).await?;
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => Ok((response, connection)),
+            Err(error) => Err(SendError::Broken(error.into_error())),
+        }
+    }
+
+    fn take_idle(&self, key: &Key, may_repeat: bool) -> Option<Connection> {
+        let most = if may_repeat {
+            MAXIMUM_REST
+        } else {
+            MAXIMUM_REST_UNREPEATABLE
+        };
+        loop {
+            let idle = self.pools.borrow_mut().get_mut(key)?.idle.pop()?;
+            let is_fresh = idle.since.elapsed() < idle.limit.min(most);
+            if is_fresh && idle.connection.sender.is_ready() {
+                return Some(idle.connection);
+            }
+        }
+    }
+
+    async fn connect(&self, key: Key, most: u32) -> Result<Connection, SendError> {
+        let count = self.count(&key, most)?;
+        let stream = connect_stream(key.0)
+            .await
+            .map_err(SendError::Unreachable)?;
+        let handshake = http1::Builder::new()
+            .handshake(FuturesIo::new(stream))
+            .await;
+        let (sender, connection) = handshake.map_err(SendError::Broken)?;
+        let driver = self.executor.spawn(async move {
+            if let Err(error) = connection.await {
+                log::trace!("a connection to a back end ended: {error}");
+            }
+        });
+        Ok(Connection {
+            sender,
+            _driver: driver,
+            _count: count,
+            key,
+        })
+    }
+
+    fn count(&self, key: &Key, most: u32) -> Result<OpenCount, SendError> {
+        let mut pools = self.pools.borrow_mut();
+        let pool = pools.entry(key.clone()).or_default();
+        if pool.open >= most {
+            return Err(SendError::NoConnection);
+        }
+        pool.open += 1;
+        Ok(OpenCount {
+            pools: Rc::clone(&self.pools),
+            key: key.clone(),
+        })
+    }
+
+    /// Keeps a connection whose answer was read whole.
+    pub fn keep(&self, connection: Connection, headers: &HeaderMap) {
+        let Some(limit) = allowed_rest(headers) else {
+            return;
+        };
+        let idle = Idle {
+            since: Instant::now(),
+            limit,
+            connection,
+        };
+        let key = idle.connection.key.clone();
+        self.pools
+            .borrow_mut()
+            .entry(key)
+            .or_default()
+            .idle
+            .push(idle);
+    }
+
+    /// Closes connections that have rested too long.
+    pub fn close_rested(&self) {
+        let mut closed = Vec::new();
+        let mut pools = self.pools.borrow_mut();
+        for pool in pools.values_mut() {
+            let (rested, kept): (Vec<Idle>, Vec<Idle>) = std::mem::take(&mut pool.idle)
+                .into_iter()
+                .partition(|idle| {
+                    idle.since.elapsed() >= idle.limit || !idle.connection.sender.is_ready()
+                });
+            pool.idle = kept;
+            closed.extend(rested);
+        }
+        drop(pools);
+        drop(closed);
+        self.pools
+            .borrow_mut()
+            .retain(|_, pool| pool.open > 0 || !pool.idle.is_empty());
+    }
+}
+
+/// How long a connection may rest; `None` if it may not be kept.
+fn allowed_rest(headers: &HeaderMap) -> Option<Duration> {
+    let mut connection = headers.get_all(http::header::CONNECTION).iter();
+    let closes = connection.any(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
+    if closes {
+        return None;
+    }
+    let told = headers
+        .get("keep-alive")
+        .and_then(|value| value.to_str().ok());
+    let seconds = told.and_then(|value| {
+        let mut fields = value.split(',').map(str::trim);
+        fields.find_map(|field| field.strip_prefix("timeout=")?.parse::<f64>().ok())
+    });
+    let limit = seconds.map_or(MAXIMUM_REST, |seconds| {
+        Duration::from_secs_f64(seconds.max(0.0) * REST_PART)
+    });
+    Some(limit.min(MAXIMUM_REST))
+}
+
+async fn connect_stream(address: SocketAddr) -> std::io::Result<TcpStream> {
+    let timeout = async {
+        Timer::after(CONNECT_TIMEOUT).await;
+        Err(std::io::ErrorKind::TimedOut.into())
+    };
+    let stream = Async::<std::net::TcpStream>::connect(address)
+        .or(timeout)
+        .await?;
+    let socket = socket2::SockRef::from(stream.get_ref());
+    socket.set_tcp_nodelay(true)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
+    Ok(TcpStream::from(stream))
+}
--- /dev/null
+++ b/crates/transport/relay/src/vocabulary.rs
@@ -0,0 +1,29 @@
+//! Names of the headers by which callers, this node and back ends understand each
+//! other. An adapter supplies them.
+
+use http::HeaderName;
+
+/// Header names.
+#[derive(Clone, Debug)]
+pub struct Vocabulary {
+    /// Identity of a request; echoed by back ends.
+    pub request_id: HeaderName,
+    /// Milliseconds that remain to the caller, or to the back end.
+    pub remaining_ms: HeaderName,
+    /// Instance that the request is meant for.
+    pub expected_instance: HeaderName,
+    /// Tenant, as told to back ends.
+    pub tenant: HeaderName,
+    /// Rank, as told to back ends; 0 is the most urgent.
+    pub rank: HeaderName,
+    /// A back end's word that it has not run the request.
+    pub not_run: HeaderName,
+    /// Prompt tokens and the most tokens out, joined by a comma.
+    pub token_usage: HeaderName,
+    /// Parts of the prompt, `ID:TOKENS` joined by commas, identifiers in hex.
+    pub prompt_parts: HeaderName,
+    /// The caller's guess of how many tokens come out.
+    pub length_hint: HeaderName,
+    /// Where a stream is taken up.
+    pub last_event_id: HeaderName,
+}
