One home engine for each shared prompt over all zones; copies when it is busy

Change: rendezvous hashing of the first shared part over the whole pool names a home; a request sent elsewhere copies from it; placements are told to all zones; requests without an answer get one before a planned stop ends.

--- a/crates/coordination/dispatch/src/demand.rs
+++ b/crates/coordination/dispatch/src/demand.rs
@@ -53,6 +53,8 @@
     pub connections: u32,
     /// Tokens of the prompt that it is expected to read.
     pub uncached_tokens: u32,
+    /// Engine from which it is to copy what it lacks of the prompt.
+    pub copy_from: Option<SocketAddr>,
     /// Expected time to the first event.
     pub expected: Span,
     /// Revision of the list of back ends that the choice rests on.
@@ -91,6 +93,19 @@
     Abandoned,
 }
 
+impl Demand {
+    /// The parts of the prompt that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        let count = self.parts.len().saturating_sub(1);
+        &self.parts[..count]
+    }
+
+    /// Length of these parts in tokens.
+    pub fn shared_tokens(&self) -> u32 {
+        self.shared_parts().iter().map(|part| part.tokens).sum()
+    }
+}
+
 impl Outcome {
     /// The word used in logs and metrics.
     pub const fn as_str(self) -> &'static str {
--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -18,7 +18,7 @@
 /// Time between two ticks.
 pub const TICK: Span = Span::from_milliseconds(100);
 /// Ticks between two messages to other zones, whose bytes are dear.
-const FAR_TICKS: u64 = 5;
+const FAR_TICKS: u64 = 2;
 /// Ticks between two attempts to reach nodes not known to be there.
 const DOUBTFUL_TICKS: u64 = 10;
 /// Ticks after a start during which these attempts are made more often.
@@ -33,6 +33,8 @@
 const DOUBTFUL_FANOUT: usize = 2;
 /// Placements named in one message.
 const PLACEMENTS_PER_MESSAGE: usize = 40;
+/// Fewest tokens that are worth copying from another engine.
+const MINIMUM_COPIED_TOKENS: u32 = 1_000;
 /// Memory assumed for a back end that is no model engine.
 const NO_ENGINE_TOKENS: u64 = 0;
 /// Part of a back end's connections that all nodes together use.
@@ -121,6 +123,14 @@
     health: Health,
 }
 
+/// What sending a request to one back end would mean.
+#[derive(Clone, Copy, Debug)]
+struct Plan {
+    candidate: Candidate,
+    uncached: u32,
+    copy_from: Option<SocketAddr>,
+}
+
 #[derive(Clone, Debug)]
 struct Lease {
     instance: InstanceId,
@@ -266,10 +276,8 @@
     /// Chooses a back end for a request, or refuses it.
     pub fn ask(&mut self, demand: &Demand, now: Timestamp) -> Decision {
         let instances = self.eligible(demand, now);
-        let candidates: Vec<Candidate> = instances
-            .iter()
-            .map(|instance| self.candidate(instance, demand, now))
-            .collect();
+        let plans = self.plan(&instances, demand, now);
+        let candidates: Vec<Candidate> = plans.iter().map(|plan| plan.candidate).collect();
         let Some(index) = choose(&candidates) else {
             return Decision::Refuse(Reason::NoBackEnd, NO_BACK_END_RETRY);
         };
@@ -285,7 +293,7 @@
             }
         }
         let instance = instances[index].clone();
-        Decision::Grant(self.grant(instance, candidate, demand, now))
+        Decision::Grant(self.grant(instance, plans[index], demand, now))
     }
 
     fn eligible(&self, demand: &Demand, now: Timestamp) -> Vec<InstanceId> {
@@ -312,24 +320,86 @@
         healthy
     }
 
-    fn candidate(&self, instance: &InstanceId, demand: &Demand, now: Timestamp) -> Candidate {
+    fn plan(&self, instances: &[InstanceId], demand: &Demand, now: Timestamp) -> Vec<Plan> {
+        let home = self.home(demand);
+        instances
+            .iter()
+            .map(|instance| self.plan_for(instance, home.as_ref(), demand, now))
+            .collect()
+    }
+
+    /// The engine that is to keep a prompt's shared parts: all nodes name it alike.
+    fn home(&self, demand: &Demand) -> Option<InstanceId> {
+        let first = demand.shared_parts().first()?;
+        let listed = self.pools.get(&demand.pool)?.iter();
+        let states = listed.filter_map(|instance| self.back_ends.get(instance));
+        let staying = states.filter(|state| !state.back_end.draining);
+        let score =
+            |state: &&BackEndState| xxh3_64_with_seed(&state.digest.to_le_bytes(), first.id.0);
+        let home = staying.max_by_key(score)?;
+        Some(home.back_end.instance.clone())
+    }
+
+    fn plan_for(
+        &self,
+        instance: &InstanceId,
+        home: Option<&InstanceId>,
+        demand: &Demand,
+        now: Timestamp,
+    ) -> Plan {
         let state = &self.back_ends[instance];
-        let uncached = uncached_tokens(state, demand);
+        let kept = state.load.cache.kept_tokens(&demand.parts);
+        let missing = demand.shared_tokens().saturating_sub(kept);
+        let source = self.copy_source(instance, home, kept, demand, now);
+        let copied = if source.is_some() { missing } else { 0 };
+        let is_home = home == Some(instance);
+        let read_again = if is_home { 0 } else { missing - copied };
+        let uncached = demand.prompt_tokens.saturating_sub(kept + copied);
         let pending = state.load.total_pending_tokens(now);
-        let first_part = demand.parts.first().map_or(0, |part| part.id.0);
-        Candidate {
-            first_event: state.load.reading_time(pending + u64::from(uncached)),
-            running: state.load.total_running(now),
-            slots: state.back_end.slots,
-            is_near: state.back_end.zone == self.settings.zone,
-            preference: xxh3_64_with_seed(&state.digest.to_le_bytes(), first_part),
+        Plan {
+            uncached,
+            copy_from: source,
+            candidate: Candidate {
+                first_event: state.load.reading_time(pending + u64::from(uncached)),
+                read_again,
+                copied,
+                running: state.load.total_running(now),
+                slots: state.back_end.slots,
+                is_near: state.back_end.zone == self.settings.zone,
+            },
+        }
+    }
+
+    /// Another engine that keeps clearly more of the prompt.
+    fn copy_source(
+        &self,
+        instance: &InstanceId,
+        home: Option<&InstanceId>,
+        kept: u32,
+        demand: &Demand,
+        now: Timestamp,
+    ) -> Option<SocketAddr> {
+        let missing = demand.shared_tokens().saturating_sub(kept);
+        if missing < MINIMUM_COPIED_TOKENS {
+            return None;
         }
+        let listed = self.pools.get(&demand.pool)?.iter();
+        let others = listed.filter(|other| *other != instance);
+        let states = others.filter_map(|other| self.back_ends.get(other));
+        let sound = states.filter(|state| !state.health.is_ejected(now));
+        let kept_by = |state: &BackEndState| state.load.cache.kept_tokens(&demand.parts);
+        let best = sound.max_by_key(|state| {
+            let is_home = home == Some(&state.back_end.instance);
+            (kept_by(state), is_home)
+        })?;
+        let gain = kept_by(best).saturating_sub(kept);
+        (gain >= MINIMUM_COPIED_TOKENS).then_some(best.back_end.address)
     }
 
     fn grant(
         &mut self,
         instance: InstanceId,
-        candidate: Candidate,
+        plan: Plan,
         demand: &Demand,
         now: Timestamp,
     ) -> Grant {
@@ -342,10 +412,9 @@
             .back_ends
             .get_mut(&instance)
             .expect("a granted back end is listed");
-        let uncached_tokens = uncached_tokens(state, demand);
-        state.load.begin(lease, uncached_tokens, now);
+        state.load.begin(lease, plan.uncached, now);
         state.load.cache.insert(&demand.parts);
-        note_placements(&mut self.placements, state.digest, &demand.parts);
+        note_placements(&mut self.placements, state.digest, demand.shared_parts());
         let address = state.back_end.address;
         self.leases.insert(
             lease,
@@ -359,8 +428,9 @@
             instance,
             address,
             connections,
-            uncached_tokens,
-            expected: candidate.first_event,
+            uncached_tokens: plan.uncached,
+            copy_from: plan.copy_from,
+            expected: plan.candidate.first_event,
             revision,
             list_age,
         }
@@ -476,15 +546,15 @@
         let peer_changes = self.peers.tick(now);
         let mut messages = Vec::new();
         let near = self.peers.near();
-        self.address(&mut messages, near, NEAR_FANOUT, true, false, now);
+        self.address(&mut messages, near, NEAR_FANOUT, false, now);
         if self.ticks.is_multiple_of(FAR_TICKS) {
             let far = self.peers.far();
-            self.address(&mut messages, far, FAR_FANOUT, false, false, now);
+            self.address(&mut messages, far, FAR_FANOUT, false, now);
+            self.placements.clear();
         }
-        self.placements.clear();
         if self.is_time_for_doubtful() {
             let doubtful = self.peers.doubtful(DOUBTFUL_FANOUT, &mut self.random);
-            self.address(&mut messages, doubtful, DOUBTFUL_FANOUT, false, true, now);
+            self.address(&mut messages, doubtful, DOUBTFUL_FANOUT, true, now);
         }
         TickOutput {
             messages,
@@ -507,7 +577,6 @@
         messages: &mut Vec<(SocketAddr, Gossip)>,
         peers: Vec<SocketAddr>,
         most: usize,
-        is_near: bool,
         wants_answer: bool,
         now: Timestamp,
     ) {
@@ -518,18 +587,14 @@
             .choose_multiple(&mut self.random, most)
             .copied()
             .collect();
-        let message = self.gossip(is_near, wants_answer, now);
+        let message = self.gossip(wants_answer, now);
         messages.extend(chosen.into_iter().map(|peer| (peer, message.clone())));
     }
 
     /// The message that tells how this node stands.
-    pub fn gossip(&mut self, is_near: bool, wants_answer: bool, now: Timestamp) -> Gossip {
-        let placements = if is_near {
-            let count = self.placements.len().min(PLACEMENTS_PER_MESSAGE);
-            self.placements[..count].to_vec()
-        } else {
-            Vec::new()
-        };
+    pub fn gossip(&mut self, wants_answer: bool, now: Timestamp) -> Gossip {
+        let count = self.placements.len().min(PLACEMENTS_PER_MESSAGE);
+        let placements = self.placements[..count].to_vec();
         let names_members = wants_answer || self.ticks.is_multiple_of(DOUBTFUL_TICKS);
         let members = if names_members {
             self.peers.sample(now, &mut self.random)
@@ -571,8 +636,8 @@
         let mut messages = Vec::new();
         let near = self.peers.near();
         let far = self.peers.far();
-        self.address(&mut messages, near, NEAR_FANOUT, false, false, now);
-        self.address(&mut messages, far, FAR_FANOUT, false, false, now);
+        self.address(&mut messages, near, NEAR_FANOUT, false, now);
+        self.address(&mut messages, far, FAR_FANOUT, false, now);
         messages
     }
 
@@ -611,11 +676,6 @@
     }
 }
 
-fn uncached_tokens(state: &BackEndState, demand: &Demand) -> u32 {
-    let kept = state.load.cache.kept_tokens(&demand.parts);
-    demand.prompt_tokens.saturating_sub(kept)
-}
-
 fn note_placements(placements: &mut Vec<Placement>, back_end: u32, parts: &[PromptPart]) {
     for part in parts.iter().rev() {
         if placements.len() >= PLACEMENTS_PER_MESSAGE {
--- a/crates/coordination/dispatch/src/message.rs
+++ b/crates/coordination/dispatch/src/message.rs
@@ -58,7 +58,7 @@
     pub confirmed_ms: Option<u32>,
     /// Requests of the sender at back ends.
     pub loads: Vec<LoadReport>,
-    /// Prompts placed since the last message; within a zone only.
+    /// Shared parts of prompts placed lately.
     pub placements: Vec<Placement>,
     /// Some other nodes.
     pub members: Vec<Member>,
--- a/crates/coordination/dispatch/src/placement.rs
+++ b/crates/coordination/dispatch/src/placement.rs
@@ -3,28 +3,32 @@
 use eiderferry_types::Span;
 
 /// Time that a request in another zone is held to cost more, for its bytes.
-const OTHER_ZONE: Span = Span::from_milliseconds(250);
+const OTHER_ZONE: Span = Span::from_milliseconds(20);
 /// Time that each running request costs the others of its batch.
 const PER_RUNNING: Span = Span::from_milliseconds(4);
 /// Time that a full batch costs at least.
 const FULL: Span = Span::from_milliseconds(1_000);
-/// Time by which the order of preference bends the choice, so that nodes that know
-/// nothing of each other place like prompts alike.
-const PREFERENCE: Span = Span::from_milliseconds(40);
+/// What reading a shared prompt token again is held to cost beside its time, in
+/// microseconds: the room it takes from other prompts, and the work done twice.
+const READ_AGAIN_PER_TOKEN: u64 = 40;
+/// The same for a token copied from another engine.
+const COPY_PER_TOKEN: u64 = 12;
 
 /// A back end that could take a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
     /// Expected time to the first event there.
     pub first_event: Span,
+    /// Shared prompt tokens that it would have to read although another has them.
+    pub read_again: u32,
+    /// Shared prompt tokens that it would have to copy from another.
+    pub copied: u32,
     /// Requests there.
     pub running: u32,
     /// Requests that run there at once.
     pub slots: u32,
     /// Whether it stands in the node's zone.
     pub is_near: bool,
-    /// Well-mixed number that all nodes compute alike for the prompt and back end.
-    pub preference: u64,
 }
 
 impl Candidate {
@@ -37,9 +41,10 @@
         } else {
             0
         };
-        let preference = (self.preference as f64 / u64::MAX as f64 * PREFERENCE.0 as f64) as u64;
         let batch = u64::from(self.running) * PER_RUNNING.0;
-        Span(self.first_event.0 + zone + full + batch + preference)
+        let read_again = u64::from(self.read_again) * READ_AGAIN_PER_TOKEN;
+        let copied = u64::from(self.copied) * COPY_PER_TOKEN;
+        Span(self.first_event.0 + zone + full + batch + read_again + copied)
     }
 }
 
--- a/crates/transport/relay/src/control.rs
+++ b/crates/transport/relay/src/control.rs
@@ -182,7 +182,7 @@
                 events::peer(change);
             }
             if received.wants_answer {
-                let answer = self.dispatcher.borrow_mut().gossip(false, false, now);
+                let answer = self.dispatcher.borrow_mut().gossip(false, now);
                 self.socket.send(from, &answer);
             }
             if received.is_newer && !self.fetching.replace(true) {
--- a/crates/transport/relay/src/exchange.rs
+++ b/crates/transport/relay/src/exchange.rs
@@ -176,6 +176,7 @@
         &vocabulary.remaining_ms,
         &vocabulary.expected_instance,
         &vocabulary.rank,
+        &vocabulary.copy_from,
     ];
     let mut forwarded = without_connection_headers(headers);
     for name in own {
@@ -439,6 +440,9 @@
         if let Some(tenant) = &self.head.tenant {
             set(&vocabulary.tenant, tenant);
         }
+        if let Some(address) = lease.grant.copy_from {
+            set(&vocabulary.copy_from, &address.to_string());
+        }
         if let Some(id) = last_event_id {
             set(&vocabulary.last_event_id, &id.to_string());
         }
--- a/crates/transport/relay/src/logging.rs
+++ b/crates/transport/relay/src/logging.rs
@@ -20,6 +20,9 @@
 /// Time between two writes, so that lines are written together.
 const WRITE_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Beginning of the targets whose records are written; libraries' are not.
+const OWN_TARGET: &str = "eiderferry";
+
 /// Lines allowed in a second.
 #[derive(Clone, Copy, Debug)]
 pub struct LogBudget {
@@ -115,6 +118,9 @@
 
 impl Append for QueueAppend {
     fn append(&self, record: &Record, diagnostics: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
+        if !record.target().starts_with(OWN_TARGET) {
+            return Ok(());
+        }
         let is_warning = record.level() >= Level::Warn;
         if self.queue.admits(is_warning) {
             let mut line = self.layout.format(record, diagnostics)?;
--- a/crates/transport/relay/src/node.rs
+++ b/crates/transport/relay/src/node.rs
@@ -98,6 +98,7 @@
     pub fn serve(self, stop: impl Future<Output = ()>) -> Result<(), StartError> {
         let executor: Rc<LocalExecutor<'static>> = Rc::new(LocalExecutor::new());
         let (close, closing) = async_channel::bounded::<Infallible>(1);
+        let (end, ending) = async_channel::bounded::<Infallible>(1);
         let traffic = Rc::new(Traffic {
             upstream: Upstream::new(Rc::clone(&executor)),
             control: self.control.clone(),
@@ -111,15 +112,17 @@
             phase: Cell::new(Phase::Serving),
             open_requests: Cell::new(0),
             closing,
+            ending,
         });
-        smol::block_on(executor.run(self.serve_until(server, stop, close)))
+        let signals = StopSignals { close, end };
+        smol::block_on(executor.run(self.serve_until(server, stop, signals)))
     }
 
     async fn serve_until(
         self,
         server: Rc<Server>,
         stop: impl Future<Output = ()>,
-        close: async_channel::Sender<Infallible>,
+        signals: StopSignals,
     ) -> Result<(), StartError> {
         self.open(&server).await?;
         let settings = &self.settings;
@@ -127,7 +130,7 @@
         events::started(node, zone, settings.listen);
         stop.await;
         self.control.stop();
-        stop_server(&server, settings.stop, close, self.clock).await;
+        stop_server(&server, settings.stop, signals, self.clock).await;
         events::stopped(server.open_requests.get());
         Timer::after(LAST_LINES).await;
         Ok(())
@@ -174,22 +177,24 @@
     }
 }
 
-async fn stop_server(
-    server: &Server,
-    settings: StopSettings,
+/// Channels whose closing tells connections and requests how far a stop has come.
+struct StopSignals {
     close: async_channel::Sender<Infallible>,
-    clock: Clock,
-) {
+    end: async_channel::Sender<Infallible>,
+}
+
+async fn stop_server(server: &Server, settings: StopSettings, signals: StopSignals, clock: Clock) {
     let begun = clock.now();
     server.phase.set(Phase::Leaving);
     events::stopping("leaving", server.open_requests.get());
     Timer::after(duration(settings.refuse_after)).await;
     server.phase.set(Phase::Refusing);
-    close.close();
+    signals.close.close();
     events::stopping("refusing", server.open_requests.get());
     while server.open_requests.get() > 0 && clock.now().since(begun) < settings.end_after {
         Timer::after(END_CHECK).await;
     }
+    signals.end.close();
 }
 
 fn run_control(
--- a/crates/transport/relay/src/server.rs
+++ b/crates/transport/relay/src/server.rs
@@ -49,6 +49,8 @@
     pub open_requests: Cell<u32>,
     /// Closed when kept connections are to be closed.
     pub closing: async_channel::Receiver<Infallible>,
+    /// Closed when requests without an answer get one from here.
+    pub ending: async_channel::Receiver<Infallible>,
 }
 
 struct OpenRequest {
@@ -125,7 +127,13 @@
             return closing(answer.response());
         }
         let open = OpenRequest::new(Rc::clone(&self));
-        let response = exchange::serve(Rc::clone(&self.traffic), request).await;
+        let ending = async {
+            let _ = self.ending.recv().await;
+            OwnAnswer::AnswerLost.response()
+        };
+        let response = exchange::serve(Rc::clone(&self.traffic), request)
+            .or(ending)
+            .await;
         let response = response.map(|body| hold_open(body, open));
         if self.phase.get() == Phase::Serving {
             response
--- a/crates/transport/relay/src/vocabulary.rs
+++ b/crates/transport/relay/src/vocabulary.rs
@@ -24,6 +24,8 @@
     pub prompt_parts: HeaderName,
     /// The caller's guess of how many tokens come out.
     pub length_hint: HeaderName,
+    /// Engine from which a back end copies what it lacks of a prompt.
+    pub copy_from: HeaderName,
     /// Where a stream is taken up.
     pub last_event_id: HeaderName,
 }
