--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -9,7 +9,6 @@
 use eiderferry_routing::{BackEnd, InstanceId, NodeName, PoolName, ZoneName};
 use eiderferry_types::{Reason, Span, Timestamp};
 use rand::SeedableRng;
-use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -18,19 +17,21 @@
 /// Time between two ticks.
 pub const TICK: Span = Span::from_milliseconds(100);
 /// Ticks between two messages to other zones, whose bytes are dear.
-const FAR_TICKS: u64 = 2;
+pub(crate) const FAR_TICKS: u64 = 2;
 /// Ticks between two attempts to reach nodes not known to be there.
 const DOUBTFUL_TICKS: u64 = 10;
 /// Ticks after a start during which these attempts are made more often.
 const STARTING_TICKS: u64 = 50;
-/// The same, while starting.
-const STARTING_DOUBTFUL_TICKS: u64 = 3;
+/// The same, while starting or while nodes are known by hearsay only.
+const SEARCHING_TICKS: u64 = 2;
 /// Peers of the own zone told at each tick.
-const NEAR_FANOUT: usize = 12;
+pub(crate) const NEAR_FANOUT: usize = 12;
 /// Peers of other zones told at a time.
-const FAR_FANOUT: usize = 8;
+pub(crate) const FAR_FANOUT: usize = 8;
 /// Doubtful addresses tried at a time.
 const DOUBTFUL_FANOUT: usize = 2;
+/// The same while nodes are known by hearsay only.
+const SEARCHING_FANOUT: usize = 6;
 /// Placements named in one message.
 const PLACEMENTS_PER_MESSAGE: usize = 40;
 /// Fewest tokens that are worth copying from another engine.
@@ -150,6 +151,8 @@
     next_lease: u64,
     placements: Vec<Placement>,
     ticks: u64,
+    near_turn: usize,
+    far_turn: usize,
     is_stopping: bool,
     random: ChaCha8Rng,
 }
@@ -178,6 +181,8 @@
             next_lease: 0,
             placements: Vec::new(),
             ticks: 0,
+            near_turn: 0,
+            far_turn: 0,
             is_stopping: false,
             random: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -220,7 +225,7 @@
     fn rebuild(&mut self) {
         let listed: HashMap<InstanceId, BackEnd> = self
             .knowledge
-            .back_ends()
+            .current_back_ends()
             .map(|back_end| (back_end.instance.clone(), back_end.clone()))
             .collect();
         self.back_ends
@@ -302,7 +307,7 @@
             .filter(|instance| !demand.excluded.contains(instance))
             .filter(|instance| {
                 let state = self.back_ends.get(*instance);
-                state.is_some_and(|state| !state.back_end.draining)
+                state.is_some_and(|state| !state.back_end.draining && !state.health.is_replaced())
             })
             .collect();
         let is_healthy = |instance: &&&InstanceId| {
@@ -545,16 +550,17 @@
         self.ticks += 1;
         let peer_changes = self.peers.tick(now);
         let mut messages = Vec::new();
-        let near = self.peers.near();
-        self.address(&mut messages, near, NEAR_FANOUT, false, now);
+        let near = in_turn(&self.peers.near(), NEAR_FANOUT, &mut self.near_turn);
+        self.address(&mut messages, &near, false, now);
         if self.ticks.is_multiple_of(FAR_TICKS) {
-            let far = self.peers.far();
-            self.address(&mut messages, far, FAR_FANOUT, false, now);
+            let far = in_turn(&self.peers.far(), FAR_FANOUT, &mut self.far_turn);
+            self.address(&mut messages, &far, false, now);
             self.placements.clear();
         }
-        if self.is_time_for_doubtful() {
-            let doubtful = self.peers.doubtful(DOUBTFUL_FANOUT, &mut self.random);
-            self.address(&mut messages, doubtful, DOUBTFUL_FANOUT, true, now);
+        let (period, fanout) = self.search_pace();
+        if self.ticks % period == 1 {
+            let doubtful = self.peers.doubtful(fanout, &mut self.random);
+            self.address(&mut messages, &doubtful, true, now);
         }
         TickOutput {
             messages,
@@ -562,33 +568,29 @@
         }
     }
 
-    fn is_time_for_doubtful(&self) -> bool {
-        let is_starting = self.ticks < STARTING_TICKS;
-        let period = if is_starting {
-            STARTING_DOUBTFUL_TICKS
-        } else {
-            DOUBTFUL_TICKS
-        };
-        self.ticks % period == 1
+    /// Ticks between two attempts to reach doubtful nodes, and how many are tried.
+    fn search_pace(&self) -> (u64, usize) {
+        if self.peers.hearsay_count() > 0 {
+            return (SEARCHING_TICKS, SEARCHING_FANOUT);
+        }
+        if self.ticks < STARTING_TICKS {
+            return (SEARCHING_TICKS, DOUBTFUL_FANOUT);
+        }
+        (DOUBTFUL_TICKS, DOUBTFUL_FANOUT)
     }
 
     fn address(
         &mut self,
         messages: &mut Vec<(SocketAddr, Gossip)>,
-        peers: Vec<SocketAddr>,
-        most: usize,
+        peers: &[SocketAddr],
         wants_answer: bool,
         now: Timestamp,
     ) {
         if peers.is_empty() {
             return;
         }
-        let chosen: Vec<SocketAddr> = peers
-            .choose_multiple(&mut self.random, most)
-            .copied()
-            .collect();
         let message = self.gossip(wants_answer, now);
-        messages.extend(chosen.into_iter().map(|peer| (peer, message.clone())));
+        messages.extend(peers.iter().map(|peer| (*peer, message.clone())));
     }
 
     /// The message that tells how this node stands.
@@ -634,10 +636,10 @@
     /// Messages that tell the peers at once of newer documents.
     pub fn announce(&mut self, now: Timestamp) -> Vec<(SocketAddr, Gossip)> {
         let mut messages = Vec::new();
-        let near = self.peers.near();
-        let far = self.peers.far();
-        self.address(&mut messages, near, NEAR_FANOUT, false, now);
-        self.address(&mut messages, far, FAR_FANOUT, false, now);
+        let near = in_turn(&self.peers.near(), NEAR_FANOUT, &mut self.near_turn);
+        self.address(&mut messages, &near, false, now);
+        let far = in_turn(&self.peers.far(), FAR_FANOUT, &mut self.far_turn);
+        self.address(&mut messages, &far, false, now);
         messages
     }
 
@@ -676,6 +678,16 @@
     }
 }
 
+/// The next peers in turn, so that each is told at a steady pace.
+fn in_turn(peers: &[SocketAddr], most: usize, turn: &mut usize) -> Vec<SocketAddr> {
+    let count = most.min(peers.len());
+    let start = *turn;
+    *turn = turn.wrapping_add(count);
+    (0..count)
+        .map(|offset| peers[start.wrapping_add(offset) % peers.len()])
+        .collect()
+}
+
 fn note_placements(placements: &mut Vec<Placement>, back_end: u32, parts: &[PromptPart]) {
     for part in parts.iter().rev() {
         if placements.len() >= PLACEMENTS_PER_MESSAGE {
--- a/crates/coordination/dispatch/src/health.rs
+++ b/crates/coordination/dispatch/src/health.rs
@@ -36,6 +36,7 @@
     ejected_until: Option<Timestamp>,
     ejected_at: Option<Timestamp>,
     ejections: u32,
+    is_replaced: bool,
 }
 
 impl Health {
@@ -46,7 +47,12 @@
 
     /// Whether it gets no work now.
     pub fn is_ejected(&self, now: Timestamp) -> bool {
-        self.ejected_until.is_some_and(|until| now < until)
+        self.is_replaced || self.ejected_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether another run has its address: it never comes back.
+    pub fn is_replaced(&self) -> bool {
+        self.is_replaced
     }
 
     /// Takes an outcome in. `pool_share` is the mean share of failures in its pool.
@@ -89,7 +95,9 @@
         now: Timestamp,
     ) -> Option<HealthChange> {
         self.failures_in_a_row += 1;
-        if self.is_ejected(now) {
+        let was_ejected = self.is_ejected(now);
+        self.is_replaced |= outcome == Outcome::Replaced;
+        if was_ejected {
             return None;
         }
         let is_gone = matches!(outcome, Outcome::Unreachable | Outcome::Replaced);
--- a/crates/coordination/dispatch/src/peers.rs
+++ b/crates/coordination/dispatch/src/peers.rs
@@ -1,6 +1,7 @@
 //! The other nodes: known from a few seeds and from what nodes tell each other.
 
-use crate::{Gossip, Member};
+use crate::dispatcher::{FAR_FANOUT, FAR_TICKS, NEAR_FANOUT};
+use crate::{Gossip, Member, TICK};
 use eiderferry_routing::{NodeName, ZoneName};
 use eiderferry_types::{Span, Timestamp};
 use rand::Rng;
@@ -8,12 +9,17 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-/// Silence after which a peer counts as lost.
-pub const SILENCE: Span = Span::from_milliseconds(900);
-/// Silence after which a peer is forgotten.
-const FORGET: Span = Span::from_milliseconds(60_000);
+/// Silence after which a peer of the own zone counts as lost, at the least.
+const NEAR_SILENCE: Span = Span::from_milliseconds(900);
+/// The same for a peer of another zone.
+const FAR_SILENCE: Span = Span::from_milliseconds(1_500);
+/// Turns in a row that a peer has to miss besides.
+const MISSED_TURNS: u64 = 5;
+/// Silence after which a peer is forgotten, as a multiple of that at which it is
+/// lost.
+const FORGET_FACTOR: u64 = 60;
 /// Other nodes named in one message.
-const MEMBERS_PER_MESSAGE: usize = 4;
+const MEMBERS_PER_MESSAGE: usize = 8;
 
 /// What changed with a peer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -103,7 +109,7 @@
         for member in members {
             let is_known = member.address == self.own || self.peers.contains_key(&member.address);
             let silent = Span::from_milliseconds(u64::from(member.silent_ms));
-            if !is_known && silent < FORGET {
+            if !is_known && silent < Span(FAR_SILENCE.0 * FORGET_FACTOR) {
                 let heard = now - silent;
                 self.hearsay
                     .insert(member.address, (member.zone.clone(), heard));
@@ -114,18 +120,32 @@
     /// Marks silent peers as lost and forgets those silent for long.
     pub fn tick(&mut self, now: Timestamp) -> Vec<PeerChange> {
         let mut changes = Vec::new();
+        let (near, far) = self.silence_limits();
+        let zone = self.zone.clone();
+        let limit = |peer: &Peer| if peer.zone == zone { near } else { far };
         for peer in self.peers.values_mut() {
-            if !peer.is_lost && now.since(peer.heard) > SILENCE {
+            if !peer.is_lost && now.since(peer.heard) > limit(peer) {
                 peer.is_lost = true;
                 changes.push(PeerChange::Lost(peer.name.clone()));
             }
         }
-        self.peers.retain(|_, peer| now.since(peer.heard) < FORGET);
+        let forget = Span(far.0 * FORGET_FACTOR);
+        self.peers.retain(|_, peer| now.since(peer.heard) < forget);
         self.hearsay
-            .retain(|_, (_, heard)| now.since(*heard) < FORGET);
+            .retain(|_, (_, heard)| now.since(*heard) < forget);
         changes
     }
 
+    /// How long a peer may be silent: each is told in turn, and in a large fleet its
+    /// turn comes less often.
+    fn silence_limits(&self) -> (Span, Span) {
+        let near = self.near().len().div_ceil(NEAR_FANOUT) as u64;
+        let far = self.far().len().div_ceil(FAR_FANOUT) as u64;
+        let near = Span(near * TICK.0 * MISSED_TURNS).max(NEAR_SILENCE);
+        let far = Span(far * FAR_TICKS * TICK.0 * MISSED_TURNS).max(FAR_SILENCE);
+        (near, far)
+    }
+
     /// After a pause of this process, silence is no fault of the others.
     pub fn pardon(&mut self, now: Timestamp) {
         for peer in self.peers.values_mut().filter(|peer| !peer.is_lost) {
@@ -162,6 +182,11 @@
         unknown.chain(lost).choose_multiple(random, count)
     }
 
+    /// Number of nodes known by hearsay only.
+    pub fn hearsay_count(&self) -> usize {
+        self.hearsay.len()
+    }
+
     /// Some nodes to name in a message.
     pub fn sample(&self, now: Timestamp, random: &mut impl Rng) -> Vec<Member> {
         let living = self.peers.iter().filter(|(_, peer)| !peer.is_lost);
--- /dev/null
+++ b/crates/coordination/dispatch/tests/cache.rs
@@ -0,0 +1,50 @@
+//! What an engine is believed to keep.
+
+use eiderferry_dispatch::{PrefixCache, PromptPart};
+use eiderferry_routing::PartId;
+
+fn part(id: u64, tokens: u32) -> PromptPart {
+    PromptPart {
+        id: PartId(id),
+        tokens,
+    }
+}
+
+#[test]
+fn a_part_counts_only_if_all_before_it_are_kept() {
+    let mut cache = PrefixCache::new(100_000);
+    cache.insert(&[part(1, 1_000), part(2, 500), part(3, 200)]);
+    assert_eq!(
+        cache.kept_tokens(&[part(1, 1_000), part(2, 500), part(9, 70)]),
+        1_500
+    );
+    assert_eq!(cache.kept_tokens(&[part(7, 1_000), part(2, 500)]), 0);
+}
+
+#[test]
+fn the_least_recently_used_part_gives_way() {
+    let mut cache = PrefixCache::new(1_000);
+    cache.insert(&[part(1, 400)]);
+    cache.insert(&[part(2, 400)]);
+    cache.insert(&[part(1, 400)]);
+    cache.insert(&[part(3, 400)]);
+    assert!(cache.keeps(PartId(1)));
+    assert!(!cache.keeps(PartId(2)));
+    assert!(cache.keeps(PartId(3)));
+}
+
+#[test]
+fn the_beginning_of_a_prompt_outlives_its_end() {
+    let mut cache = PrefixCache::new(1_000);
+    cache.insert(&[part(1, 400), part(2, 400)]);
+    cache.insert(&[part(3, 300)]);
+    assert!(cache.keeps(PartId(1)));
+    assert!(!cache.keeps(PartId(2)));
+}
+
+#[test]
+fn a_back_end_without_memory_keeps_nothing() {
+    let mut cache = PrefixCache::new(0);
+    cache.insert(&[part(1, 1)]);
+    assert!(!cache.keeps(PartId(1)));
+}
--- /dev/null
+++ b/crates/coordination/dispatch/tests/fleet.rs
@@ -0,0 +1,124 @@
+//! Many nodes together: they find each other, share the reading, and pass on news.
+
+mod support;
+
+use rstest::rstest;
+use support::{Fleet, table_change};
+
+#[rstest]
+#[case::today(7, 3)]
+#[case::larger(71, 3)]
+#[case::much_larger(240, 5)]
+fn all_nodes_find_each_other_from_three_seeds(#[case] count: usize, #[case] zones: usize) {
+    let mut fleet = Fleet::new(count, zones);
+    fleet.run_with_platform(30_000, 1);
+    for node in &fleet.nodes {
+        assert_eq!(node.snapshot(fleet.now).living_peers, count - 1);
+    }
+}
+
+#[rstest]
+#[case::today(7, 3)]
+#[case::larger(71, 3)]
+#[case::much_larger(240, 5)]
+fn nobody_loses_a_peer_that_is_there(#[case] count: usize, #[case] zones: usize) {
+    let mut fleet = Fleet::new(count, zones);
+    fleet.run_with_platform(30_000, 1);
+    fleet.lost.clear();
+    fleet.run_with_platform(20_000, 1);
+    assert_eq!(fleet.lost, Vec::new());
+}
+
+#[rstest]
+#[case::today(7, 3)]
+#[case::larger(71, 3)]
+#[case::much_larger(240, 5)]
+fn one_node_of_each_zone_reads_the_platform(#[case] count: usize, #[case] zones: usize) {
+    let mut fleet = Fleet::new(count, zones);
+    fleet.run_with_platform(30_000, 1);
+    for _ in 0..50 {
+        fleet.run_with_platform(100, 1);
+        assert_eq!(fleet.readers().len(), zones);
+    }
+}
+
+#[test]
+fn the_messages_of_a_node_do_not_grow_with_the_fleet() {
+    let mut per_node = Vec::new();
+    for count in [60, 240] {
+        let mut fleet = Fleet::new(count, 3);
+        fleet.run_with_platform(20_000, 1);
+        let before = fleet.messages;
+        fleet.run_with_platform(10_000, 1);
+        per_node.push((fleet.messages - before) as f64 / count as f64 / 10.0);
+    }
+    assert!(
+        per_node[1] <= per_node[0] * 1.1,
+        "{per_node:?} messages a second"
+    );
+}
+
+#[test]
+fn a_change_read_by_one_node_reaches_all_others() {
+    let mut fleet = Fleet::new(71, 3);
+    fleet.run_with_platform(20_000, 1);
+    fleet.nodes[5].apply(table_change(2));
+    fleet.nodes[5].confirm(2, fleet.now);
+    fleet.run(2_000);
+    let behind = fleet
+        .nodes
+        .iter()
+        .filter(|node| node.knowledge().table_revision() != 2)
+        .count();
+    assert_eq!(behind, 0);
+}
+
+#[test]
+fn a_node_that_hears_nobody_reads_the_platform_itself() {
+    let mut fleet = Fleet::new(7, 3);
+    fleet.run_with_platform(10_000, 1);
+    let follower = (0..7)
+        .find(|number| !fleet.readers().contains(number))
+        .expect("a follower");
+    for other in 0..7 {
+        if other != follower {
+            fleet.dark.insert(other);
+        }
+    }
+    fleet.run(2_500);
+    assert!(fleet.readers().contains(&follower));
+}
+
+#[test]
+fn the_place_of_a_dead_reader_is_taken_within_a_second() {
+    let mut fleet = Fleet::new(7, 1);
+    fleet.run_with_platform(10_000, 1);
+    let reader = fleet.readers()[0];
+    fleet.dark.insert(reader);
+    fleet.run_with_platform(1_100, 1);
+    let living: Vec<usize> = fleet
+        .readers()
+        .into_iter()
+        .filter(|number| *number != reader)
+        .collect();
+    assert_eq!(living.len(), 1);
+}
+
+#[test]
+fn zones_that_were_cut_off_hear_each_other_again_and_catch_up() {
+    let mut fleet = Fleet::new(9, 3);
+    fleet.run_with_platform(10_000, 1);
+    fleet.cut.extend([(0, 1), (0, 2)]);
+    fleet.run(5_000);
+    for number in (0..9).filter(|number| fleet.zones[*number] != 0) {
+        fleet.nodes[number].apply(table_change(2));
+        fleet.nodes[number].confirm(2, fleet.now);
+    }
+    fleet.run(1_000);
+    assert!(fleet.nodes[0].knowledge().table_revision() == 1);
+    fleet.cut.clear();
+    fleet.run(2_500);
+    for node in &fleet.nodes {
+        assert_eq!(node.knowledge().table_revision(), 2);
+    }
+}
--- /dev/null
+++ b/crates/coordination/dispatch/tests/knowledge.rs
@@ -0,0 +1,164 @@
+//! Documents never go back, whatever order their changes come in.
+
+use eiderferry_dispatch::{Applied, Change, Content, DocumentKey, Knowledge};
+use eiderferry_routing::{BackEnd, InstanceId, Limits, PoolName, TableDocument, ZoneName};
+use eiderferry_types::{Span, Timestamp};
+use std::collections::{BTreeMap, BTreeSet};
+
+fn table(version: u64) -> TableDocument {
+    TableDocument {
+        version,
+        routes: Vec::new(),
+        pools: BTreeMap::new(),
+        limits: Limits {
+            maximum_header_bytes: 16_384,
+            maximum_body_bytes: 1_000,
+            header_timeout: Span::from_milliseconds(3_000),
+            idle_timeout: Span::from_milliseconds(15_000),
+        },
+        tenants: Vec::new(),
+    }
+}
+
+fn table_change(revision: u64, version: u64) -> Change {
+    Change {
+        key: DocumentKey::Table,
+        revision,
+        content: Content::Table(table(version)),
+    }
+}
+
+fn back_end_change(name: &str, revision: u64, draining: bool) -> Change {
+    let instance = InstanceId::from(name);
+    Change {
+        key: DocumentKey::BackEnd(instance.clone()),
+        revision,
+        content: Content::BackEnd(BackEnd {
+            instance,
+            pool: PoolName::from("app"),
+            address: "10.0.0.1:80".parse().expect("an address"),
+            zone: ZoneName::from("a"),
+            slots: 6,
+            draining,
+        }),
+    }
+}
+
+fn gone(name: &str, revision: u64) -> Change {
+    Change {
+        key: DocumentKey::BackEnd(InstanceId::from(name)),
+        revision,
+        content: Content::Gone,
+    }
+}
+
+fn version(knowledge: &Knowledge) -> Option<u64> {
+    knowledge.table().map(|table| table.version())
+}
+
+#[test]
+fn an_older_table_never_replaces_a_newer_one() {
+    let mut knowledge = Knowledge::default();
+    assert_eq!(knowledge.apply(table_change(9, 4)), Applied::Taken);
+    assert_eq!(knowledge.apply(table_change(7, 3)), Applied::Known);
+    assert_eq!(version(&knowledge), Some(4));
+}
+
+#[test]
+fn a_table_that_is_refused_leaves_the_previous_one_in_force() {
+    let mut knowledge = Knowledge::default();
+    knowledge.apply(table_change(9, 4));
+    let mut broken = table(5);
+    broken.tenants = vec![
+        eiderferry_routing::Tenant {
+            name: "one".to_owned(),
+            keys: vec!["same".to_owned()],
+            rank: None,
+        },
+        eiderferry_routing::Tenant {
+            name: "two".to_owned(),
+            keys: vec!["same".to_owned()],
+            rank: None,
+        },
+    ];
+    let change = Change {
+        key: DocumentKey::Table,
+        revision: 12,
+        content: Content::Table(broken),
+    };
+    assert!(matches!(
+        knowledge.apply(change.clone()),
+        Applied::Refused(_)
+    ));
+    assert_eq!(version(&knowledge), Some(4));
+    assert_eq!(knowledge.apply(change), Applied::Known, "told once only");
+    assert_eq!(knowledge.apply(table_change(13, 6)), Applied::Taken);
+}
+
+#[test]
+fn a_back_end_that_is_gone_is_not_brought_back_by_an_older_list() {
+    let mut knowledge = Knowledge::default();
+    knowledge.apply(back_end_change("i-1", 5, false));
+    assert_eq!(knowledge.apply(gone("i-1", 8)), Applied::Taken);
+    assert_eq!(
+        knowledge.apply(back_end_change("i-1", 6, true)),
+        Applied::Known
+    );
+    assert_eq!(knowledge.back_ends().count(), 0);
+}
+
+#[test]
+fn a_removal_heard_before_the_entry_still_counts() {
+    let mut knowledge = Knowledge::default();
+    knowledge.apply(gone("i-1", 8));
+    assert_eq!(
+        knowledge.apply(back_end_change("i-1", 6, false)),
+        Applied::Known
+    );
+    assert_eq!(knowledge.back_ends().count(), 0);
+}
+
+#[test]
+fn what_a_listing_lacks_is_gone_unless_it_is_newer_than_the_listing() {
+    let mut knowledge = Knowledge::default();
+    knowledge.apply(back_end_change("listed", 3, false));
+    knowledge.apply(back_end_change("left", 4, false));
+    knowledge.apply(back_end_change("new", 11, false));
+    let listed = BTreeSet::from([InstanceId::from("listed")]);
+    let missing = knowledge.missing_from_listing(&listed, 10);
+    assert_eq!(missing, vec![gone("left", 10)]);
+}
+
+#[test]
+fn a_peer_gets_exactly_what_it_lacks() {
+    let mut knowledge = Knowledge::default();
+    knowledge.apply(table_change(2, 1));
+    knowledge.apply(back_end_change("i-1", 5, false));
+    knowledge.apply(back_end_change("i-2", 6, false));
+    knowledge.apply(gone("i-1", 8));
+    let mut peer = Knowledge::default();
+    peer.apply(table_change(2, 1));
+    peer.apply(back_end_change("i-1", 5, false));
+    for change in knowledge.changes_after(5) {
+        assert_eq!(peer.apply(change), Applied::Taken);
+    }
+    let names: Vec<&str> = peer
+        .back_ends()
+        .map(|back_end| back_end.instance.as_str())
+        .collect();
+    assert_eq!(names, vec!["i-2"]);
+}
+
+#[test]
+fn a_confirmation_of_an_older_revision_says_nothing() {
+    let mut knowledge = Knowledge::default();
+    let now = Timestamp(50_000_000);
+    knowledge.confirm(10, now);
+    let later = now + Span::from_milliseconds(900);
+    knowledge.confirm(9, later);
+    assert_eq!(knowledge.complete_to(), 10);
+    assert_eq!(
+        knowledge.confirmed_age(later),
+        Some(Span::from_milliseconds(900))
+    );
+}
--- /dev/null
+++ b/crates/coordination/dispatch/tests/placement.rs
@@ -0,0 +1,173 @@
+//! Which back end a request goes to.
+
+mod support;
+
+use eiderferry_dispatch::{Decision, HealthChange, Outcome};
+use eiderferry_routing::InstanceId;
+use eiderferry_types::{Reason, Span};
+use std::collections::BTreeSet;
+use support::{
+    START, back_end, back_end_address, back_end_change, demand, granted, table_change, with_engines,
+};
+
+#[test]
+fn requests_with_the_same_beginning_go_to_the_same_engine() {
+    let mut subject = with_engines(9);
+    for thing in 1..20 {
+        let mut engines = BTreeSet::new();
+        for own in 0..5 {
+            let grant = granted(subject.ask(&demand(thing, 13_000, 400 + own), START));
+            subject.first_event(grant.lease, START);
+            subject.end(grant.lease, Outcome::Completed, START);
+            engines.insert(grant.instance);
+        }
+        assert_eq!(engines.len(), 1, "thing {thing}");
+    }
+}
+
+#[test]
+fn two_nodes_that_never_spoke_choose_the_same_engine() {
+    let (mut one, mut two) = (with_engines(9), with_engines(9));
+    for thing in 1..50 {
+        let first = granted(one.ask(&demand(thing, 13_000, 400), START));
+        let second = granted(two.ask(&demand(thing, 13_000, 800), START));
+        assert_eq!(first.instance, second.instance, "thing {thing}");
+        one.end(first.lease, Outcome::Completed, START);
+        two.end(second.lease, Outcome::Completed, START);
+    }
+}
+
+#[test]
+fn a_beginning_asked_for_too_often_spreads_and_is_copied() {
+    let mut subject = with_engines(3);
+    let first = granted(subject.ask(&demand(1, 13_000, 400), START));
+    let mut copies = 0;
+    for own in 0..40 {
+        let grant = granted(subject.ask(&demand(1, 13_000, 6_000 + own), START));
+        if let Some(source) = grant.copy_from {
+            assert_ne!(grant.instance, first.instance);
+            assert_eq!(source, first.address);
+            copies += 1;
+        }
+    }
+    assert!(
+        (1..=2).contains(&copies),
+        "{copies} copies; each engine needs one"
+    );
+}
+
+#[test]
+fn of_two_runs_at_one_address_only_the_newer_gets_work() {
+    let mut subject = with_engines(1);
+    subject.apply(back_end_change(back_end("engine-0-restarted", 0, 0), 9));
+    for thing in 0..30 {
+        let grant = granted(subject.ask(&demand(thing, 1_000, 100), START));
+        assert_eq!(grant.instance, InstanceId::from("engine-0-restarted"));
+    }
+}
+
+#[test]
+fn an_address_that_serves_another_pool_now_gets_no_work_of_the_old_one() {
+    let mut subject = with_engines(2);
+    let mut other = back_end("app-1", 0, 0);
+    other.pool = eiderferry_routing::PoolName::from("app");
+    subject.apply(back_end_change(other, 9));
+    for thing in 0..30 {
+        let grant = granted(subject.ask(&demand(thing, 1_000, 100), START));
+        assert_eq!(grant.address, back_end_address(1));
+    }
+}
+
+#[test]
+fn a_run_that_was_replaced_never_gets_work_again() {
+    let mut subject = with_engines(2);
+    let grant = granted(subject.ask(&demand(1, 1_000, 100), START));
+    let gone = grant.instance.clone();
+    let change = subject.end(grant.lease, Outcome::Replaced, START);
+    assert!(matches!(change, Some((_, HealthChange::Ejected(_)))));
+    for minute in 0..20 {
+        let now = START + Span::from_milliseconds(minute * 60_000);
+        for thing in 0..10 {
+            let grant = granted(subject.ask(&demand(thing, 1_000, 100), now));
+            assert_ne!(grant.instance, gone);
+            subject.end(grant.lease, Outcome::Completed, now);
+        }
+    }
+}
+
+#[test]
+fn a_back_end_that_is_leaving_gets_no_new_work() {
+    let mut subject = with_engines(2);
+    let mut leaving = back_end("engine-0", 0, 0);
+    leaving.draining = true;
+    subject.apply(back_end_change(leaving, 9));
+    for thing in 0..30 {
+        let grant = granted(subject.ask(&demand(thing, 1_000, 100), START));
+        assert_eq!(grant.instance, InstanceId::from("engine-1"));
+    }
+}
+
+#[test]
+fn where_all_back_ends_are_leaving_the_request_is_refused_with_a_time() {
+    let mut subject = with_engines(1);
+    let mut leaving = back_end("engine-0", 0, 0);
+    leaving.draining = true;
+    subject.apply(back_end_change(leaving, 9));
+    match subject.ask(&demand(1, 1_000, 100), START) {
+        Decision::Refuse(reason, retry_after) => {
+            assert_eq!(reason, Reason::NoBackEnd);
+            assert!(retry_after > Span::ZERO);
+        }
+        granted => panic!("expected a refusal, got {granted:?}"),
+    }
+}
+
+#[test]
+fn a_repeat_beyond_the_budget_is_refused_and_a_first_request_is_not() {
+    let mut subject = with_engines(4);
+    let mut repeat = demand(1, 1_000, 100);
+    repeat.is_repeat = true;
+    let mut granted_repeats = 0;
+    for _ in 0..40 {
+        if let Decision::Grant(grant) = subject.ask(&repeat, START) {
+            subject.end(grant.lease, Outcome::Completed, START);
+            granted_repeats += 1;
+        }
+    }
+    assert_eq!(granted_repeats, 5);
+    granted(subject.ask(&demand(1, 1_000, 100), START));
+}
+
+#[test]
+fn load_that_peers_report_is_avoided_and_forgotten_when_they_fall_silent() {
+    let mut subject = with_engines(2);
+    let home = granted(subject.ask(&demand(1, 1_000, 100), START));
+    subject.end(home.lease, Outcome::Completed, START);
+    let mut peer = with_engines(2);
+    for _ in 0..60 {
+        let mut same = demand(1, 1_000, 20_000);
+        same.excluded = vec![InstanceId::from(if home.instance.as_str() == "engine-0" {
+            "engine-1"
+        } else {
+            "engine-0"
+        })];
+        granted(peer.ask(&same, START));
+    }
+    let message = peer.gossip(false, START);
+    let mut later = with_engines(2);
+    later.receive(support::node_address(5), &message, START);
+    subject.receive(support::node_address(5), &message, START);
+    let grant = granted(subject.ask(&demand(1, 1_000, 100), START));
+    assert_ne!(grant.instance, home.instance);
+    let after = START + Span::from_milliseconds(3_000);
+    let grant = granted(later.ask(&demand(1, 1_000, 100), after));
+    assert_eq!(grant.instance, home.instance);
+}
+
+#[test]
+fn a_table_without_the_pool_gives_no_back_end() {
+    let mut subject = support::dispatcher(0, 0, Vec::new());
+    subject.apply(table_change(1));
+    let decision = subject.ask(&demand(1, 1_000, 100), START);
+    assert!(matches!(decision, Decision::Refuse(Reason::NoBackEnd, _)));
+}
--- /dev/null
+++ b/crates/coordination/dispatch/tests/retry_budget.rs
@@ -0,0 +1,74 @@
+//! The bound of repeats holds over all nodes without a word between them.
+
+use eiderferry_dispatch::{BudgetSettings, RetryBudget};
+use eiderferry_types::{Span, Timestamp};
+use rstest::rstest;
+
+const SETTINGS: BudgetSettings = BudgetSettings {
+    ratio: 0.2,
+    allowance: 54.0,
+    window: Span::from_milliseconds(10_000),
+};
+const START: Timestamp = Timestamp(1_000_000_000);
+
+fn spend_all(budget: &mut RetryBudget, now: Timestamp, nodes: u32) -> u32 {
+    let mut spent = 0;
+    while budget.spend(now, nodes) {
+        spent += 1;
+    }
+    spent
+}
+
+#[rstest]
+#[case::a_few_nodes(2)]
+#[case::today(7)]
+#[case::many_nodes(78)]
+fn nodes_that_cannot_hear_each_other_stay_within_the_bound(#[case] nodes: u32) {
+    let requests_per_node = 40;
+    let mut total = 0;
+    for _ in 0..nodes {
+        let mut budget = RetryBudget::new(SETTINGS);
+        for _ in 0..requests_per_node {
+            budget.request(START);
+        }
+        total += spend_all(&mut budget, START, nodes);
+    }
+    let bound = SETTINGS.ratio * f64::from(nodes * requests_per_node) + SETTINGS.allowance;
+    assert!(f64::from(total) <= bound, "{total} repeats, bound {bound}");
+}
+
+#[test]
+fn a_node_that_has_met_nobody_takes_no_more_than_an_eighth_of_the_allowance() {
+    let mut budget = RetryBudget::new(SETTINGS);
+    assert_eq!(spend_all(&mut budget, START, 1), 5);
+}
+
+#[test]
+fn the_budget_is_whole_again_after_its_window() {
+    let mut budget = RetryBudget::new(SETTINGS);
+    assert_eq!(spend_all(&mut budget, START, 7), 5);
+    let almost = START + Span::from_milliseconds(9_500);
+    assert_eq!(spend_all(&mut budget, almost, 7), 0);
+    let after = START + Span::from_milliseconds(11_500);
+    assert_eq!(spend_all(&mut budget, after, 7), 5);
+}
+
+#[test]
+fn repeats_of_any_window_stay_within_its_share() {
+    let mut budget = RetryBudget::new(SETTINGS);
+    let mut spent: Vec<u64> = Vec::new();
+    for step in 0..600_u64 {
+        let now = START + Span::from_milliseconds(step * 100);
+        budget.request(now);
+        while budget.spend(now, 8) {
+            spent.push(step);
+        }
+    }
+    let share = SETTINGS.allowance / 8.0;
+    for start in 0..500_u64 {
+        let window = start..start + 100;
+        let repeats = spent.iter().filter(|step| window.contains(step)).count();
+        let allowed = SETTINGS.ratio * 100.0 + share;
+        assert!(repeats as f64 <= allowed, "{repeats} from step {start}");
+    }
+}
--- /dev/null
+++ b/crates/coordination/dispatch/tests/support/mod.rs
@@ -0,0 +1,261 @@
+//! A fleet of dispatchers on a virtual clock, without I/O.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use eiderferry_dispatch::{
+    BudgetSettings, Change, Content, Decision, Demand, Dispatcher, DispatcherSettings, DocumentKey,
+    Gossip, Grant, Knowledge, PeerChange, PromptPart, ReadingDuty, TICK,
+};
+use eiderferry_routing::{
+    BackEnd, EngineSpecification, InstanceId, Limits, NodeName, PartId, Pool, PoolName,
+    TableDocument, ZoneName,
+};
+use eiderferry_types::{Span, Timestamp};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+pub const START: Timestamp = Timestamp(10_000_000_000);
+pub const ENGINES: &str = "engines";
+pub const BUDGET: BudgetSettings = BudgetSettings {
+    ratio: 0.2,
+    allowance: 54.0,
+    window: Span::from_milliseconds(10_000),
+};
+
+pub fn node_address(number: usize) -> SocketAddr {
+    let (high, low) = (number / 250, number % 250 + 1);
+    format!("10.1.{high}.{low}:7340")
+        .parse()
+        .expect("an address")
+}
+
+pub fn back_end_address(number: usize) -> SocketAddr {
+    let (high, low) = (number / 250, number % 250 + 1);
+    format!("10.9.{high}.{low}:80").parse().expect("an address")
+}
+
+pub fn zone(number: usize) -> ZoneName {
+    ZoneName::from(format!("zone-{number}"))
+}
+
+pub fn table_change(revision: u64) -> Change {
+    let pool = Pool {
+        health_path: "/health".to_owned(),
+        maximum_connections: 360,
+        engine: Some(EngineSpecification {
+            slots: 64,
+            cache_tokens: 520_000,
+        }),
+    };
+    Change {
+        key: DocumentKey::Table,
+        revision,
+        content: Content::Table(TableDocument {
+            version: revision,
+            routes: Vec::new(),
+            pools: BTreeMap::from([(PoolName::from(ENGINES), pool)]),
+            limits: Limits {
+                maximum_header_bytes: 16_384,
+                maximum_body_bytes: 1_000_000,
+                header_timeout: Span::from_milliseconds(3_000),
+                idle_timeout: Span::from_milliseconds(15_000),
+            },
+            tenants: Vec::new(),
+        }),
+    }
+}
+
+pub fn back_end(name: &str, number: usize, zone_number: usize) -> BackEnd {
+    BackEnd {
+        instance: InstanceId::from(name),
+        pool: PoolName::from(ENGINES),
+        address: back_end_address(number),
+        zone: zone(zone_number),
+        slots: 64,
+        draining: false,
+    }
+}
+
+pub fn back_end_change(back_end: BackEnd, revision: u64) -> Change {
+    Change {
+        key: DocumentKey::BackEnd(back_end.instance.clone()),
+        revision,
+        content: Content::BackEnd(back_end),
+    }
+}
+
+pub fn dispatcher(number: usize, zone_number: usize, seeds: Vec<SocketAddr>) -> Dispatcher {
+    Dispatcher::new(DispatcherSettings {
+        node: NodeName::from(format!("node-{number}")),
+        zone: zone(zone_number),
+        address: node_address(number),
+        seeds,
+        incarnation: 1,
+        budget: BUDGET,
+    })
+}
+
+/// A dispatcher that knows so many engines, all in its zone.
+pub fn with_engines(count: usize) -> Dispatcher {
+    let mut subject = dispatcher(0, 0, Vec::new());
+    subject.apply(table_change(1));
+    for number in 0..count {
+        let name = format!("engine-{number}");
+        subject.apply(back_end_change(back_end(&name, number, 0), 2));
+    }
+    subject.confirm(2, START);
+    subject
+}
+
+/// A demand whose prompt begins with the shared part `thing`.
+pub fn demand(thing: u64, shared: u32, own: u32) -> Demand {
+    Demand {
+        pool: PoolName::from(ENGINES),
+        rank: 2,
+        parts: vec![
+            PromptPart {
+                id: PartId(thing),
+                tokens: shared,
+            },
+            PromptPart {
+                id: PartId(thing.wrapping_mul(7_919) + u64::from(own)),
+                tokens: own,
+            },
+        ],
+        prompt_tokens: shared + own,
+        output_tokens: 100,
+        target: Span::from_milliseconds(2_500),
+        remaining: Span::from_milliseconds(12_000),
+        excluded: Vec::new(),
+        is_repeat: false,
+    }
+}
+
+pub fn granted(decision: Decision) -> Grant {
+    match decision {
+        Decision::Grant(grant) => grant,
+        refused => panic!("expected a grant, got {refused:?}"),
+    }
+}
+
+/// A fleet with messages that arrive at the next step.
+pub struct Fleet {
+    pub now: Timestamp,
+    pub nodes: Vec<Dispatcher>,
+    pub zones: Vec<usize>,
+    /// Pairs of zones that don't hear each other.
+    pub cut: BTreeSet<(usize, usize)>,
+    /// Nodes that neither send nor receive.
+    pub dark: BTreeSet<usize>,
+    pub lost: Vec<(usize, NodeName)>,
+    pub messages: u64,
+    in_flight: Vec<(usize, SocketAddr, Gossip)>,
+}
+
+impl Fleet {
+    pub fn new(count: usize, zone_count: usize) -> Self {
+        let seeds: Vec<SocketAddr> = (0..3.min(count)).map(node_address).collect();
+        let zones: Vec<usize> = (0..count).map(|number| number % zone_count).collect();
+        let nodes = (0..count)
+            .map(|number| dispatcher(number, zones[number], seeds.clone()))
+            .collect();
+        Self {
+            now: START,
+            nodes,
+            zones,
+            cut: BTreeSet::new(),
+            dark: BTreeSet::new(),
+            lost: Vec::new(),
+            messages: 0,
+            in_flight: Vec::new(),
+        }
+    }
+
+    fn number_of(&self, address: SocketAddr) -> Option<usize> {
+        let SocketAddr::V4(address) = address else {
+            return None;
+        };
+        let [_, _, high, low] = address.ip().octets();
+        let number = usize::from(high) * 250 + usize::from(low) - 1;
+        (number < self.nodes.len()).then_some(number)
+    }
+
+    fn hears(&self, from: usize, to: usize) -> bool {
+        let (one, two) = (self.zones[from], self.zones[to]);
+        let is_cut = self.cut.contains(&(one, two)) || self.cut.contains(&(two, one));
+        !is_cut && !self.dark.contains(&from) && !self.dark.contains(&to)
+    }
+
+    /// One tick of every node; documents that a node lacks are fetched at once.
+    pub fn step(&mut self) {
+        self.now = self.now + TICK;
+        for (from, to, message) in std::mem::take(&mut self.in_flight) {
+            self.deliver(from, to, message);
+        }
+        for number in 0..self.nodes.len() {
+            if self.dark.contains(&number) {
+                continue;
+            }
+            let output = self.nodes[number].tick(self.now);
+            for change in output.peer_changes {
+                if let PeerChange::Lost(name) = change {
+                    self.lost.push((number, name));
+                }
+            }
+            for (to, message) in output.messages {
+                self.messages += 1;
+                self.in_flight.push((number, to, message));
+            }
+        }
+    }
+
+    fn deliver(&mut self, from: usize, address: SocketAddr, message: Gossip) {
+        let Some(to) = self.number_of(address).filter(|to| self.hears(from, *to)) else {
+            return;
+        };
+        let received = self.nodes[to].receive(node_address(from), &message, self.now);
+        if received.wants_answer {
+            let answer = self.nodes[to].gossip(false, self.now);
+            self.in_flight.push((to, node_address(from), answer));
+        }
+        if received.is_newer {
+            self.fetch(to, from);
+        }
+    }
+
+    fn fetch(&mut self, to: usize, from: usize) {
+        let known = self.nodes[to].knowledge().complete_to();
+        let source: Knowledge = self.nodes[from].knowledge().clone();
+        for change in source.changes_after(known) {
+            self.nodes[to].apply(change);
+        }
+        let age = source.confirmed_age(self.now).unwrap_or(Span::ZERO);
+        self.nodes[to].confirm(source.complete_to(), self.now - age);
+    }
+
+    pub fn run(&mut self, milliseconds: u64) {
+        for _ in 0..milliseconds / TICK.milliseconds() {
+            self.step();
+        }
+    }
+
+    /// The platform answers all nodes that have to read.
+    pub fn run_with_platform(&mut self, milliseconds: u64, revision: u64) {
+        for _ in 0..milliseconds / TICK.milliseconds() {
+            self.step();
+            for number in 0..self.nodes.len() {
+                if self.nodes[number].reading_duty(self.now) == ReadingDuty::Read {
+                    self.nodes[number].apply(table_change(revision));
+                    self.nodes[number].confirm(revision, self.now);
+                }
+            }
+        }
+    }
+
+    pub fn readers(&self) -> Vec<usize> {
+        let numbers = 0..self.nodes.len();
+        numbers
+            .filter(|number| self.nodes[*number].reading_duty(self.now) == ReadingDuty::Read)
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/transport/relay/tests/callers.rs
@@ -0,0 +1,215 @@
+//! Callers: bad input, leaving early, planned stops.
+
+mod support;
+
+use rstest::rstest;
+use std::time::{Duration, Instant};
+use support::{HOST, KEY, PATIENCE, Running, StandIn, chunk, event, stream_head, whole, write};
+
+fn sound() -> StandIn {
+    StandIn::start(|stream, seen, _| {
+        write(stream, &whole(seen, "ok"));
+        true
+    })
+}
+
+#[rstest]
+#[case::unknown_path("/nowhere/1", "", 404)]
+#[case::unknown_host("/read/1", "host-wrong", 404)]
+#[case::no_key("/read/1", "key-none", 401)]
+#[case::wrong_key("/read/1", "key-wrong", 401)]
+#[case::no_id("/read/1", "id-none", 400)]
+#[case::time_unreadable("/read/1", "time-wrong", 400)]
+fn a_request_that_does_not_fit_is_answered_and_harms_no_other(
+    #[case] path: &str,
+    #[case] fault: &str,
+    #[case] expected: u16,
+) {
+    let back_end = sound();
+    let relay = Running::before(&[&back_end]);
+    let mut caller = relay.connect();
+    let host = if fault == "host-wrong" { "other" } else { HOST };
+    let key = match fault {
+        "key-none" => String::new(),
+        "key-wrong" => "Authorization: Bearer other\r\n".to_owned(),
+        _ => format!("Authorization: Bearer {KEY}\r\n"),
+    };
+    let id = if fault == "id-none" {
+        ""
+    } else {
+        "Request-Id: 1\r\n"
+    };
+    let time = if fault == "time-wrong" {
+        "Remaining-Ms: soon\r\n"
+    } else {
+        ""
+    };
+    let text = format!("GET {path} HTTP/1.1\r\nHost: {host}\r\n{key}{id}{time}\r\n");
+    write(&mut caller.stream, &text);
+    let answer = caller.answer();
+    assert_eq!(answer.status, expected);
+    assert_eq!(back_end.count(), 0);
+    caller.send("GET", "/read/2", "", "");
+    assert_eq!(caller.answer().status, 200);
+}
+
+#[test]
+fn without_a_configuration_callers_are_told_when_to_come_back() {
+    let relay = Running::without_configuration();
+    assert_eq!(relay.readiness(), 503);
+    let answer = relay.call("GET", "/read/1", "", "");
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+}
+
+#[test]
+fn a_body_over_the_limit_runs_nowhere() {
+    let back_end = sound();
+    let relay = Running::before(&[&back_end]);
+    let mut caller = relay.connect();
+    let head = format!(
+        "POST /write/1 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: 1\r\n\
+         Authorization: Bearer {KEY}\r\nContent-Length: 400000\r\n\r\n"
+    );
+    write(&mut caller.stream, &head);
+    assert_eq!(caller.answer().status, 413);
+    assert_eq!(back_end.count(), 0);
+}
+
+#[test]
+fn a_head_over_the_limit_is_refused() {
+    let back_end = sound();
+    let relay = Running::before(&[&back_end]);
+    let extra = format!("X-Long: {}\r\n", "h".repeat(40_000));
+    let answer = relay.call("GET", "/read/1", &extra, "");
+    assert_eq!(answer.status, 431);
+    assert_eq!(back_end.count(), 0);
+}
+
+#[test]
+fn two_framings_in_one_head_smuggle_nothing() {
+    let back_end = sound();
+    let relay = Running::before(&[&back_end]);
+    let mut caller = relay.connect();
+    let text = format!(
+        "POST /write/1 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: 1\r\n\
+         Authorization: Bearer {KEY}\r\nContent-Length: 45\r\n\
+         Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /read/hidden HTTP/1.1\r\nHost: x\r\n\r\n"
+    );
+    write(&mut caller.stream, &text);
+    let _ = caller.answer();
+    std::thread::sleep(Duration::from_millis(100));
+    let seen = back_end.seen.lock().expect("lock");
+    assert!(seen.iter().all(|seen| !seen.head.contains("hidden")));
+}
+
+fn wait_for(what: &str, is_so: impl Fn() -> bool) {
+    let begun = Instant::now();
+    while !is_so() {
+        assert!(begun.elapsed() < PATIENCE, "{what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn a_caller_that_leaves_before_the_answer_ends_the_work() {
+    let back_end = StandIn::start(|stream, _, _| {
+        support::wait_for_close(stream);
+        false
+    });
+    let relay = Running::before(&[&back_end]);
+    let mut caller = relay.connect();
+    caller.send("POST", "/write/1", "", "x");
+    wait_for("the request did not arrive", || back_end.count() == 1);
+    let left = Instant::now();
+    drop(caller);
+    let closed = || back_end.closed.lock().expect("lock").len() == 1;
+    wait_for("the back end's connection stays open", closed);
+    assert!(
+        left.elapsed() < Duration::from_secs(3),
+        "only at the route's time"
+    );
+}
+
+#[test]
+fn a_caller_that_leaves_a_stream_ends_the_work() {
+    let back_end = StandIn::start(|stream, seen, _| {
+        write(stream, &stream_head(seen, "one"));
+        write(stream, &chunk(&event(1)));
+        support::wait_for_close(stream);
+        false
+    });
+    let relay = Running::before(&[&back_end]);
+    let mut caller = relay.connect();
+    caller.send("POST", "/stream/1", "", "x");
+    let mut buffer = [0; 64];
+    let _ = std::io::Read::read(&mut caller.stream, &mut buffer);
+    let left = Instant::now();
+    drop(caller);
+    let closed = || back_end.closed.lock().expect("lock").len() == 1;
+    wait_for("the back end's connection stays open", closed);
+    assert!(
+        left.elapsed() < Duration::from_secs(3),
+        "only at the route's time"
+    );
+}
+
+#[test]
+fn a_planned_stop_finishes_what_was_read_and_tells_callers_to_leave() {
+    let back_end = StandIn::start(|stream, seen, _| {
+        std::thread::sleep(Duration::from_millis(200));
+        write(stream, &whole(seen, "late but whole"));
+        true
+    });
+    let mut relay = Running::before(&[&back_end]);
+    assert_eq!(relay.readiness(), 200);
+    let mut caller = relay.connect();
+    caller.send("POST", "/write/1", "", "x");
+    wait_for("the request did not arrive", || back_end.count() == 1);
+    relay.begin_stop();
+    wait_for("still ready", || relay.readiness() == 503);
+    let answer = caller.answer();
+    assert_eq!(
+        (answer.status, answer.body.as_str()),
+        (200, "late but whole")
+    );
+    assert_eq!(answer.header("connection").as_deref(), Some("close"));
+    relay.wait_for_end();
+}
+
+#[test]
+fn a_planned_stop_answers_even_where_the_back_end_stays_silent() {
+    let back_end = StandIn::start(|stream, _, _| {
+        support::wait_for_close(stream);
+        false
+    });
+    let mut relay = Running::before(&[&back_end]);
+    let mut caller = relay.connect();
+    caller.send("POST", "/write/1", "", "x");
+    wait_for("the request did not arrive", || back_end.count() == 1);
+    relay.begin_stop();
+    let answer = caller.answer();
+    assert_eq!(answer.status, 502);
+    relay.wait_for_end();
+}
+
+#[test]
+fn late_in_a_planned_stop_new_requests_are_refused_with_a_time_to_come_back() {
+    let back_end = StandIn::start(|stream, _, number| {
+        if number == 1 {
+            support::wait_for_close(stream);
+        }
+        false
+    });
+    let mut relay = Running::before(&[&back_end]);
+    let mut open = relay.connect();
+    open.send("POST", "/write/1", "", "x");
+    wait_for("the request did not arrive", || back_end.count() == 1);
+    relay.begin_stop();
+    std::thread::sleep(Duration::from_millis(600));
+    let answer = relay.call("POST", "/write/2", "", "x");
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!(back_end.count(), 1);
+    relay.wait_for_end();
+}
--- /dev/null
+++ b/crates/transport/relay/tests/streams.rs
@@ -0,0 +1,139 @@
+//! Streams are passed on event by event, and taken up elsewhere without loss.
+
+mod support;
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, mpsc};
+use std::time::Duration;
+use support::{Running, StandIn, chunk, event, stream_head, write};
+
+fn events(range: std::ops::RangeInclusive<u64>) -> String {
+    range.map(event).collect()
+}
+
+#[test]
+fn an_event_is_passed_on_before_the_next_one_exists() {
+    let (go, gate) = mpsc::channel::<()>();
+    let gate = std::sync::Mutex::new(gate);
+    let back_end = StandIn::start(move |stream, seen, _| {
+        write(stream, &stream_head(seen, "one"));
+        write(stream, &chunk(&event(1)));
+        let gate = gate.lock().expect("lock");
+        if gate.recv_timeout(support::PATIENCE).is_ok() {
+            write(stream, &chunk(&event(2)));
+            write(stream, "0\r\n\r\n");
+        }
+        true
+    });
+    let relay = Running::before(&[&back_end]);
+    let mut caller = relay.connect();
+    caller.send("POST", "/stream/1", "", "x");
+    let mut first = [0; 1024];
+    let mut text = String::new();
+    while !text.contains("word 1") {
+        let count = std::io::Read::read(&mut caller.stream, &mut first).expect("an event");
+        text.push_str(&String::from_utf8_lossy(&first[..count]));
+    }
+    go.send(()).expect("the back end waits");
+    while !text.contains("0\r\n\r\n") {
+        let count = std::io::Read::read(&mut caller.stream, &mut first).expect("the end");
+        text.push_str(&String::from_utf8_lossy(&first[..count]));
+    }
+    assert!(text.contains("word 2"));
+}
+
+/// A back end that breaks its first stream in the middle of event 3 and, asked to go
+/// on after an event, sends the rest.
+fn breaking(stamp: &'static str, has_broken: Arc<AtomicBool>) -> StandIn {
+    StandIn::start(move |stream, seen, _| {
+        write(stream, &stream_head(seen, stamp));
+        if !has_broken.swap(true, Ordering::SeqCst) {
+            write(stream, &chunk(&events(1..=2)));
+            write(stream, &chunk(&event(3)[..9]));
+            std::thread::sleep(Duration::from_millis(50));
+            return false;
+        }
+        let after: u64 = seen
+            .header("last-event-id")
+            .map_or(0, |id| id.parse().expect("a number"));
+        write(stream, &chunk(&events(after + 1..=5)));
+        write(stream, "0\r\n\r\n");
+        true
+    })
+}
+
+#[test]
+fn a_broken_stream_goes_on_elsewhere_with_no_byte_lost_or_doubled() {
+    let has_broken = Arc::new(AtomicBool::new(false));
+    let one = breaking("one", Arc::clone(&has_broken));
+    let two = breaking("one", has_broken);
+    let relay = Running::before(&[&one, &two]);
+    let answer = relay.call("POST", "/resumable/1", "", "x");
+    assert!(answer.is_whole, "{answer:?}");
+    assert_eq!(answer.body, events(1..=5));
+    assert_eq!((one.count(), two.count()), (1, 1));
+}
+
+#[test]
+fn events_that_were_passed_on_already_are_dropped() {
+    let has_broken = Arc::new(AtomicBool::new(false));
+    let make = |has_broken: Arc<AtomicBool>| {
+        StandIn::start(move |stream, seen, _| {
+            write(stream, &stream_head(seen, "one"));
+            if !has_broken.swap(true, Ordering::SeqCst) {
+                write(stream, &chunk(&events(1..=2)));
+                return false;
+            }
+            write(stream, &chunk(&events(1..=4)));
+            write(stream, "0\r\n\r\n");
+            true
+        })
+    };
+    let one = make(Arc::clone(&has_broken));
+    let two = make(has_broken);
+    let relay = Running::before(&[&one, &two]);
+    let answer = relay.call("POST", "/resumable/1", "", "x");
+    assert_eq!(answer.body, events(1..=4));
+    assert!(answer.is_whole);
+}
+
+#[test]
+fn a_broken_stream_that_may_not_be_resumed_does_not_look_complete() {
+    let back_end = StandIn::start(|stream, seen, _| {
+        write(stream, &stream_head(seen, "one"));
+        write(stream, &chunk(&events(1..=2)));
+        std::thread::sleep(Duration::from_millis(50));
+        false
+    });
+    let relay = Running::before(&[&back_end]);
+    let answer = relay.call("POST", "/stream/1", "", "x");
+    assert!(!answer.is_whole);
+    assert_eq!(back_end.count(), 1);
+}
+
+#[test]
+fn a_stream_that_breaks_before_its_first_event_and_may_not_be_resumed_is_lost() {
+    let back_end = StandIn::start(|stream, seen, _| {
+        write(stream, &stream_head(seen, "one"));
+        false
+    });
+    let relay = Running::before(&[&back_end]);
+    assert_eq!(relay.call("POST", "/stream/1", "", "x").status, 502);
+    assert_eq!(back_end.count(), 1);
+}
+
+#[test]
+fn a_caller_that_goes_on_after_an_event_gets_just_the_rest() {
+    let back_end = StandIn::start(|stream, seen, _| {
+        let after: u64 = seen
+            .header("last-event-id")
+            .map_or(0, |id| id.parse().expect("a number"));
+        write(stream, &stream_head(seen, "one"));
+        write(stream, &chunk(&events(after + 1..=4)));
+        write(stream, "0\r\n\r\n");
+        true
+    });
+    let relay = Running::before(&[&back_end]);
+    let answer = relay.call("POST", "/resumable/1", "Last-Event-Id: 2\r\n", "x");
+    assert_eq!(answer.body, events(3..=4));
+}
