--- a/crates/transport/relay/src/exchange.rs
+++ b/crates/transport/relay/src/exchange.rs
@@ -5,6 +5,7 @@
 use crate::control::{ControlHandle, SharedTable};
 use crate::lease::Lease;
 use crate::own_answer::OwnAnswer;
+use crate::progress::Progress;
 use crate::request_head::RequestHead;
 use crate::stream::StreamRelay;
 use crate::upstream::{Connection, SendError, Upstream};
@@ -81,13 +82,18 @@
     excluded: Vec<InstanceId>,
     may_have_run: bool,
     pub status: u16,
+    progress: Progress,
     is_over: bool,
 }
 
 /// Serves one request.
-pub(crate) async fn serve(traffic: Rc<Traffic>, request: Request<Incoming>) -> Response<RelayBody> {
+pub(crate) async fn serve(
+    traffic: Rc<Traffic>,
+    request: Request<Incoming>,
+    progress: Progress,
+) -> Response<RelayBody> {
     let started = traffic.clock.now();
-    match prepare(traffic, request, started).await {
+    match prepare(traffic, request, started, progress).await {
         Ok(exchange) => exchange.run().await,
         Err((id, answer)) => {
             metrics::own_answer(answer.reason());
@@ -101,6 +107,7 @@
     traffic: Rc<Traffic>,
     request: Request<Incoming>,
     started: Timestamp,
+    progress: Progress,
 ) -> Result<Exchange, (String, OwnAnswer)> {
     let (parts, body) = request.into_parts();
     let id = request_id(&parts, &traffic.vocabulary);
@@ -135,6 +142,7 @@
         excluded: Vec::new(),
         may_have_run: false,
         status: 0,
+        progress,
         is_over: false,
     })
 }
@@ -341,6 +349,7 @@
         last_event_id: Option<u64>,
     ) -> Result<(Response<Incoming>, Connection), Outcome> {
         let request = self.request(lease, last_event_id);
+        self.progress.note_sent();
         let may_repeat = self.head.route.may_repeat();
         let limit = self.head_deadline(lease);
         let timeout = async {
--- a/crates/transport/relay/src/lib.rs
+++ b/crates/transport/relay/src/lib.rs
@@ -20,6 +20,7 @@
 mod metrics;
 mod node;
 mod own_answer;
+mod progress;
 mod request_head;
 mod server;
 mod settings;
--- /dev/null
+++ b/crates/transport/relay/src/progress.rs
@@ -0,0 +1,31 @@
+//! How far a request has come, for those who have to answer it from outside.
+
+use crate::own_answer::OwnAnswer;
+use eiderferry_types::{Reason, Span};
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// When a caller whose request has not run is asked to come back, elsewhere.
+const STOPPING_RETRY: Span = Span::from_milliseconds(50);
+
+/// Whether a request has been sent to a back end.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Progress {
+    was_sent: Rc<Cell<bool>>,
+}
+
+impl Progress {
+    /// The request is being sent.
+    pub fn note_sent(&self) {
+        self.was_sent.set(true);
+    }
+
+    /// The answer to a request that this process can serve no longer.
+    pub fn last_answer(&self) -> OwnAnswer {
+        if self.was_sent.get() {
+            OwnAnswer::AnswerLost
+        } else {
+            OwnAnswer::NotRun(Reason::Draining, STOPPING_RETRY)
+        }
+    }
+}
--- a/crates/transport/relay/src/server.rs
+++ b/crates/transport/relay/src/server.rs
@@ -3,6 +3,7 @@
 use crate::answer::RelayBody;
 use crate::exchange::{self, Traffic};
 use crate::own_answer::OwnAnswer;
+use crate::progress::Progress;
 use eiderferry_types::{Reason, Span};
 use futures_lite::FutureExt;
 use http::header::{CONNECTION, HeaderValue};
@@ -110,8 +111,12 @@
             .auto_date_header(false)
             .serve_connection(FuturesIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
+        let is_late = self.phase.get() == Phase::Refusing;
         let closing = async {
-            let _ = self.closing.recv().await;
+            if is_late || self.closing.recv().await.is_ok() {
+                // A connection opened this late is closed with its first answer.
+                std::future::pending::<()>().await;
+            }
             None
         };
         let ended = async { Some(connection.as_mut().await) }.or(closing).await;
@@ -127,11 +132,13 @@
             return closing(answer.response());
         }
         let open = OpenRequest::new(Rc::clone(&self));
+        let progress = Progress::default();
         let ending = async {
             let _ = self.ending.recv().await;
-            OwnAnswer::AnswerLost.response()
+            progress.last_answer().response()
         };
-        let response = exchange::serve(Rc::clone(&self.traffic), request)
+        let traffic = Rc::clone(&self.traffic);
+        let response = exchange::serve(traffic, request, progress.clone())
             .or(ending)
             .await;
         let response = response.map(|body| hold_open(body, open));
--- a/crates/transport/relay/tests/callers.rs
+++ b/crates/transport/relay/tests/callers.rs
@@ -213,3 +213,24 @@
     assert_eq!(back_end.count(), 1);
     relay.wait_for_end();
 }
+
+#[test]
+fn a_connection_opened_late_in_a_planned_stop_gets_its_answer() {
+    let back_end = StandIn::start(|stream, _, _| {
+        support::wait_for_close(stream);
+        false
+    });
+    let mut relay = Running::before(&[&back_end]);
+    let mut open = relay.connect();
+    open.send("POST", "/write/1", "", "x");
+    wait_for("the request did not arrive", || back_end.count() == 1);
+    relay.begin_stop();
+    std::thread::sleep(Duration::from_millis(600));
+    let mut late = relay.connect();
+    std::thread::sleep(Duration::from_millis(100));
+    late.send("POST", "/write/2", "", "x");
+    let answer = late.answer();
+    assert_eq!(answer.status, 503);
+    assert_eq!(answer.header("connection").as_deref(), Some("close"));
+    relay.wait_for_end();
+}
