Streams with short pauses are kept apart from long prompts

Change: placement counts what a prompt costs the short-paused streams beside it and what waiting prompts cost such a stream; nodes report how many they have.

--- a/crates/coordination/dispatch/src/demand.rs
+++ b/crates/coordination/dispatch/src/demand.rs
@@ -32,6 +32,8 @@
     pub output_tokens: u32,
     /// Time within which the answer, or its first event, is in time.
     pub target: Span,
+    /// Longest pause between events that is in time, for streams.
+    pub pause_target: Option<Span>,
     /// Time until the caller gives up.
     pub remaining: Span,
     /// Back ends that have failed it already.
@@ -93,7 +95,16 @@
     Abandoned,
 }
 
+/// Pauses allowed to a stream below which long prompts read beside it make it late:
+/// several pieces of a prompt are read between two of its events.
+const SHORT_PAUSE: Span = Span::from_milliseconds(450);
+
 impl Demand {
+    /// Whether long prompts read beside it would make it late.
+    pub fn is_pause_sensitive(&self) -> bool {
+        self.pause_target.is_some_and(|pause| pause <= SHORT_PAUSE)
+    }
+
     /// The parts of the prompt that other requests may share: all but the last.
     pub fn shared_parts(&self) -> &[PromptPart] {
         let count = self.parts.len().saturating_sub(1);
--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -1,6 +1,7 @@
 //! The state machine of a relay's decisions.
 
 use crate::health::{Health, HealthChange};
+use crate::placement::Interference;
 use crate::{
     Applied, BackEndLoad, BudgetSettings, Candidate, Change, Decision, Demand, Gossip, Grant,
     Knowledge, LeaseId, LoadReport, Outcome, PeerChange, Peers, Placement, PromptPart, RetryBudget,
@@ -361,6 +362,19 @@
         let read_again = if is_home { 0 } else { missing - copied };
         let uncached = demand.prompt_tokens.saturating_sub(kept + copied);
         let pending = state.load.total_pending_tokens(now);
+        let running = state.load.total_running(now);
+        let sensitive = state.load.total_sensitive(now);
+        let interference = if demand.is_pause_sensitive() {
+            Interference::Suffered {
+                pending: state.load.reading_time(pending),
+                others: running.saturating_sub(sensitive),
+            }
+        } else {
+            Interference::Caused {
+                reading: state.load.reading_time(u64::from(uncached)),
+                sensitive,
+            }
+        };
         Plan {
             uncached,
             copy_from: source,
@@ -368,7 +382,8 @@
                 first_event: state.load.reading_time(pending + u64::from(uncached)),
                 read_again,
                 copied,
-                running: state.load.total_running(now),
+                interference,
+                running,
                 slots: state.back_end.slots,
                 is_near: state.back_end.zone == self.settings.zone,
             },
@@ -417,7 +432,8 @@
             .back_ends
             .get_mut(&instance)
             .expect("a granted back end is listed");
-        state.load.begin(lease, plan.uncached, now);
+        let is_sensitive = demand.is_pause_sensitive();
+        state.load.begin(lease, plan.uncached, is_sensitive, now);
         state.load.cache.insert(&demand.parts);
         note_placements(&mut self.placements, state.digest, demand.shared_parts());
         let address = state.back_end.address;
@@ -522,11 +538,7 @@
         for state in self.back_ends.values_mut() {
             let report = loads.iter().find(|report| report.back_end == state.digest);
             match report {
-                Some(report) => {
-                    let pending = u64::from(report.pending_hundreds) * 100;
-                    let running = u32::from(report.running);
-                    state.load.report(sender, running, pending, now);
-                }
+                Some(report) => state.load.report(sender, report, now),
                 None => state.load.forget(sender),
             }
         }
@@ -627,6 +639,7 @@
         busy.map(|state| LoadReport {
             back_end: state.digest,
             running: u16::try_from(state.load.own_running()).unwrap_or(u16::MAX),
+            sensitive: u16::try_from(state.load.own_sensitive()).unwrap_or(u16::MAX),
             pending_hundreds: u16::try_from(state.load.own_pending_tokens(now) / 100)
                 .unwrap_or(u16::MAX),
         })
--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -28,5 +28,5 @@
 pub use load::{BackEndLoad, REPORT_LIFETIME};
 pub use message::{Gossip, LoadReport, Member, Placement};
 pub use peers::{PeerChange, Peers};
-pub use placement::{Candidate, choose};
+pub use placement::{Candidate, Interference, choose};
 pub use retry_budget::{BudgetSettings, RetryBudget};
--- a/crates/coordination/dispatch/src/load.rs
+++ b/crates/coordination/dispatch/src/load.rs
@@ -1,6 +1,6 @@
 //! How loaded a back end is, as this node knows it.
 
-use crate::{LeaseId, PrefixCache};
+use crate::{LeaseId, LoadReport, PrefixCache};
 use eiderferry_types::{Span, Timestamp};
 use std::collections::{BTreeMap, HashMap};
 
@@ -19,6 +19,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Running {
     pub uncached_tokens: u32,
+    pub is_sensitive: bool,
     pub pending_before: u64,
     pub started: Timestamp,
     pub has_begun: bool,
@@ -27,6 +28,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Report {
     running: u32,
+    sensitive: u32,
     pending_tokens: u64,
     at: Timestamp,
 }
@@ -78,6 +80,17 @@
         self.own_running() + self.fresh(now).map(|report| report.running).sum::<u32>()
     }
 
+    /// Requests of this node there that long prompts make late.
+    pub fn own_sensitive(&self) -> u32 {
+        let sensitive = self.running.values().filter(|running| running.is_sensitive);
+        sensitive.count() as u32
+    }
+
+    /// Requests of all nodes there that long prompts make late.
+    pub fn total_sensitive(&self, now: Timestamp) -> u32 {
+        self.own_sensitive() + self.fresh(now).map(|report| report.sensitive).sum::<u32>()
+    }
+
     /// Prompt tokens of all nodes' requests that are still to be read there.
     pub fn total_pending_tokens(&self, now: Timestamp) -> u64 {
         let others: u64 = self.fresh(now).map(|report| report.pending_tokens).sum();
@@ -101,10 +114,11 @@
     }
 
     /// Takes over what another node reports of its requests there.
-    pub fn report(&mut self, node: u64, running: u32, pending_tokens: u64, at: Timestamp) {
+    pub fn report(&mut self, node: u64, report: &LoadReport, at: Timestamp) {
         let report = Report {
-            running,
-            pending_tokens,
+            running: u32::from(report.running),
+            sensitive: u32::from(report.sensitive),
+            pending_tokens: u64::from(report.pending_hundreds) * 100,
             at,
         };
         self.reports.insert(node, report);
@@ -115,9 +129,16 @@
         self.reports.remove(&node);
     }
 
-    pub(crate) fn begin(&mut self, lease: LeaseId, uncached_tokens: u32, now: Timestamp) {
+    pub(crate) fn begin(
+        &mut self,
+        lease: LeaseId,
+        uncached_tokens: u32,
+        is_sensitive: bool,
+        now: Timestamp,
+    ) {
         let running = Running {
             uncached_tokens,
+            is_sensitive,
             pending_before: self.total_pending_tokens(now),
             started: now,
             has_begun: false,
--- a/crates/coordination/dispatch/src/message.rs
+++ b/crates/coordination/dispatch/src/message.rs
@@ -11,6 +11,8 @@
     pub back_end: u32,
     /// Requests that the sender has there.
     pub running: u16,
+    /// Those of them that long prompts make late.
+    pub sensitive: u16,
     /// Prompt tokens of these that it has still to read, in hundreds.
     pub pending_hundreds: u16,
 }
--- a/crates/coordination/dispatch/src/placement.rs
+++ b/crates/coordination/dispatch/src/placement.rs
@@ -14,6 +14,47 @@
 /// The same for a token copied from another engine.
 const COPY_PER_TOKEN: u64 = 12;
 
+/// Longest reading of a prompt that counts as disturbing one stream.
+const LONGEST_DISTURBANCE: Span = Span::from_milliseconds(300);
+/// What a disturbance of one sensitive stream costs, as a part of its length.
+const DISTURBANCE_PART: f64 = 0.3;
+/// What each request that may bring further prompts costs a sensitive stream.
+const PER_NEIGHBOUR: Span = Span::from_milliseconds(10);
+
+/// How a request and those beside it disturb each other: while an engine reads a long
+/// prompt, the events of all its streams come late.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Interference {
+    /// The request is a stream with short pauses.
+    Suffered {
+        /// Time to read the prompts that wait there.
+        pending: Span,
+        /// Requests there that are not sensitive themselves.
+        others: u32,
+    },
+    /// The request's prompt is read beside streams with short pauses.
+    Caused {
+        /// Time to read it.
+        reading: Span,
+        /// Such streams there.
+        sensitive: u32,
+    },
+}
+
+impl Interference {
+    fn cost(&self) -> Span {
+        match self {
+            Interference::Suffered { pending, others } => {
+                Span(pending.0 + u64::from(*others) * PER_NEIGHBOUR.0)
+            }
+            Interference::Caused { reading, sensitive } => {
+                let disturbance = reading.0.min(LONGEST_DISTURBANCE.0) as f64 * DISTURBANCE_PART;
+                Span((disturbance * f64::from(*sensitive)) as u64)
+            }
+        }
+    }
+}
+
 /// A back end that could take a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
@@ -23,6 +64,8 @@
     pub read_again: u32,
     /// Shared prompt tokens that it would have to copy from another.
     pub copied: u32,
+    /// How the request and those there disturb each other.
+    pub interference: Interference,
     /// Requests there.
     pub running: u32,
     /// Requests that run there at once.
@@ -44,7 +87,8 @@
         let batch = u64::from(self.running) * PER_RUNNING.0;
         let read_again = u64::from(self.read_again) * READ_AGAIN_PER_TOKEN;
         let copied = u64::from(self.copied) * COPY_PER_TOKEN;
-        Span(self.first_event.0 + zone + full + batch + read_again + copied)
+        let interference = self.interference.cost().0;
+        Span(self.first_event.0 + zone + full + batch + read_again + copied + interference)
     }
 }
 
--- a/crates/coordination/dispatch/tests/placement.rs
+++ b/crates/coordination/dispatch/tests/placement.rs
@@ -171,3 +171,27 @@
     let decision = subject.ask(&demand(1, 1_000, 100), START);
     assert!(matches!(decision, Decision::Refuse(Reason::NoBackEnd, _)));
 }
+
+#[test]
+fn streams_with_short_pauses_and_long_prompts_are_kept_apart() {
+    let mut subject = with_engines(4);
+    let mut engines_of_streams = BTreeSet::new();
+    let mut engines_of_prompts = BTreeSet::new();
+    for number in 0..12 {
+        let mut stream = demand(100 + number, 300, 1_000);
+        stream.pause_target = Some(Span::from_milliseconds(300));
+        let grant = granted(subject.ask(&stream, START));
+        subject.first_event(grant.lease, START);
+        engines_of_streams.insert(grant.instance);
+        let grant = granted(subject.ask(&demand(200 + number % 3, 13_000, 4_000), START));
+        subject.first_event(grant.lease, START);
+        engines_of_prompts.insert(grant.instance);
+    }
+    let both: Vec<_> = engines_of_streams
+        .intersection(&engines_of_prompts)
+        .collect();
+    assert!(
+        both.len() <= 1,
+        "{engines_of_streams:?} {engines_of_prompts:?}"
+    );
+}
--- a/crates/coordination/dispatch/tests/support/mod.rs
+++ b/crates/coordination/dispatch/tests/support/mod.rs
@@ -125,6 +125,7 @@
         prompt_tokens: shared + own,
         output_tokens: 100,
         target: Span::from_milliseconds(2_500),
+        pause_target: None,
         remaining: Span::from_milliseconds(12_000),
         excluded: Vec::new(),
         is_repeat: false,
--- a/crates/transport/relay/src/exchange.rs
+++ b/crates/transport/relay/src/exchange.rs
@@ -311,6 +311,7 @@
             prompt_tokens: self.head.prompt_tokens,
             output_tokens: self.head.output_tokens,
             target: self.head.route.target,
+            pause_target: self.head.route.pause_target,
             remaining: now.until(self.deadline),
             excluded: self.excluded.clone(),
             is_repeat: self.attempts > 0,
