--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -18,7 +18,7 @@
 /// Time between two ticks.
 pub const TICK: Span = Span::from_milliseconds(100);
 /// Ticks between two messages to other zones, whose bytes are dear.
-pub(crate) const FAR_TICKS: u64 = 2;
+pub(crate) const FAR_TICKS: u64 = 4;
 /// Ticks between two attempts to reach nodes not known to be there.
 const DOUBTFUL_TICKS: u64 = 10;
 /// Ticks after a start during which these attempts are made more often.
--- a/crates/coordination/dispatch/src/placement.rs
+++ b/crates/coordination/dispatch/src/placement.rs
@@ -10,9 +10,9 @@
 const FULL: Span = Span::from_milliseconds(1_000);
 /// What reading a shared prompt token again is held to cost beside its time, in
 /// microseconds: the room it takes from other prompts, and the work done twice.
-const READ_AGAIN_PER_TOKEN: u64 = 40;
+const READ_AGAIN_PER_TOKEN: u64 = 70;
 /// The same for a token copied from another engine.
-const COPY_PER_TOKEN: u64 = 12;
+const COPY_PER_TOKEN: u64 = 30;
 
 /// Longest reading of a prompt that counts as disturbing one stream.
 const LONGEST_DISTURBANCE: Span = Span::from_milliseconds(300);
--- a/crates/transport/relay/src/upstream.rs
+++ b/crates/transport/relay/src/upstream.rs
@@ -21,7 +21,7 @@
 /// Longest time for a connection to come up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longest rest of a kept connection.
-const MAXIMUM_REST: Duration = Duration::from_secs(4);
+const MAXIMUM_REST: Duration = Duration::from_secs(10);
 /// Longest rest of a kept connection for a request that may not be repeated: one that
 /// a back end closes meanwhile loses the request's answer.
 const MAXIMUM_REST_UNREPEATABLE: Duration = Duration::from_millis(700);
