--- a/bins/eiderferry/src/check.rs
+++ b/bins/eiderferry/src/check.rs
@@ -3,6 +3,7 @@
 use crate::failure::Failure;
 use clap::ArgMatches;
 use eiderferry_config::{Configuration, ConfigurationError, Settings};
+use eiderferry_platform_adapter as platform;
 use std::path::{Path, PathBuf};
 
 /// Checks each document; the first bad one ends the run.
@@ -13,10 +14,13 @@
     Ok(())
 }
 
-fn check(path: &Path) -> Result<String, ConfigurationError> {
+fn check(path: &Path) -> Result<String, Failure> {
     let document = path.display().to_string();
     let text = std::fs::read_to_string(path)
         .map_err(|cause| ConfigurationError::Read(document.clone(), cause))?;
+    if platform::looks_like_settings(&text) || looks_like_json(&text) {
+        return Ok(platform::check(&document, &text)?);
+    }
     if looks_like_settings(&text) {
         let settings = Settings::from_yaml(&document, &text)?;
         return Ok(format!("valid settings of node {}", settings.node));
@@ -31,6 +35,11 @@
     ))
 }
 
+/// Configurations of the platform are JSON, our own are YAML.
+fn looks_like_json(text: &str) -> bool {
+    text.trim_start().starts_with('{')
+}
+
 /// Settings name the node they belong to; a configuration never does.
 fn looks_like_settings(text: &str) -> bool {
     text.lines().any(|line| line.starts_with("node:"))
--- a/bins/eiderferry/src/failure.rs
+++ b/bins/eiderferry/src/failure.rs
@@ -2,7 +2,7 @@
 
 use eiderferry_config::ConfigurationError;
 use eiderferry_entry::{ControlStopped, StartError};
-use eiderferry_platform_adapter::RunError;
+use eiderferry_platform_adapter::{CheckError, RunError};
 use quick_error::quick_error;
 
 /// Exit code for a document that can't be used.
@@ -31,6 +31,11 @@
             from()
             display("{cause}")
         }
+        /// A document of the platform can't be used.
+        PlatformDocument(cause: CheckError) {
+            from()
+            display("{cause}")
+        }
         /// A relay on the platform can't run.
         Platform(cause: RunError) {
             from()
@@ -69,6 +74,7 @@
     pub fn exit_code(&self) -> u8 {
         match self {
             Failure::Document(_) => BAD_DOCUMENT,
+            Failure::PlatformDocument(_) => BAD_DOCUMENT,
             Failure::Platform(RunError::Settings(_)) => BAD_DOCUMENT,
             Failure::Platform(_) => CANNOT_START,
             Failure::Start(_) | Failure::Signals(_) | Failure::Control(_) => CANNOT_START,
--- a/crates/transport/relay/src/upstream.rs
+++ b/crates/transport/relay/src/upstream.rs
@@ -4,6 +4,7 @@
 use eiderferry_dispatch::Grant;
 use eiderferry_routing::InstanceId;
 use futures_lite::FutureExt;
+use futures_lite::future::yield_now;
 use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -110,7 +111,7 @@
         may_repeat: bool,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         let key = (grant.address, grant.instance.clone());
-        while let Some(mut connection) = self.take_idle(&key, may_repeat) {
+        while let Some(mut connection) = self.take_idle(&key, may_repeat).await {
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(mut error) => match error.take_message() {
@@ -126,7 +127,7 @@
         }
     }
 
-    fn take_idle(&self, key: &Key, may_repeat: bool) -> Option<Connection> {
+    async fn take_idle(&self, key: &Key, may_repeat: bool) -> Option<Connection> {
         let most = if may_repeat {
             MAXIMUM_REST
         } else {
@@ -135,7 +136,7 @@
         loop {
             let idle = self.pools.borrow_mut().get_mut(key)?.idle.pop()?;
             let is_fresh = idle.since.elapsed() < idle.limit.min(most);
-            if is_fresh && idle.connection.sender.is_ready() {
+            if is_fresh && is_ready(&idle.connection).await {
                 return Some(idle.connection);
             }
         }
@@ -216,6 +217,15 @@
     }
 }
 
+/// Whether a connection takes a request: its driver may need a turn to notice that the
+/// last answer is over.
+async fn is_ready(connection: &Connection) -> bool {
+    if !connection.sender.is_ready() && !connection.sender.is_closed() {
+        yield_now().await;
+    }
+    connection.sender.is_ready()
+}
+
 /// How long a connection may rest; `None` if it may not be kept.
 fn allowed_rest(headers: &HeaderMap) -> Option<Duration> {
     let mut connection = headers.get_all(http::header::CONNECTION).iter();
