explain-logs: the story and cause of one request from the logs of several nodes

Cause: after a failed request the engineers on call have logs only, and read them line by line. Change: eiderferry explain-logs orders the lines of one request and of the back ends it touched, and names the cause in one sentence.

--- a/bins/eiderferry/src/command.rs
+++ b/bins/eiderferry/src/command.rs
@@ -39,6 +39,7 @@
             "Let a draining node take requests again",
         ))
         .subcommand(explain())
+        .subcommand(explain_logs())
         .subcommand(decisions())
         .subcommand(operator("watch", "Print decisions as a node makes them"))
         .subcommand(validate())
@@ -86,6 +87,35 @@
     )
 }
 
+fn explain_logs() -> Command {
+    Command::new("explain-logs")
+        .about("Tell the story of one request from the logs of one or several nodes")
+        .after_help(
+            "Lines are put in the order of their times of day; clocks of nodes may differ.\n\n\
+             Examples:\n  eiderferry explain-logs 9c41d07be2a35f68 node-a.log node-b.log\n  \
+             journalctl -u relay -o cat | eiderferry explain-logs 9c41d07be2a35f68 -",
+        )
+        .arg(
+            Arg::new("request")
+                .value_name("REQUEST")
+                .required(true)
+                .help("Identity of the request, as its caller gave it"),
+        )
+        .arg(
+            file("files", "Logs; - for standard input")
+                .required(true)
+                .action(ArgAction::Append)
+                .num_args(1..),
+        )
+        .arg(
+            Arg::new("format")
+                .long("format")
+                .value_parser(["text", "json"])
+                .default_value("text")
+                .help("Form of the output"),
+        )
+}
+
 fn decisions() -> Command {
     let filter = |name: &'static str, help: &'static str| Arg::new(name).long(name).help(help);
     operator("decisions", "Show a node's last decisions, newest first")
--- a/bins/eiderferry/src/main.rs
+++ b/bins/eiderferry/src/main.rs
@@ -6,6 +6,7 @@
 mod check;
 mod command;
 mod failure;
+mod log_story;
 mod logging;
 mod operator;
 mod output;
@@ -18,6 +19,7 @@
     let result = match matches.subcommand() {
         Some(("serve", arguments)) => serve::run(arguments),
         Some(("platform", _)) => eiderferry_platform_adapter::run().map_err(Into::into),
+        Some(("explain-logs", arguments)) => log_story::run(arguments),
         Some(("check", arguments)) => check::run(arguments),
         Some(("completions", arguments)) => {
             if let Some(shell) = arguments.get_one::<clap_complete::Shell>("shell") {
--- /dev/null
+++ b/bins/eiderferry/tests/explain_logs.rs
@@ -0,0 +1,99 @@
+//! The story of a request from logs, as the program prints it.
+
+use std::io::Write;
+use std::path::PathBuf;
+use std::process::{Command, Output, Stdio};
+
+const NODE_A: &str = r#"{"timestamp":"2026-12-02T10:00:00.000000+00:00","level":"INFO","kvs":{"event":"started","node":"edge-a","zone":"z"}}
+{"timestamp":"2026-12-02T10:00:05.100000+00:00","level":"INFO","kvs":{"attempt":1,"back_end":"i-1","event":"granted","request":"abc","expected_ms":12}}
+{"timestamp":"2026-12-02T10:00:05.180000+00:00","level":"WARN","kvs":{"attempt":1,"back_end":"i-1","event":"attempt_failed","outcome":"broken","request":"abc"}}
+{"timestamp":"2026-12-02T10:00:05.181000+00:00","level":"WARN","kvs":{"after":"broken","back_end":"i-1","event":"back_end_ejected","for_ms":1000}}
+{"timestamp":"2026-12-02T10:00:05.182000+00:00","level":"WARN","kvs":{"elapsed_ms":82,"event":"answered_here","reason":"answer_lost","request":"abc","status":502,"verdict":"may_have_run"}}
+{"timestamp":"2026-12-02T10:00:05.190000+00:00","level":"INFO","kvs":{"event":"granted","request":"other","back_end":"i-1"}}
+"#;
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let name = format!("eiderferry-{}-{name}.log", std::process::id());
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, text).expect("a writable folder");
+    path
+}
+
+fn command(request: &str) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_eiderferry"));
+    command.args(["explain-logs", request]);
+    command
+}
+
+fn text(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+#[test]
+fn a_request_is_told_from_its_lines_and_those_of_its_back_ends() {
+    let path = file("a", NODE_A);
+    let output = command("abc").arg(path).output().expect("the program runs");
+    assert!(output.status.success());
+    let story = text(&output);
+    assert!(story.contains("edge-a"), "{story}");
+    assert!(story.contains("back_end_ejected"), "{story}");
+    assert!(!story.contains("other"), "{story}");
+    let cause = "cause: answered here with 502 because of answer_lost; may_have_run, \
+                 after: i-1 broken";
+    assert!(story.contains(cause), "{story}");
+}
+
+#[test]
+fn lines_of_several_nodes_are_put_in_the_order_of_their_times() {
+    let late = NODE_A
+        .replace("edge-a", "edge-b")
+        .replace("10:00:05", "10:00:07");
+    let (one, two) = (file("late", &late), file("early", NODE_A));
+    let output = command("abc")
+        .args([one, two])
+        .output()
+        .expect("the program runs");
+    let story = text(&output);
+    let position = |name: &str| story.find(name).expect("named");
+    assert!(position("edge-a") < position("edge-b"), "{story}");
+}
+
+#[test]
+fn logs_come_from_standard_input_with_words_before_them() {
+    let mut child = command("abc")
+        .arg("-")
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the program runs");
+    let mut input = child.stdin.take().expect("piped");
+    for line in NODE_A.lines() {
+        writeln!(input, "  12.5 edge-c {line}").expect("piped");
+    }
+    drop(input);
+    let story = text(&child.wait_with_output().expect("ends"));
+    assert!(story.contains("edge-c"), "{story}");
+}
+
+#[test]
+fn a_request_without_a_line_is_not_found() {
+    let path = file("none", NODE_A);
+    let output = command("nowhere")
+        .arg(path)
+        .output()
+        .expect("the program runs");
+    assert_eq!(output.status.code(), Some(6));
+    let message = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(message.contains("nowhere"), "{message}");
+}
+
+#[test]
+fn a_log_that_cannot_be_read_is_named() {
+    let output = command("abc")
+        .arg("/nowhere/x.log")
+        .output()
+        .expect("the program runs");
+    assert_eq!(output.status.code(), Some(2));
+    let message = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(message.contains("/nowhere/x.log"), "{message}");
+}
