--- a/crates/coordination/dispatch/src/cache.rs
+++ b/crates/coordination/dispatch/src/cache.rs
@@ -2,7 +2,6 @@
 
 use crate::PromptPart;
 use eiderferry_routing::PartId;
-use eiderferry_types::Timestamp;
 use std::collections::{BTreeMap, HashMap};
 
 /// Part of an engine's memory assumed to hold kept prompts.
@@ -14,6 +13,10 @@
     order: u64,
 }
 
+fn usable(engine_tokens: u64) -> u64 {
+    (engine_tokens as f64 * USABLE_PART) as u64
+}
+
 /// Parts of prompts that an engine is believed to keep, least recently used first
 /// to go.
 #[derive(Clone, Debug)]
@@ -23,23 +26,26 @@
     next_order: u64,
     parts: HashMap<PartId, Kept>,
     by_age: BTreeMap<u64, PartId>,
-    /// Time of the last reset, for explanations.
-    pub emptied_at: Option<Timestamp>,
 }
 
 impl PrefixCache {
     /// An empty cache of an engine with memory for so many tokens.
     pub fn new(engine_tokens: u64) -> Self {
         Self {
-            capacity: (engine_tokens as f64 * USABLE_PART) as u64,
+            capacity: usable(engine_tokens),
             used: 0,
             next_order: 0,
             parts: HashMap::new(),
             by_age: BTreeMap::new(),
-            emptied_at: None,
         }
     }
 
+    /// The engine has memory for so many tokens.
+    pub fn set_engine_tokens(&mut self, engine_tokens: u64) {
+        self.capacity = usable(engine_tokens);
+        self.evict();
+    }
+
     /// Tokens at the beginning of the prompt that need not be read.
     pub fn kept_tokens(&self, parts: &[PromptPart]) -> u32 {
         let kept = parts.iter().take_while(|part| self.keeps(part.id));
@@ -56,6 +62,10 @@
         for part in parts.iter().rev() {
             self.touch(*part);
         }
+        self.evict();
+    }
+
+    fn evict(&mut self) {
         while self.used > self.capacity {
             let Some((_, oldest)) = self.by_age.pop_first() else {
                 return;
--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -1,17 +1,18 @@
 //! The state machine of a relay's decisions.
 
-use crate::health::{Health, HealthChange};
-use crate::placement::Interference;
+use crate::health::HealthChange;
+use crate::planning::{Plan, plans};
+use crate::registry::{BackEndState, Registry};
 use crate::{
-    Applied, BackEndLoad, BudgetSettings, Candidate, Change, Decision, Demand, Gossip, Grant,
-    Knowledge, LeaseId, LoadReport, Outcome, PeerChange, Peers, Placement, PromptPart, RetryBudget,
-    choose,
+    Applied, BudgetSettings, Candidate, Change, Content, Decision, Demand, DocumentKey, Gossip,
+    Grant, Knowledge, LeaseId, LoadReport, News, Outcome, PeerChange, Peers, Placement, PromptPart,
+    RetryBudget, choose,
 };
-use eiderferry_routing::{BackEnd, InstanceId, NodeName, PoolName, ZoneName};
+use eiderferry_routing::{InstanceId, NodeName, PoolName, ZoneName};
 use eiderferry_types::{Reason, Span, Timestamp};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -21,6 +22,8 @@
 pub(crate) const FAR_TICKS: u64 = 4;
 /// Ticks between two attempts to reach nodes not known to be there.
 const DOUBTFUL_TICKS: u64 = 10;
+/// Ticks between two messages that name other nodes unasked.
+const MEMBER_TICKS: u64 = 20;
 /// Ticks after a start during which these attempts are made more often.
 const STARTING_TICKS: u64 = 50;
 /// The same, while starting or while nodes are known by hearsay only.
@@ -35,10 +38,11 @@
 const SEARCHING_FANOUT: usize = 6;
 /// Placements named in one message.
 const PLACEMENTS_PER_MESSAGE: usize = 40;
-/// Fewest tokens that are worth copying from another engine.
-const MINIMUM_COPIED_TOKENS: u32 = 1_000;
-/// Memory assumed for a back end that is no model engine.
-const NO_ENGINE_TOKENS: u64 = 0;
+/// Peers told by a node that was told itself.
+const FORWARD_NEAR_FANOUT: usize = 3;
+const FORWARD_FAR_FANOUT: usize = 1;
+/// Most changes that one message carries.
+const MOST_NEWS: usize = 6;
 /// Part of a back end's connections that all nodes together use.
 const CONNECTION_PART: f64 = 0.8;
 /// Connections that a node may always hold.
@@ -94,8 +98,21 @@
     pub change: Option<PeerChange>,
     /// An answer is wanted.
     pub wants_answer: bool,
-    /// The sender knows newer documents.
+    /// The sender knows newer documents, which have to be fetched.
     pub is_newer: bool,
+    /// Changes that the message carried.
+    pub taken: Vec<TakenNews>,
+}
+
+/// A change that came with a message.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TakenNews {
+    /// Which item.
+    pub key: DocumentKey,
+    /// Revision of the change.
+    pub revision: u64,
+    /// What came of it.
+    pub applied: Applied,
 }
 
 /// Figures for metrics.
@@ -117,22 +134,6 @@
     pub confirmed_age_seconds: f64,
 }
 
-#[derive(Clone, Debug)]
-struct BackEndState {
-    back_end: BackEnd,
-    digest: u32,
-    load: BackEndLoad,
-    health: Health,
-}
-
-/// What sending a request to one back end would mean.
-#[derive(Clone, Copy, Debug)]
-struct Plan {
-    candidate: Candidate,
-    uncached: u32,
-    copy_from: Option<SocketAddr>,
-}
-
 #[derive(Clone, Debug)]
 struct Lease {
     instance: InstanceId,
@@ -145,8 +146,7 @@
     settings: DispatcherSettings,
     knowledge: Knowledge,
     peers: Peers,
-    back_ends: HashMap<InstanceId, BackEndState>,
-    pools: HashMap<PoolName, Vec<InstanceId>>,
+    back_ends: Registry,
     budgets: HashMap<PoolName, RetryBudget>,
     leases: HashMap<LeaseId, Lease>,
     next_lease: u64,
@@ -154,14 +154,11 @@
     ticks: u64,
     near_turn: usize,
     far_turn: usize,
+    announced_to: u64,
     is_stopping: bool,
     random: ChaCha8Rng,
 }
 
-fn instance_digest(instance: &InstanceId) -> u32 {
-    instance.digest() as u32
-}
-
 impl Dispatcher {
     /// A dispatcher that knows nothing yet.
     pub fn new(settings: DispatcherSettings) -> Self {
@@ -175,8 +172,7 @@
             settings,
             knowledge: Knowledge::default(),
             peers,
-            back_ends: HashMap::new(),
-            pools: HashMap::new(),
+            back_ends: Registry::default(),
             budgets: HashMap::new(),
             leases: HashMap::new(),
             next_lease: 0,
@@ -184,6 +180,7 @@
             ticks: 0,
             near_turn: 0,
             far_turn: 0,
+            announced_to: 0,
             is_stopping: false,
             random: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -211,60 +208,32 @@
 
     /// Takes a document over.
     pub fn apply(&mut self, change: Change) -> Applied {
-        let applied = self.knowledge.apply(change);
+        let applied = self.knowledge.apply(change.clone());
         if applied == Applied::Taken {
-            self.rebuild();
+            self.take(change);
         }
         applied
     }
 
-    /// Notes that the platform, or a peer that heard it, confirmed a revision.
-    pub fn confirm(&mut self, revision: u64, at: Timestamp) {
-        self.knowledge.confirm(revision, at);
-    }
-
-    fn rebuild(&mut self) {
-        let listed: HashMap<InstanceId, BackEnd> = self
-            .knowledge
-            .current_back_ends()
-            .map(|back_end| (back_end.instance.clone(), back_end.clone()))
-            .collect();
-        self.back_ends
-            .retain(|instance, _| listed.contains_key(instance));
-        self.pools.clear();
-        for (instance, back_end) in listed {
-            self.pools
-                .entry(back_end.pool.clone())
-                .or_default()
-                .push(instance.clone());
-            self.update_back_end(instance, back_end);
-        }
-        for instances in self.pools.values_mut() {
-            instances.sort();
+    fn take(&mut self, change: Change) {
+        let table = self.knowledge.table().cloned();
+        match (change.key, change.content) {
+            (DocumentKey::BackEnd(_), Content::BackEnd(back_end)) => {
+                let table = table.as_deref();
+                self.back_ends.list(back_end, change.revision, table);
+            }
+            (DocumentKey::BackEnd(instance), _) => self.back_ends.remove(&instance),
+            (DocumentKey::Table, _) => {
+                if let Some(table) = table {
+                    self.back_ends.take_table(&table);
+                }
+            }
         }
     }
 
-    fn update_back_end(&mut self, instance: InstanceId, back_end: BackEnd) {
-        let tokens = self.engine_tokens(&back_end.pool);
-        let digest = instance_digest(&instance);
-        let state = self
-            .back_ends
-            .entry(instance)
-            .or_insert_with(|| BackEndState {
-                back_end: back_end.clone(),
-                digest,
-                load: BackEndLoad::new(tokens),
-                health: Health::default(),
-            });
-        state.back_end = back_end;
-    }
-
-    fn engine_tokens(&self, pool: &PoolName) -> u64 {
-        let table = self.knowledge.table();
-        let engine = table
-            .and_then(|table| table.pool(pool))
-            .and_then(|pool| pool.engine.as_ref());
-        engine.map_or(NO_ENGINE_TOKENS, |engine| engine.cache_tokens)
+    /// Notes that the platform, or a peer that heard it, confirmed a revision.
+    pub fn confirm(&mut self, revision: u64, at: Timestamp) {
+        self.knowledge.confirm(revision, at);
     }
 
     fn budget(&mut self, pool: &PoolName) -> &mut RetryBudget {
@@ -281,8 +250,8 @@
 
     /// Chooses a back end for a request, or refuses it.
     pub fn ask(&mut self, demand: &Demand, now: Timestamp) -> Decision {
-        let instances = self.eligible(demand, now);
-        let plans = self.plan(&instances, demand, now);
+        let zone = &self.settings.zone;
+        let mut plans = plans(&self.back_ends, zone, demand, now, &mut self.random);
         let candidates: Vec<Candidate> = plans.iter().map(|plan| plan.candidate).collect();
         let Some(index) = choose(&candidates) else {
             return Decision::Refuse(Reason::NoBackEnd, NO_BACK_END_RETRY);
@@ -298,155 +267,33 @@
                 return Decision::Refuse(Reason::RetryBudget, NO_BACK_END_RETRY);
             }
         }
-        let instance = instances[index].clone();
-        Decision::Grant(self.grant(instance, plans[index], demand, now))
-    }
-
-    fn eligible(&self, demand: &Demand, now: Timestamp) -> Vec<InstanceId> {
-        let listed = self.pools.get(&demand.pool).into_iter().flatten();
-        let usable: Vec<&InstanceId> = listed
-            .filter(|instance| !demand.excluded.contains(instance))
-            .filter(|instance| {
-                let state = self.back_ends.get(*instance);
-                state.is_some_and(|state| !state.back_end.draining && !state.health.is_replaced())
-            })
-            .collect();
-        let is_healthy = |instance: &&&InstanceId| {
-            let state = self.back_ends.get(**instance);
-            state.is_some_and(|state| !state.health.is_ejected(now))
-        };
-        let healthy: Vec<InstanceId> = usable
-            .iter()
-            .filter(is_healthy)
-            .map(|instance| (*instance).clone())
-            .collect();
-        if healthy.is_empty() {
-            return usable.into_iter().cloned().collect();
+        let plan = plans.swap_remove(index);
+        match self.grant(plan, demand, now) {
+            Some(grant) => Decision::Grant(grant),
+            None => Decision::Refuse(Reason::NoBackEnd, NO_BACK_END_RETRY),
         }
-        healthy
     }
 
-    fn plan(&self, instances: &[InstanceId], demand: &Demand, now: Timestamp) -> Vec<Plan> {
-        let home = self.home(demand);
-        instances
-            .iter()
-            .map(|instance| self.plan_for(instance, home.as_ref(), demand, now))
-            .collect()
-    }
-
-    /// The engine that is to keep a prompt's shared parts: all nodes name it alike.
-    fn home(&self, demand: &Demand) -> Option<InstanceId> {
-        let first = demand.shared_parts().first()?;
-        let listed = self.pools.get(&demand.pool)?.iter();
-        let states = listed.filter_map(|instance| self.back_ends.get(instance));
-        let staying = states.filter(|state| !state.back_end.draining);
-        let score =
-            |state: &&BackEndState| xxh3_64_with_seed(&state.digest.to_le_bytes(), first.id.0);
-        let home = staying.max_by_key(score)?;
-        Some(home.back_end.instance.clone())
-    }
-
-    fn plan_for(
-        &self,
-        instance: &InstanceId,
-        home: Option<&InstanceId>,
-        demand: &Demand,
-        now: Timestamp,
-    ) -> Plan {
-        let state = &self.back_ends[instance];
-        let kept = state.load.cache.kept_tokens(&demand.parts);
-        let missing = demand.shared_tokens().saturating_sub(kept);
-        let source = self.copy_source(instance, home, kept, demand, now);
-        let copied = if source.is_some() { missing } else { 0 };
-        let is_home = home == Some(instance);
-        let read_again = if is_home { 0 } else { missing - copied };
-        let uncached = demand.prompt_tokens.saturating_sub(kept + copied);
-        let pending = state.load.total_pending_tokens(now);
-        let running = state.load.total_running(now);
-        let sensitive = state.load.total_sensitive(now);
-        let interference = if demand.is_pause_sensitive() {
-            Interference::Suffered {
-                pending: state.load.reading_time(pending),
-                others: running.saturating_sub(sensitive),
-            }
-        } else {
-            Interference::Caused {
-                reading: state.load.reading_time(u64::from(uncached)),
-                sensitive,
-            }
-        };
-        Plan {
-            uncached,
-            copy_from: source,
-            candidate: Candidate {
-                first_event: state.load.reading_time(pending + u64::from(uncached)),
-                read_again,
-                copied,
-                interference,
-                running,
-                slots: state.back_end.slots,
-                is_near: state.back_end.zone == self.settings.zone,
-            },
-        }
-    }
-
-    /// Another engine that keeps clearly more of the prompt.
-    fn copy_source(
-        &self,
-        instance: &InstanceId,
-        home: Option<&InstanceId>,
-        kept: u32,
-        demand: &Demand,
-        now: Timestamp,
-    ) -> Option<SocketAddr> {
-        let missing = demand.shared_tokens().saturating_sub(kept);
-        if missing < MINIMUM_COPIED_TOKENS {
-            return None;
-        }
-        let listed = self.pools.get(&demand.pool)?.iter();
-        let others = listed.filter(|other| *other != instance);
-        let states = others.filter_map(|other| self.back_ends.get(other));
-        let sound = states.filter(|state| !state.health.is_ejected(now));
-        let kept_by = |state: &BackEndState| state.load.cache.kept_tokens(&demand.parts);
-        let best = sound.max_by_key(|state| {
-            let is_home = home == Some(&state.back_end.instance);
-            (kept_by(state), is_home)
-        })?;
-        let gain = kept_by(best).saturating_sub(kept);
-        (gain >= MINIMUM_COPIED_TOKENS).then_some(best.back_end.address)
-    }
-
-    fn grant(
-        &mut self,
-        instance: InstanceId,
-        plan: Plan,
-        demand: &Demand,
-        now: Timestamp,
-    ) -> Grant {
+    fn grant(&mut self, plan: Plan, demand: &Demand, now: Timestamp) -> Option<Grant> {
         let lease = LeaseId(self.next_lease);
         self.next_lease += 1;
         let connections = self.connection_limit(&demand.pool);
         let revision = self.knowledge.complete_to();
         let list_age = self.knowledge.confirmed_age(now).unwrap_or(Span::ZERO);
-        let state = self
-            .back_ends
-            .get_mut(&instance)
-            .expect("a granted back end is listed");
+        let state = self.back_ends.get_mut(&plan.instance)?;
         let is_sensitive = demand.is_pause_sensitive();
         state.load.begin(lease, plan.uncached, is_sensitive, now);
         state.load.cache.insert(&demand.parts);
-        note_placements(&mut self.placements, state.digest, demand.shared_parts());
         let address = state.back_end.address;
-        self.leases.insert(
-            lease,
-            Lease {
-                instance: instance.clone(),
-                pool: demand.pool.clone(),
-            },
-        );
-        Grant {
+        note_placements(&mut self.placements, state.digest, demand.shared_parts());
+        let record = Lease {
+            instance: plan.instance.clone(),
+            pool: demand.pool.clone(),
+        };
+        self.leases.insert(lease, record);
+        Some(Grant {
             lease,
-            instance,
+            instance: plan.instance,
             address,
             connections,
             uncached_tokens: plan.uncached,
@@ -454,7 +301,7 @@
             expected: plan.candidate.first_event,
             revision,
             list_age,
-        }
+        })
     }
 
     fn connection_limit(&self, pool: &PoolName) -> u32 {
@@ -500,12 +347,9 @@
     }
 
     fn pool_failure_share(&self, lease: &Lease) -> f64 {
-        let instances = self.pools.get(&lease.pool).into_iter().flatten();
-        let others = instances.filter(|instance| **instance != lease.instance);
-        let shares: Vec<f64> = others
-            .filter_map(|instance| self.back_ends.get(instance))
-            .map(|state| state.health.failure_share())
-            .collect();
+        let states = self.back_ends.pool(&lease.pool);
+        let others = states.filter(|state| state.back_end.instance != lease.instance);
+        let shares: Vec<f64> = others.map(|state| state.health.failure_share()).collect();
         if shares.is_empty() {
             return 0.0;
         }
@@ -516,45 +360,45 @@
     pub fn receive(&mut self, address: SocketAddr, message: &Gossip, now: Timestamp) -> Received {
         let change = self.peers.heard(address, message, now);
         let sender = message.from.digest();
-        self.take_loads(sender, &message.loads, now);
-        self.take_placements(&message.placements);
-        let complete_to = self.knowledge.complete_to();
+        self.back_ends.take_loads(sender, &message.loads, now);
+        self.back_ends.take_placements(&message.placements);
+        let taken = self.take_news(message);
+        let knows_all = message.complete_to <= self.knowledge.complete_to()
+            || (self.has_taken_all(message) && message.news.is_some());
         if let Some(age) = message.confirmed_ms
-            && message.complete_to == complete_to
-            && message.table_revision == self.knowledge.table_revision()
+            && knows_all
         {
             let at = now - Span::from_milliseconds(u64::from(age));
-            self.knowledge.confirm(complete_to, at);
+            self.knowledge.confirm(message.complete_to, at);
         }
         Received {
             change,
             wants_answer: message.wants_answer,
-            is_newer: message.complete_to > complete_to
-                || message.table_revision > self.knowledge.table_revision(),
+            is_newer: !knows_all,
+            taken,
         }
     }
 
-    fn take_loads(&mut self, sender: u64, loads: &[LoadReport], now: Timestamp) {
-        for state in self.back_ends.values_mut() {
-            let report = loads.iter().find(|report| report.back_end == state.digest);
-            match report {
-                Some(report) => state.load.report(sender, report, now),
-                None => state.load.forget(sender),
-            }
-        }
+    /// Whether the news of a message follow on what is known.
+    fn has_taken_all(&self, message: &Gossip) -> bool {
+        let news = message.news.as_ref();
+        news.is_some_and(|news| news.after <= self.knowledge.complete_to())
     }
 
-    fn take_placements(&mut self, placements: &[Placement]) {
-        for placement in placements {
-            let part = PromptPart {
-                id: placement.part,
-                tokens: placement.tokens,
-            };
-            let mut states = self.back_ends.values_mut();
-            if let Some(state) = states.find(|state| state.digest == placement.back_end) {
-                state.load.cache.insert(&[part]);
-            }
+    fn take_news(&mut self, message: &Gossip) -> Vec<TakenNews> {
+        let Some(news) = message.news.as_ref() else {
+            return Vec::new();
+        };
+        let mut taken = Vec::new();
+        for change in &news.changes {
+            let applied = self.apply(change.clone());
+            taken.push(TakenNews {
+                key: change.key.clone(),
+                revision: change.revision,
+                applied,
+            });
         }
+        taken
     }
 
     /// Messages and changes that are due; to be called every [`TICK`].
@@ -605,11 +449,18 @@
         messages.extend(peers.iter().map(|peer| (*peer, message.clone())));
     }
 
+    /// The answer to a node that wants one: it names others.
+    pub fn answer(&mut self, now: Timestamp) -> Gossip {
+        let mut answer = self.gossip(false, now);
+        answer.members = self.peers.sample(now, &mut self.random);
+        answer
+    }
+
     /// The message that tells how this node stands.
     pub fn gossip(&mut self, wants_answer: bool, now: Timestamp) -> Gossip {
         let count = self.placements.len().min(PLACEMENTS_PER_MESSAGE);
         let placements = self.placements[..count].to_vec();
-        let names_members = wants_answer || self.ticks.is_multiple_of(DOUBTFUL_TICKS);
+        let names_members = wants_answer || self.ticks.is_multiple_of(MEMBER_TICKS);
         let members = if names_members {
             self.peers.sample(now, &mut self.random)
         } else {
@@ -630,30 +481,56 @@
             loads: self.own_loads(now),
             placements,
             members,
+            news: None,
         }
     }
 
     fn own_loads(&self, now: Timestamp) -> Vec<LoadReport> {
-        let states = self.back_ends.values();
-        let busy = states.filter(|state| state.load.own_running() > 0);
-        busy.map(|state| LoadReport {
-            back_end: state.digest,
-            running: u16::try_from(state.load.own_running()).unwrap_or(u16::MAX),
-            sensitive: u16::try_from(state.load.own_sensitive()).unwrap_or(u16::MAX),
-            pending_hundreds: u16::try_from(state.load.own_pending_tokens(now) / 100)
-                .unwrap_or(u16::MAX),
-        })
-        .collect()
+        let busy: BTreeSet<&InstanceId> =
+            self.leases.values().map(|lease| &lease.instance).collect();
+        let states = busy
+            .into_iter()
+            .filter_map(|instance| self.back_ends.get(instance));
+        states
+            .map(|state| LoadReport {
+                back_end: state.digest,
+                running: saturate(u64::from(state.load.own_running())),
+                sensitive: saturate(u64::from(state.load.own_sensitive())),
+                pending_hundreds: saturate(state.load.own_pending_tokens(now) / 100),
+            })
+            .collect()
     }
 
-    /// Messages that tell the peers at once of newer documents.
-    pub fn announce(&mut self, now: Timestamp) -> Vec<(SocketAddr, Gossip)> {
-        let mut messages = Vec::new();
-        let near = in_turn(&self.peers.near(), NEAR_FANOUT, &mut self.near_turn);
-        self.address(&mut messages, &near, false, now);
-        let far = in_turn(&self.peers.far(), FAR_FANOUT, &mut self.far_turn);
-        self.address(&mut messages, &far, false, now);
-        messages
+    /// Messages that tell the peers at once of newer documents, which the platform or
+    /// a peer has told this node.
+    pub fn announce(&mut self, is_first_hand: bool, now: Timestamp) -> Vec<(SocketAddr, Gossip)> {
+        let (near, far) = if is_first_hand {
+            (NEAR_FANOUT, FAR_FANOUT)
+        } else {
+            (FORWARD_NEAR_FANOUT, FORWARD_FAR_FANOUT)
+        };
+        let mut peers = in_turn(&self.peers.near(), near, &mut self.near_turn);
+        peers.extend(in_turn(&self.peers.far(), far, &mut self.far_turn));
+        let mut message = self.gossip(false, now);
+        message.placements.clear();
+        message.news = self.news();
+        self.announced_to = self.knowledge.complete_to();
+        peers
+            .into_iter()
+            .map(|peer| (peer, message.clone()))
+            .collect()
+    }
+
+    /// The changes since the last announcement, if they fit a message.
+    fn news(&self) -> Option<News> {
+        let changes = self.knowledge.changes_after(self.announced_to);
+        let has_table = changes
+            .iter()
+            .any(|change| change.key == DocumentKey::Table);
+        (changes.len() <= MOST_NEWS && !has_table).then_some(News {
+            after: self.announced_to,
+            changes,
+        })
     }
 
     /// Whether this node reads the platform for its zone. One node of a zone does;
@@ -677,12 +554,15 @@
     /// Figures for metrics.
     pub fn snapshot(&self, now: Timestamp) -> Snapshot {
         let table = self.knowledge.table();
-        let states = self.back_ends.values();
         let age = self.knowledge.confirmed_age(now);
         Snapshot {
             living_peers: self.peers.living_count(),
-            back_ends: self.back_ends.len(),
-            ejected: states.filter(|state| state.health.is_ejected(now)).count(),
+            back_ends: self.back_ends.all().count(),
+            ejected: self
+                .back_ends
+                .all()
+                .filter(|state| state.health.is_ejected(now))
+                .count(),
             leases: self.leases.len(),
             complete_to: self.knowledge.complete_to(),
             table_version: table.map_or(0, |table| table.version()),
@@ -701,6 +581,10 @@
         .collect()
 }
 
+fn saturate(value: u64) -> u16 {
+    u16::try_from(value).unwrap_or(u16::MAX)
+}
+
 fn note_placements(placements: &mut Vec<Placement>, back_end: u32, parts: &[PromptPart]) {
     for part in parts.iter().rev() {
         if placements.len() >= PLACEMENTS_PER_MESSAGE {
--- a/crates/coordination/dispatch/src/knowledge.rs
+++ b/crates/coordination/dispatch/src/knowledge.rs
@@ -6,8 +6,7 @@
 use eiderferry_routing::{BackEnd, InstanceId, RoutingTable, TableDocument};
 use eiderferry_types::{Span, Timestamp};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::net::SocketAddr;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// Removed items remembered, so that an older list can't bring them back.
@@ -82,19 +81,6 @@
         self.back_ends.values().map(|(_, back_end)| back_end)
     }
 
-    /// The listed back ends, of those with the same address only the newest: a run
-    /// that ended may stay listed for a while, and its address may serve another.
-    pub fn current_back_ends(&self) -> impl Iterator<Item = &BackEnd> {
-        let mut newest: HashMap<SocketAddr, (u64, &BackEnd)> = HashMap::new();
-        for (revision, back_end) in self.back_ends.values() {
-            let entry = newest.entry(back_end.address).or_insert((0, back_end));
-            if *revision > entry.0 {
-                *entry = (*revision, back_end);
-            }
-        }
-        newest.into_values().map(|(_, back_end)| back_end)
-    }
-
     /// Every change up to this revision is known.
     pub fn complete_to(&self) -> u64 {
         self.complete_to
--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -16,17 +16,19 @@
 mod message;
 mod peers;
 mod placement;
+mod planning;
+mod registry;
 mod retry_budget;
 
 pub use cache::PrefixCache;
 pub use demand::{Decision, Demand, Grant, LeaseId, Outcome, PromptPart};
 pub use dispatcher::{
-    Dispatcher, DispatcherSettings, ReadingDuty, Received, Snapshot, TICK, TickOutput,
+    Dispatcher, DispatcherSettings, ReadingDuty, Received, Snapshot, TICK, TakenNews, TickOutput,
 };
 pub use health::{Health, HealthChange};
 pub use knowledge::{Applied, Change, Content, DocumentKey, Knowledge};
 pub use load::{BackEndLoad, REPORT_LIFETIME};
-pub use message::{Gossip, LoadReport, Member, Placement};
+pub use message::{Gossip, LoadReport, Member, News, Placement};
 pub use peers::{PeerChange, Peers};
 pub use placement::{Candidate, Interference, choose};
 pub use retry_budget::{BudgetSettings, RetryBudget};
--- a/crates/coordination/dispatch/src/message.rs
+++ b/crates/coordination/dispatch/src/message.rs
@@ -1,5 +1,6 @@
 //! What nodes tell each other.
 
+use crate::Change;
 use eiderferry_routing::{NodeName, PartId, ZoneName};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -64,4 +65,15 @@
     pub placements: Vec<Placement>,
     /// Some other nodes.
     pub members: Vec<Member>,
+    /// The latest changes, where they are few and small.
+    pub news: Option<News>,
+}
+
+/// Changes that follow on a revision without a gap.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct News {
+    /// Revision after which they come.
+    pub after: u64,
+    /// All changes from there to the sender's `complete_to`.
+    pub changes: Vec<Change>,
 }
--- a/crates/coordination/dispatch/src/peers.rs
+++ b/crates/coordination/dispatch/src/peers.rs
@@ -19,7 +19,7 @@
 /// lost.
 const FORGET_FACTOR: u64 = 60;
 /// Other nodes named in one message.
-const MEMBERS_PER_MESSAGE: usize = 8;
+const MEMBERS_PER_MESSAGE: usize = 12;
 
 /// What changed with a peer.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- /dev/null
+++ b/crates/coordination/dispatch/src/registry.rs
@@ -0,0 +1,172 @@
+//! The back ends that may get work, with what this node knows of each.
+
+use crate::health::Health;
+use crate::{BackEndLoad, LoadReport, Placement, PromptPart};
+use eiderferry_routing::{BackEnd, InstanceId, PoolName, RoutingTable};
+use eiderferry_types::Timestamp;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+/// Memory assumed for a back end that is no model engine.
+const NO_ENGINE_TOKENS: u64 = 0;
+
+/// One back end.
+#[derive(Clone, Debug)]
+pub(crate) struct BackEndState {
+    pub back_end: BackEnd,
+    pub digest: u32,
+    pub load: BackEndLoad,
+    pub health: Health,
+}
+
+impl BackEndState {
+    /// Whether it takes new work at all.
+    pub fn takes_work(&self) -> bool {
+        !self.back_end.draining && !self.health.is_replaced()
+    }
+}
+
+/// All back ends. Of those listed with one address only the newest is here: a run
+/// that ended may stay listed for a while, and its address may serve another pool.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Registry {
+    states: HashMap<InstanceId, BackEndState>,
+    pools: HashMap<PoolName, Vec<InstanceId>>,
+    by_address: HashMap<SocketAddr, (u64, InstanceId)>,
+    by_digest: HashMap<u32, InstanceId>,
+    reported: HashMap<u64, Vec<u32>>,
+}
+
+fn instance_digest(instance: &InstanceId) -> u32 {
+    instance.digest() as u32
+}
+
+fn engine_tokens(table: Option<&RoutingTable>, pool: &PoolName) -> u64 {
+    let pool = table.and_then(|table| table.pool(pool));
+    let engine = pool.and_then(|pool| pool.engine.as_ref());
+    engine.map_or(NO_ENGINE_TOKENS, |engine| engine.cache_tokens)
+}
+
+impl Registry {
+    pub fn get(&self, instance: &InstanceId) -> Option<&BackEndState> {
+        self.states.get(instance)
+    }
+
+    pub fn get_mut(&mut self, instance: &InstanceId) -> Option<&mut BackEndState> {
+        self.states.get_mut(instance)
+    }
+
+    /// Back ends of a pool, in the order of their names.
+    pub fn pool(&self, pool: &PoolName) -> impl Iterator<Item = &BackEndState> {
+        let instances = self.pools.get(pool).into_iter().flatten();
+        instances.filter_map(|instance| self.states.get(instance))
+    }
+
+    pub fn all(&self) -> impl Iterator<Item = &BackEndState> {
+        self.states.values()
+    }
+
+    /// Adds or changes a back end that was listed at a revision.
+    pub fn list(&mut self, back_end: BackEnd, revision: u64, table: Option<&RoutingTable>) {
+        let instance = back_end.instance.clone();
+        if let Some((newest, holder)) = self.by_address.get(&back_end.address) {
+            let is_other = *holder != instance;
+            if is_other && *newest > revision {
+                self.remove(&instance);
+                return;
+            }
+            if is_other {
+                let holder = holder.clone();
+                self.remove(&holder);
+            }
+        }
+        let moved = self.states.get(&instance).is_some_and(|state| {
+            state.back_end.pool != back_end.pool || state.back_end.address != back_end.address
+        });
+        if moved {
+            self.remove(&instance);
+        }
+        self.by_address
+            .insert(back_end.address, (revision, instance.clone()));
+        match self.states.get_mut(&instance) {
+            Some(state) => state.back_end = back_end,
+            None => self.add(back_end, table),
+        }
+    }
+
+    fn add(&mut self, back_end: BackEnd, table: Option<&RoutingTable>) {
+        let instance = back_end.instance.clone();
+        let digest = instance_digest(&instance);
+        let tokens = engine_tokens(table, &back_end.pool);
+        let pool = self.pools.entry(back_end.pool.clone()).or_default();
+        if let Err(position) = pool.binary_search(&instance) {
+            pool.insert(position, instance.clone());
+        }
+        self.by_digest.insert(digest, instance.clone());
+        let state = BackEndState {
+            back_end,
+            digest,
+            load: BackEndLoad::new(tokens),
+            health: Health::default(),
+        };
+        self.states.insert(instance, state);
+    }
+
+    /// Removes a back end.
+    pub fn remove(&mut self, instance: &InstanceId) {
+        let Some(state) = self.states.remove(instance) else {
+            return;
+        };
+        self.by_digest.remove(&state.digest);
+        if let Some(pool) = self.pools.get_mut(&state.back_end.pool) {
+            pool.retain(|listed| listed != instance);
+        }
+        let address = state.back_end.address;
+        let holds_address = self.by_address.get(&address);
+        if holds_address.is_some_and(|(_, holder)| holder == instance) {
+            self.by_address.remove(&address);
+        }
+    }
+
+    /// A new table may give pools other memory.
+    pub fn take_table(&mut self, table: &RoutingTable) {
+        for state in self.states.values_mut() {
+            let tokens = engine_tokens(Some(table), &state.back_end.pool);
+            state.load.cache.set_engine_tokens(tokens);
+        }
+    }
+
+    /// Takes over what a node reports of its requests.
+    pub fn take_loads(&mut self, sender: u64, loads: &[LoadReport], now: Timestamp) {
+        let digests = loads.iter().map(|report| report.back_end).collect();
+        let previous = self.reported.insert(sender, digests).unwrap_or_default();
+        for digest in previous {
+            if let Some(state) = self.by_digest_mut(digest) {
+                state.load.forget(sender);
+            }
+        }
+        for report in loads {
+            if let Some(state) = self.by_digest_mut(report.back_end) {
+                state.load.report(sender, report, now);
+            }
+        }
+    }
+
+    /// Takes over which prompts were placed where.
+    pub fn take_placements(&mut self, placements: &[Placement]) {
+        for placement in placements {
+            let part = PromptPart {
+                id: placement.part,
+                tokens: placement.tokens,
+            };
+            if let Some(state) = self.by_digest_mut(placement.back_end) {
+                state.load.cache.insert(&[part]);
+            }
+        }
+    }
+
+    fn by_digest_mut(&mut self, digest: u32) -> Option<&mut BackEndState> {
+        let instance = self.by_digest.get(&digest)?;
+        self.states.get_mut(instance)
+    }
+}
--- a/crates/coordination/dispatch/tests/fleet.rs
+++ b/crates/coordination/dispatch/tests/fleet.rs
@@ -122,3 +122,34 @@
         assert_eq!(node.knowledge().table_revision(), 2);
     }
 }
+
+#[test]
+fn a_small_change_travels_with_the_announcement_and_nothing_is_fetched() {
+    let mut fleet = Fleet::new(7, 3);
+    fleet.run_with_platform(10_000, 1);
+    let before = fleet.fetches;
+    let change = support::back_end_change(support::back_end("engine-1", 1, 0), 2);
+    fleet.read_change(2, change, 2);
+    fleet.run(1_000);
+    for node in &fleet.nodes {
+        assert_eq!(node.knowledge().complete_to(), 2);
+        assert_eq!(node.knowledge().back_ends().count(), 1);
+    }
+    assert_eq!(fleet.fetches, before);
+}
+
+#[test]
+fn a_node_that_missed_an_announcement_fetches_what_it_lacks() {
+    let mut fleet = Fleet::new(7, 1);
+    fleet.run_with_platform(10_000, 1);
+    fleet.dark.insert(6);
+    let change = support::back_end_change(support::back_end("engine-1", 1, 0), 2);
+    fleet.read_change(2, change, 2);
+    fleet.run(300);
+    fleet.dark.clear();
+    let change = support::back_end_change(support::back_end("engine-2", 2, 0), 3);
+    fleet.read_change(2, change, 3);
+    fleet.run(1_000);
+    assert_eq!(fleet.nodes[6].knowledge().complete_to(), 3);
+    assert_eq!(fleet.nodes[6].knowledge().back_ends().count(), 2);
+}
--- a/crates/coordination/dispatch/tests/placement.rs
+++ b/crates/coordination/dispatch/tests/placement.rs
@@ -195,3 +195,32 @@
         "{engines_of_streams:?} {engines_of_prompts:?}"
     );
 }
+
+#[test]
+fn a_table_that_comes_after_the_back_ends_gives_them_their_memory() {
+    let mut subject = support::dispatcher(0, 0, Vec::new());
+    for number in 0..3 {
+        let name = format!("engine-{number}");
+        subject.apply(back_end_change(back_end(&name, number, 0), 2));
+    }
+    subject.apply(table_change(3));
+    let first = granted(subject.ask(&demand(1, 13_000, 400), START));
+    assert_eq!(first.uncached_tokens, 13_400);
+    subject.first_event(first.lease, START);
+    let second = granted(subject.ask(&demand(1, 13_000, 500), START));
+    assert_eq!(second.uncached_tokens, 500);
+}
+
+#[test]
+fn in_a_large_pool_a_prompt_still_goes_where_its_beginning_is_kept() {
+    let mut subject = with_engines(400);
+    for thing in 1..30 {
+        let first = granted(subject.ask(&demand(thing, 13_000, 400), START));
+        subject.first_event(first.lease, START);
+        subject.end(first.lease, Outcome::Completed, START);
+        let second = granted(subject.ask(&demand(thing, 13_000, 500), START));
+        subject.first_event(second.lease, START);
+        subject.end(second.lease, Outcome::Completed, START);
+        assert_eq!(second.instance, first.instance, "thing {thing}");
+    }
+}
--- a/crates/coordination/dispatch/tests/support/mod.rs
+++ b/crates/coordination/dispatch/tests/support/mod.rs
@@ -150,6 +150,7 @@
     pub dark: BTreeSet<usize>,
     pub lost: Vec<(usize, NodeName)>,
     pub messages: u64,
+    pub fetches: u64,
     in_flight: Vec<(usize, SocketAddr, Gossip)>,
 }
 
@@ -168,6 +169,7 @@
             dark: BTreeSet::new(),
             lost: Vec::new(),
             messages: 0,
+            fetches: 0,
             in_flight: Vec::new(),
         }
     }
@@ -216,22 +218,47 @@
         };
         let received = self.nodes[to].receive(node_address(from), &message, self.now);
         if received.wants_answer {
-            let answer = self.nodes[to].gossip(false, self.now);
+            let answer = self.nodes[to].answer(self.now);
             self.in_flight.push((to, node_address(from), answer));
         }
         if received.is_newer {
             self.fetch(to, from);
         }
+        if !received.taken.is_empty() {
+            self.announce(to, false);
+        }
+    }
+
+    fn announce(&mut self, number: usize, is_first_hand: bool) {
+        for (to, message) in self.nodes[number].announce(is_first_hand, self.now) {
+            self.in_flight.push((number, to, message));
+        }
+    }
+
+    /// A node reads a change from the platform, and announces it.
+    pub fn read_change(&mut self, number: usize, change: Change, revision: u64) {
+        self.nodes[number].apply(change);
+        self.confirm(number, revision, self.now, true);
     }
 
     fn fetch(&mut self, to: usize, from: usize) {
+        self.fetches += 1;
         let known = self.nodes[to].knowledge().complete_to();
         let source: Knowledge = self.nodes[from].knowledge().clone();
         for change in source.changes_after(known) {
             self.nodes[to].apply(change);
         }
         let age = source.confirmed_age(self.now).unwrap_or(Span::ZERO);
-        self.nodes[to].confirm(source.complete_to(), self.now - age);
+        self.confirm(to, source.complete_to(), self.now - age, false);
+    }
+
+    /// Notes a confirmation; news are announced, as the control thread does it.
+    fn confirm(&mut self, number: usize, revision: u64, at: Timestamp, is_first_hand: bool) {
+        let before = self.nodes[number].knowledge().complete_to();
+        self.nodes[number].confirm(revision, at);
+        if revision > before {
+            self.announce(number, is_first_hand);
+        }
     }
 
     pub fn run(&mut self, milliseconds: u64) {
@@ -247,7 +274,7 @@
             for number in 0..self.nodes.len() {
                 if self.nodes[number].reading_duty(self.now) == ReadingDuty::Read {
                     self.nodes[number].apply(table_change(revision));
-                    self.nodes[number].confirm(revision, self.now);
+                    self.confirm(number, revision, self.now, true);
                 }
             }
         }
--- a/crates/state/routing/src/table.rs
+++ b/crates/state/routing/src/table.rs
@@ -68,14 +68,14 @@
     pub fn pool(&self, point: f64) -> Option<&PoolName> {
         let total: f64 = self.splits.iter().map(|split| split.weight.max(0.0)).sum();
         let mut remaining = point * total;
-        let weighted = self.splits.iter().filter(|split| split.weight > 0.0);
+        let mut weighted = self.splits.iter().filter(|split| split.weight > 0.0);
         for split in weighted.clone() {
             remaining -= split.weight;
             if remaining < 0.0 {
                 return Some(&split.pool);
             }
         }
-        weighted.last().map(|split| &split.pool)
+        weighted.next_back().map(|split| &split.pool)
     }
 }
 
--- a/crates/transport/relay/src/control.rs
+++ b/crates/transport/relay/src/control.rs
@@ -6,7 +6,7 @@
 use crate::metrics;
 use arc_swap::ArcSwapOption;
 use eiderferry_dispatch::{
-    Applied, Change, Decision, Demand, Dispatcher, LeaseId, Outcome, ReadingDuty, TICK,
+    Applied, Change, Decision, Demand, Dispatcher, LeaseId, Outcome, ReadingDuty, TICK, TakenNews,
 };
 use eiderferry_routing::{InstanceId, RoutingTable};
 use eiderferry_types::{Span, Timestamp};
@@ -181,8 +181,9 @@
             if let Some(change) = &received.change {
                 events::peer(change);
             }
+            self.follow_news(&received.taken);
             if received.wants_answer {
-                let answer = self.dispatcher.borrow_mut().gossip(false, now);
+                let answer = self.dispatcher.borrow_mut().answer(now);
                 self.socket.send(from, &answer);
             }
             if received.is_newer && !self.fetching.replace(true) {
@@ -195,12 +196,8 @@
     }
 
     async fn fetch(&self, from: SocketAddr) {
-        let (known, table) = {
-            let dispatcher = self.dispatcher.borrow();
-            let knowledge = dispatcher.knowledge();
-            (knowledge.complete_to(), knowledge.table_revision())
-        };
-        let result = crate::documents::fetch(from, known.min(table)).await;
+        let known = self.dispatcher.borrow().knowledge().complete_to();
+        let result = crate::documents::fetch(from, known).await;
         self.fetching.set(false);
         match result {
             Ok(package) => {
@@ -208,7 +205,7 @@
                 let age = package.confirmed_ms.map(Span::from_milliseconds);
                 self.take(package.changes, "peer");
                 let at = age.map(|age| heard - age);
-                self.confirm(package.complete_to, at.unwrap_or_default());
+                self.confirm(package.complete_to, at.unwrap_or_default(), false);
             }
             Err(error) => events::fetch_failed(from, &error),
         }
@@ -231,17 +228,27 @@
         self.table.store(table);
     }
 
-    fn confirm(&self, revision: u64, at: Timestamp) {
+    fn confirm(&self, revision: u64, at: Timestamp, is_first_hand: bool) {
         let before = self.dispatcher.borrow().knowledge().complete_to();
         self.dispatcher.borrow_mut().confirm(revision, at);
         if revision > before {
-            self.announce();
+            self.announce(is_first_hand);
+        }
+    }
+
+    /// Notes changes that came with a message, and passes them on.
+    fn follow_news(&self, taken: &[TakenNews]) {
+        for news in taken {
+            events::document(&news.key, news.revision, &news.applied, "peer");
+        }
+        if taken.iter().any(|news| news.applied == Applied::Taken) {
+            self.announce(false);
         }
     }
 
-    fn announce(&self) {
+    fn announce(&self, is_first_hand: bool) {
         let now = self.clock.now();
-        let messages = self.dispatcher.borrow_mut().announce(now);
+        let messages = self.dispatcher.borrow_mut().announce(is_first_hand, now);
         for (address, message) in &messages {
             self.socket.send(*address, message);
         }
@@ -284,7 +291,8 @@
     /// Hands changes over; `revision` is the one up to which all is then known.
     pub fn take(&self, changes: Vec<Change>, revision: u64) {
         self.control.take(changes, "store");
-        self.control.confirm(revision, self.control.clock.now());
+        self.control
+            .confirm(revision, self.control.clock.now(), true);
     }
 
     /// Hands a whole listing over that began at `revision`.
--- a/crates/transport/relay/tests/support/mod.rs
+++ b/crates/transport/relay/tests/support/mod.rs
@@ -12,7 +12,8 @@
 use http::HeaderName;
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc;
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
@@ -288,9 +289,24 @@
     thread: Option<JoinHandle<()>>,
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("bound")
+/// Ports of a relay under test; below those that the system hands out by itself, so
+/// that no other socket holds them.
+const CALLERS_PORT: u16 = 21_001;
+const READY_PORT: u16 = 21_002;
+const PEER_PORT: u16 = 21_003;
+static RELAYS: AtomicU32 = AtomicU32::new(0);
+
+/// A loopback address of its own for each relay of each test process.
+fn own_ip() -> Ipv4Addr {
+    let number = RELAYS.fetch_add(1, Ordering::SeqCst);
+    let process = std::process::id();
+    let octet = |value: u32| (value % 250 + 1) as u8;
+    Ipv4Addr::new(
+        127,
+        octet(process),
+        octet(process / 250 + number / 250),
+        octet(number),
+    )
 }
 
 impl Running {
@@ -313,7 +329,9 @@
     }
 
     fn start(documents: Option<Vec<Change>>) -> Self {
-        let (listen, ready) = (free_address(), free_address());
+        let ip = own_ip();
+        let listen = SocketAddr::from((ip, CALLERS_PORT));
+        let ready = SocketAddr::from((ip, READY_PORT));
         let settings = RelaySettings {
             node: NodeName::from("node-1"),
             zone: ZoneName::from("a"),
@@ -321,7 +339,7 @@
             ready,
             ready_path: "/ready".to_owned(),
             metrics: None,
-            peer: free_address(),
+            peer: SocketAddr::from((ip, PEER_PORT)),
             seeds: Vec::new(),
             budget: BudgetSettings {
                 ratio: 0.2,
