Placement: failures that all nodes saw lately weigh, most for what may not be repeated

Change: nodes report how requests ended at a back end in the last 4 s; its excess over the pool's share of failures costs up to 4 s for what may not be repeated, 0.8 s for the rest. Two tests, the first seen failing.

--- a/crates/coordination/dispatch/src/demand.rs
+++ b/crates/coordination/dispatch/src/demand.rs
@@ -38,6 +38,8 @@
     pub remaining: Span,
     /// Back ends that have failed it already.
     pub excluded: Vec<InstanceId>,
+    /// Whether it may be sent again after it has reached a back end.
+    pub may_repeat: bool,
     /// Whether an earlier attempt of the same request has reached a back end.
     pub is_repeat: bool,
 }
--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -53,6 +53,8 @@
 const NO_BACK_END_RETRY: Span = Span::from_milliseconds(500);
 /// Time after which a request refused for load is worth sending again.
 const OVERLOAD_RETRY: Span = Span::from_milliseconds(400);
+/// Time for which the outcomes at a back end are told.
+const OUTCOME_LIFETIME: Span = Span::from_milliseconds(4_000);
 /// Requests at a back end, as a multiple of its slots, beyond which none is added.
 const FULLEST: f64 = 1.3;
 
@@ -149,6 +151,7 @@
     back_ends: Registry,
     budgets: HashMap<PoolName, RetryBudget>,
     leases: HashMap<LeaseId, Lease>,
+    ended_lately: HashMap<InstanceId, Timestamp>,
     next_lease: u64,
     placements: Vec<Placement>,
     ticks: u64,
@@ -175,6 +178,7 @@
             back_ends: Registry::default(),
             budgets: HashMap::new(),
             leases: HashMap::new(),
+            ended_lately: HashMap::new(),
             next_lease: 0,
             placements: Vec::new(),
             ticks: 0,
@@ -335,13 +339,8 @@
         let record = self.leases.remove(&lease)?;
         let pool_share = self.pool_failure_share(&record);
         let state = self.back_ends.get_mut(&record.instance)?;
-        state.load.end(lease);
-        if matches!(
-            outcome,
-            Outcome::Completed | Outcome::Failed | Outcome::Shed
-        ) {
-            state.load.heard(now);
-        }
+        state.load.end(lease, outcome, now);
+        self.ended_lately.insert(record.instance.clone(), now);
         let change = state.health.record(outcome, pool_share, now)?;
         Some((record.instance, change))
     }
@@ -405,6 +404,8 @@
     pub fn tick(&mut self, now: Timestamp) -> TickOutput {
         self.ticks += 1;
         let peer_changes = self.peers.tick(now);
+        self.ended_lately
+            .retain(|_, ended| now.since(*ended) < OUTCOME_LIFETIME);
         let mut messages = Vec::new();
         let near = in_turn(&self.peers.near(), NEAR_FANOUT, &mut self.near_turn);
         self.address(&mut messages, &near, false, now);
@@ -486,8 +487,8 @@
     }
 
     fn own_loads(&self, now: Timestamp) -> Vec<LoadReport> {
-        let busy: BTreeSet<&InstanceId> =
-            self.leases.values().map(|lease| &lease.instance).collect();
+        let running = self.leases.values().map(|lease| &lease.instance);
+        let busy: BTreeSet<&InstanceId> = running.chain(self.ended_lately.keys()).collect();
         let states = busy
             .into_iter()
             .filter_map(|instance| self.back_ends.get(instance));
@@ -497,6 +498,8 @@
                 running: saturate(u64::from(state.load.own_running())),
                 sensitive: saturate(u64::from(state.load.own_sensitive())),
                 pending_hundreds: saturate(state.load.own_pending_tokens(now) / 100),
+                completed: saturate(u64::from(state.load.own_outcomes(now).completed)),
+                failed: saturate(u64::from(state.load.own_outcomes(now).failed)),
             })
             .collect()
     }
--- a/crates/coordination/dispatch/src/load.rs
+++ b/crates/coordination/dispatch/src/load.rs
@@ -1,6 +1,6 @@
 //! How loaded a back end is, as this node knows it.
 
-use crate::{LeaseId, LoadReport, PrefixCache};
+use crate::{LeaseId, LoadReport, Outcome, OutcomeCounts, PrefixCache, RecentOutcomes};
 use eiderferry_types::{Span, Timestamp};
 use std::collections::{BTreeMap, HashMap};
 
@@ -30,6 +30,7 @@
     running: u32,
     sensitive: u32,
     pending_tokens: u64,
+    outcomes: OutcomeCounts,
     at: Timestamp,
 }
 
@@ -39,7 +40,7 @@
     running: BTreeMap<LeaseId, Running>,
     reports: HashMap<u64, Report>,
     slowness: f64,
-    last_heard: Option<Timestamp>,
+    outcomes: RecentOutcomes,
     /// Prompts it is believed to keep.
     pub cache: PrefixCache,
 }
@@ -51,7 +52,7 @@
             running: BTreeMap::new(),
             reports: HashMap::new(),
             slowness: 1.0,
-            last_heard: None,
+            outcomes: RecentOutcomes::default(),
             cache: PrefixCache::new(engine_tokens),
         }
     }
@@ -119,6 +120,10 @@
             running: u32::from(report.running),
             sensitive: u32::from(report.sensitive),
             pending_tokens: u64::from(report.pending_hundreds) * 100,
+            outcomes: OutcomeCounts {
+                completed: u32::from(report.completed),
+                failed: u32::from(report.failed),
+            },
             at,
         };
         self.reports.insert(node, report);
@@ -148,7 +153,6 @@
 
     /// The first event of a request came.
     pub(crate) fn first_event(&mut self, lease: LeaseId, now: Timestamp) {
-        self.last_heard = Some(now);
         let Some(running) = self.running.get_mut(&lease) else {
             return;
         };
@@ -169,17 +173,20 @@
         self.slowness += SPEED_SMOOTHING * (ratio - self.slowness);
     }
 
-    /// Any sign of life.
-    pub(crate) fn heard(&mut self, now: Timestamp) {
-        self.last_heard = Some(now);
+    /// What this node has seen end there lately.
+    pub fn own_outcomes(&self, now: Timestamp) -> OutcomeCounts {
+        self.outcomes.counts(now)
     }
 
-    /// When it last gave a sign of life.
-    pub fn last_heard(&self) -> Option<Timestamp> {
-        self.last_heard
+    /// Share of failures among what all nodes have seen end there lately.
+    pub fn failure_share(&self, now: Timestamp) -> f64 {
+        let reports = self.fresh(now).map(|report| report.outcomes);
+        let all = reports.fold(self.own_outcomes(now), OutcomeCounts::plus);
+        all.failure_share()
     }
 
-    pub(crate) fn end(&mut self, lease: LeaseId) {
+    pub(crate) fn end(&mut self, lease: LeaseId, outcome: Outcome, now: Timestamp) {
         self.running.remove(&lease);
+        self.outcomes.record(outcome, now);
     }
 }
--- a/crates/coordination/dispatch/src/message.rs
+++ b/crates/coordination/dispatch/src/message.rs
@@ -16,6 +16,10 @@
     pub sensitive: u16,
     /// Prompt tokens of these that it has still to read, in hundreds.
     pub pending_hundreds: u16,
+    /// Requests of the sender that ended well there in the last seconds.
+    pub completed: u16,
+    /// Those that failed.
+    pub failed: u16,
 }
 
 /// A prompt part that was sent to a back end.
--- a/crates/coordination/dispatch/src/placement.rs
+++ b/crates/coordination/dispatch/src/placement.rs
@@ -21,6 +21,10 @@
 /// What each request that may bring further prompts costs a sensitive stream.
 const PER_NEIGHBOUR: Span = Span::from_milliseconds(10);
 
+/// What a failure costs a request that may be sent again, and one that may not.
+const FAILURE: Span = Span::from_milliseconds(800);
+const FAILURE_FOR_GOOD: Span = Span::from_milliseconds(4_000);
+
 /// How a request and those beside it disturb each other: while an engine reads a long
 /// prompt, the events of all its streams come late.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -72,6 +76,10 @@
     pub slots: u32,
     /// Whether it stands in the node's zone.
     pub is_near: bool,
+    /// By how much its share of failures exceeds that of its pool.
+    pub excess_failures: f64,
+    /// Whether the request may be sent again.
+    pub may_repeat: bool,
 }
 
 impl Candidate {
@@ -88,7 +96,22 @@
         let read_again = u64::from(self.read_again) * READ_AGAIN_PER_TOKEN;
         let copied = u64::from(self.copied) * COPY_PER_TOKEN;
         let interference = self.interference.cost().0;
-        Span(self.first_event.0 + zone + full + batch + read_again + copied + interference)
+        let failure = if self.may_repeat {
+            FAILURE
+        } else {
+            FAILURE_FOR_GOOD
+        };
+        let failures = (self.excess_failures * failure.0 as f64) as u64;
+        Span(
+            self.first_event.0
+                + zone
+                + full
+                + batch
+                + read_again
+                + copied
+                + interference
+                + failures,
+        )
     }
 }
 
--- a/crates/coordination/dispatch/src/planning.rs
+++ b/crates/coordination/dispatch/src/planning.rs
@@ -11,6 +11,8 @@
 
 /// Fewest tokens that are worth copying from another engine.
 const MINIMUM_COPIED_TOKENS: u32 = 1_000;
+/// Difference of two shares of failures that is put down to chance.
+const CHANCE_SHARE: f64 = 0.1;
 /// Back ends compared for one request where the pool has more.
 const MOST_COMPARED: usize = 32;
 /// Of these, those first in the order of preference for the request's prompt.
@@ -56,10 +58,16 @@
         .filter(|_| has_shared)
         .map(|state| &state.back_end.instance);
     let compared = shortlist(&staying, zone, demand, now, random);
-    let keepers = Keepers::among(&staying, home, demand, now);
+    let setting = Setting {
+        home,
+        keepers: Keepers::among(&staying, home, demand, now),
+        usual_failures: mean_failure_share(&staying, now),
+        zone,
+        now,
+    };
     compared
         .into_iter()
-        .map(|state| plan(state, home, &keepers, zone, demand, now))
+        .map(|state| plan(state, demand, &setting))
         .collect()
 }
 
@@ -139,20 +147,28 @@
     }
 }
 
-fn plan(
-    state: &BackEndState,
-    home: Option<&InstanceId>,
-    keepers: &Keepers<'_>,
-    zone: &ZoneName,
-    demand: &Demand,
+/// What all plans for one request share.
+struct Setting<'a> {
+    home: Option<&'a InstanceId>,
+    keepers: Keepers<'a>,
+    usual_failures: f64,
+    zone: &'a ZoneName,
     now: Timestamp,
-) -> Plan {
+}
+
+fn mean_failure_share(staying: &[&BackEndState], now: Timestamp) -> f64 {
+    let shares = staying.iter().map(|state| state.load.failure_share(now));
+    shares.sum::<f64>() / staying.len().max(1) as f64
+}
+
+fn plan(state: &BackEndState, demand: &Demand, setting: &Setting<'_>) -> Plan {
+    let now = setting.now;
     let instance = &state.back_end.instance;
     let kept = state.load.cache.kept_tokens(&demand.parts);
     let missing = demand.shared_tokens().saturating_sub(kept);
-    let copy_from = keepers.source(instance, kept);
+    let copy_from = setting.keepers.source(instance, kept);
     let copied = if copy_from.is_some() { missing } else { 0 };
-    let is_home = home == Some(instance);
+    let is_home = setting.home == Some(instance);
     let read_again = if is_home { 0 } else { missing - copied };
     let uncached = demand.prompt_tokens.saturating_sub(kept + copied);
     let pending = state.load.total_pending_tokens(now);
@@ -167,11 +183,19 @@
             interference: interference(state, demand, uncached, pending, now),
             running: state.load.total_running(now),
             slots: state.back_end.slots,
-            is_near: state.back_end.zone == *zone,
+            is_near: state.back_end.zone == *setting.zone,
+            excess_failures: excess_failures(state, setting),
+            may_repeat: demand.may_repeat,
         },
     }
 }
 
+/// By how much a back end fails more than its pool does, beyond chance.
+fn excess_failures(state: &BackEndState, setting: &Setting<'_>) -> f64 {
+    let share = state.load.failure_share(setting.now);
+    (share - setting.usual_failures - CHANCE_SHARE).max(0.0)
+}
+
 fn interference(
     state: &BackEndState,
     demand: &Demand,
--- a/crates/coordination/dispatch/tests/placement.rs
+++ b/crates/coordination/dispatch/tests/placement.rs
@@ -224,3 +224,46 @@
         assert_eq!(second.instance, first.instance, "thing {thing}");
     }
 }
+
+/// A node that has seen requests fail at the home engine of thing 1, and others end
+/// well at both.
+fn witness_of_failures(count: u64) -> (eiderferry_dispatch::Gossip, InstanceId) {
+    let mut peer = with_engines(2);
+    let home = granted(peer.ask(&demand(1, 1_000, 100), START));
+    peer.end(home.lease, Outcome::Broken, START);
+    for _ in 1..count {
+        let grant = granted(peer.ask(&demand(1, 1_000, 100), START));
+        let outcome = if grant.instance == home.instance {
+            Outcome::Broken
+        } else {
+            Outcome::Completed
+        };
+        peer.end(grant.lease, outcome, START);
+    }
+    let mut message = peer.gossip(false, START);
+    message.placements.clear();
+    (message, home.instance)
+}
+
+#[test]
+fn what_may_not_be_repeated_avoids_a_back_end_that_fails_others_requests() {
+    let mut subject = with_engines(2);
+    let (message, failing) = witness_of_failures(3);
+    subject.receive(support::node_address(5), &message, START);
+    let mut unrepeatable = demand(1, 1_000, 100);
+    unrepeatable.may_repeat = false;
+    let grant = granted(subject.ask(&unrepeatable, START));
+    assert_ne!(grant.instance, failing);
+}
+
+#[test]
+fn failures_that_peers_saw_are_forgotten_after_a_while() {
+    let mut subject = with_engines(2);
+    let (message, failing) = witness_of_failures(3);
+    subject.receive(support::node_address(5), &message, START);
+    let later = START + Span::from_milliseconds(10_000);
+    let mut unrepeatable = demand(1, 1_000, 100);
+    unrepeatable.may_repeat = false;
+    let grant = granted(subject.ask(&unrepeatable, later));
+    assert_eq!(grant.instance, failing);
+}
--- a/crates/coordination/dispatch/tests/support/mod.rs
+++ b/crates/coordination/dispatch/tests/support/mod.rs
@@ -128,6 +128,7 @@
         pause_target: None,
         remaining: Span::from_milliseconds(12_000),
         excluded: Vec::new(),
+        may_repeat: true,
         is_repeat: false,
     }
 }
--- a/crates/transport/relay/src/exchange.rs
+++ b/crates/transport/relay/src/exchange.rs
@@ -314,6 +314,7 @@
             pause_target: self.head.route.pause_target,
             remaining: now.until(self.deadline),
             excluded: self.excluded.clone(),
+            may_repeat: self.head.route.may_repeat(),
             is_repeat: self.attempts > 0,
         };
         let is_first = self.attempts == 0 && self.unreachable == 0;
