Placement: a zone with two unreachable back ends is suspect; failures against the sound

Change: two unreachable back ends of another zone within 3 s eject the rest of it for a while; failures are compared with the sounder quarter of the pool.

--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -53,6 +53,10 @@
 const NO_BACK_END_RETRY: Span = Span::from_milliseconds(500);
 /// Time after which a request refused for load is worth sending again.
 const OVERLOAD_RETRY: Span = Span::from_milliseconds(400);
+/// Back ends of one zone that can't be reached, within a window, which show that the
+/// way to the zone is cut.
+const UNREACHABLE_FOR_CUT: usize = 2;
+const CUT_WINDOW: Span = Span::from_milliseconds(3_000);
 /// Time for which the outcomes at a back end are told.
 const OUTCOME_LIFETIME: Span = Span::from_milliseconds(4_000);
 /// Requests at a back end, as a multiple of its slots, beyond which none is added.
@@ -152,6 +156,7 @@
     budgets: HashMap<PoolName, RetryBudget>,
     leases: HashMap<LeaseId, Lease>,
     ended_lately: HashMap<InstanceId, Timestamp>,
+    unreachable: HashMap<ZoneName, HashMap<InstanceId, Timestamp>>,
     next_lease: u64,
     placements: Vec<Placement>,
     ticks: u64,
@@ -179,6 +184,7 @@
             budgets: HashMap::new(),
             leases: HashMap::new(),
             ended_lately: HashMap::new(),
+            unreachable: HashMap::new(),
             next_lease: 0,
             placements: Vec::new(),
             ticks: 0,
@@ -329,20 +335,54 @@
         self.back_ends.get_mut(&lease.instance)
     }
 
-    /// A place is given back. Returns the back end if its standing changed.
+    /// A place is given back. Returns the back ends whose standing changed.
     pub fn end(
         &mut self,
         lease: LeaseId,
         outcome: Outcome,
         now: Timestamp,
-    ) -> Option<(InstanceId, HealthChange)> {
-        let record = self.leases.remove(&lease)?;
+    ) -> Vec<(InstanceId, HealthChange)> {
+        let Some(record) = self.leases.remove(&lease) else {
+            return Vec::new();
+        };
         let pool_share = self.pool_failure_share(&record);
-        let state = self.back_ends.get_mut(&record.instance)?;
-        state.load.end(lease, outcome, now);
         self.ended_lately.insert(record.instance.clone(), now);
-        let change = state.health.record(outcome, pool_share, now)?;
-        Some((record.instance, change))
+        let Some(state) = self.back_ends.get_mut(&record.instance) else {
+            return Vec::new();
+        };
+        state.load.end(lease, outcome, now);
+        let change = state.health.record(outcome, pool_share, now);
+        let own = change.map(|change| (record.instance.clone(), change));
+        let zone = state.back_end.zone.clone();
+        let mut changes: Vec<(InstanceId, HealthChange)> = own.into_iter().collect();
+        if outcome == Outcome::Unreachable && zone != self.settings.zone {
+            changes.extend(self.note_unreachable(zone, record.instance, now));
+        }
+        changes
+    }
+
+    /// Several back ends of another zone that can't be reached show that the way
+    /// there is cut: the rest of them gets no work for a while either.
+    fn note_unreachable(
+        &mut self,
+        zone: ZoneName,
+        instance: InstanceId,
+        now: Timestamp,
+    ) -> Vec<(InstanceId, HealthChange)> {
+        let lately = self.unreachable.entry(zone.clone()).or_default();
+        lately.retain(|_, at| now.since(*at) < CUT_WINDOW);
+        lately.insert(instance, now);
+        if lately.len() < UNREACHABLE_FOR_CUT {
+            return Vec::new();
+        }
+        let states = self.back_ends.all_mut();
+        let there = states.filter(|state| state.back_end.zone == zone);
+        there
+            .filter_map(|state| {
+                let change = state.health.suspect(now)?;
+                Some((state.back_end.instance.clone(), change))
+            })
+            .collect()
     }
 
     fn pool_failure_share(&self, lease: &Lease) -> f64 {
--- a/crates/coordination/dispatch/src/planning.rs
+++ b/crates/coordination/dispatch/src/planning.rs
@@ -12,7 +12,7 @@
 /// Fewest tokens that are worth copying from another engine.
 const MINIMUM_COPIED_TOKENS: u32 = 1_000;
 /// Difference of two shares of failures that is put down to chance.
-const CHANCE_SHARE: f64 = 0.1;
+const CHANCE_SHARE: f64 = 0.07;
 /// Back ends compared for one request where the pool has more.
 const MOST_COMPARED: usize = 32;
 /// Of these, those first in the order of preference for the request's prompt.
@@ -61,7 +61,7 @@
     let setting = Setting {
         home,
         keepers: Keepers::among(&staying, home, demand, now),
-        usual_failures: mean_failure_share(&staying, now),
+        usual_failures: usual_failure_share(&staying, now),
         zone,
         now,
     };
@@ -156,9 +156,16 @@
     now: Timestamp,
 }
 
-fn mean_failure_share(staying: &[&BackEndState], now: Timestamp) -> f64 {
+/// Share of failures of the sounder quarter of a pool: where many fail, the rest shows
+/// what is usual.
+fn usual_failure_share(staying: &[&BackEndState], now: Timestamp) -> f64 {
     let shares = staying.iter().map(|state| state.load.failure_share(now));
-    shares.sum::<f64>() / staying.len().max(1) as f64
+    let mut shares: Vec<f64> = shares.collect();
+    if shares.is_empty() {
+        return 0.0;
+    }
+    let quarter = shares.len() / 4;
+    *shares.select_nth_unstable_by(quarter, f64::total_cmp).1
 }
 
 fn plan(state: &BackEndState, demand: &Demand, setting: &Setting<'_>) -> Plan {
@@ -190,7 +197,7 @@
     }
 }
 
-/// By how much a back end fails more than its pool does, beyond chance.
+/// By how much a back end fails more than the sound ones of its pool, beyond chance.
 fn excess_failures(state: &BackEndState, setting: &Setting<'_>) -> f64 {
     let share = state.load.failure_share(setting.now);
     (share - setting.usual_failures - CHANCE_SHARE).max(0.0)
--- a/crates/coordination/dispatch/src/registry.rs
+++ b/crates/coordination/dispatch/src/registry.rs
@@ -66,6 +66,10 @@
         self.states.values()
     }
 
+    pub fn all_mut(&mut self) -> impl Iterator<Item = &mut BackEndState> {
+        self.states.values_mut()
+    }
+
     /// Adds or changes a back end that was listed at a revision.
     pub fn list(&mut self, back_end: BackEnd, revision: u64, table: Option<&RoutingTable>) {
         let instance = back_end.instance.clone();
--- a/crates/coordination/dispatch/tests/placement.rs
+++ b/crates/coordination/dispatch/tests/placement.rs
@@ -84,7 +84,7 @@
     let grant = granted(subject.ask(&demand(1, 1_000, 100), START));
     let gone = grant.instance.clone();
     let change = subject.end(grant.lease, Outcome::Replaced, START);
-    assert!(matches!(change, Some((_, HealthChange::Ejected(_)))));
+    assert!(matches!(change[..], [(_, HealthChange::Ejected(_))]));
     for minute in 0..20 {
         let now = START + Span::from_milliseconds(minute * 60_000);
         for thing in 0..10 {
@@ -267,3 +267,58 @@
     let grant = granted(subject.ask(&unrepeatable, later));
     assert_eq!(grant.instance, failing);
 }
+
+#[test]
+fn two_unreachable_back_ends_make_their_whole_zone_suspect() {
+    let mut subject = support::dispatcher(0, 0, Vec::new());
+    subject.apply(table_change(1));
+    for number in 0..9 {
+        let name = format!("engine-{number}");
+        subject.apply(back_end_change(back_end(&name, number, number % 3), 2));
+    }
+    let mut lost = BTreeSet::new();
+    let mut thing = 0;
+    while lost.len() < 2 {
+        thing += 1;
+        let grant = granted(subject.ask(&demand(thing, 5_000, 400), START));
+        let number: usize = grant.instance.as_str()["engine-".len()..]
+            .parse()
+            .expect("a number");
+        let outcome = if number % 3 == 1 {
+            lost.insert(grant.instance.clone());
+            Outcome::Unreachable
+        } else {
+            Outcome::Completed
+        };
+        subject.first_event(grant.lease, START);
+        subject.end(grant.lease, outcome, START);
+    }
+    for thing in 0..60 {
+        let grant = granted(subject.ask(&demand(thing, 5_000, 400), START));
+        let number: usize = grant.instance.as_str()["engine-".len()..]
+            .parse()
+            .expect("a number");
+        assert_ne!(number % 3, 1, "thing {thing} was sent into the lost zone");
+        subject.end(grant.lease, Outcome::Completed, START);
+    }
+}
+
+#[test]
+fn unreachable_back_ends_of_the_own_zone_make_nobody_else_suspect() {
+    let mut subject = with_engines(6);
+    let mut lost = BTreeSet::new();
+    for thing in 0..40 {
+        let grant = granted(subject.ask(&demand(thing, 5_000, 400), START));
+        let is_lost = lost.len() < 2 || lost.contains(&grant.instance);
+        if is_lost {
+            lost.insert(grant.instance.clone());
+        }
+        let outcome = if is_lost {
+            Outcome::Unreachable
+        } else {
+            Outcome::Completed
+        };
+        subject.end(grant.lease, outcome, START);
+    }
+    assert_eq!(lost.len(), 2);
+}
--- a/crates/transport/relay/src/control.rs
+++ b/crates/transport/relay/src/control.rs
@@ -131,7 +131,7 @@
             }
             Command::FirstEvent(lease) => dispatcher.first_event(lease, now),
             Command::End(lease, outcome) => {
-                if let Some((instance, change)) = dispatcher.end(lease, outcome, now) {
+                for (instance, change) in dispatcher.end(lease, outcome, now) {
                     events::back_end_standing(&instance, change, outcome);
                 }
             }
