Relay and dispatch: large files split by job

Change: what a dispatcher tells others lies in dispatcher/messages.rs, what goes to back ends and comes back in forwarding.rs; no behaviour changed.

--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -1,48 +1,29 @@
 //! The state machine of a relay's decisions.
 
+mod messages;
+
+pub(crate) use messages::{FAR_FANOUT, FAR_TICKS, NEAR_FANOUT};
+
 use crate::health::HealthChange;
 use crate::planning::{Plan, plans};
 use crate::registry::{BackEndState, Registry};
 use crate::{
     Applied, BudgetSettings, Candidate, Change, Content, Decision, Demand, DocumentKey, Gossip,
-    Grant, Knowledge, LeaseId, LoadReport, News, Outcome, PeerChange, Peers, Placement, PromptPart,
-    RetryBudget, choose,
+    Grant, Knowledge, LeaseId, Outcome, PeerChange, Peers, Placement, PromptPart, RetryBudget,
+    choose,
 };
 use eiderferry_routing::{InstanceId, NodeName, PoolName, ZoneName};
 use eiderferry_types::{Reason, Span, Timestamp};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Time between two ticks.
 pub const TICK: Span = Span::from_milliseconds(100);
-/// Ticks between two messages to other zones, whose bytes are dear.
-pub(crate) const FAR_TICKS: u64 = 4;
-/// Ticks between two attempts to reach nodes not known to be there.
-const DOUBTFUL_TICKS: u64 = 10;
-/// Ticks between two messages that name other nodes unasked.
-const MEMBER_TICKS: u64 = 20;
-/// Ticks after a start during which these attempts are made more often.
-const STARTING_TICKS: u64 = 50;
-/// The same, while starting or while nodes are known by hearsay only.
-const SEARCHING_TICKS: u64 = 2;
-/// Peers of the own zone told at each tick.
-pub(crate) const NEAR_FANOUT: usize = 12;
-/// Peers of other zones told at a time.
-pub(crate) const FAR_FANOUT: usize = 8;
-/// Doubtful addresses tried at a time.
-const DOUBTFUL_FANOUT: usize = 2;
-/// The same while nodes are known by hearsay only.
-const SEARCHING_FANOUT: usize = 6;
 /// Placements named in one message.
 const PLACEMENTS_PER_MESSAGE: usize = 40;
-/// Peers told by a node that was told itself.
-const FORWARD_NEAR_FANOUT: usize = 3;
-const FORWARD_FAR_FANOUT: usize = 1;
-/// Most changes that one message carries.
-const MOST_NEWS: usize = 6;
 /// Part of a back end's connections that all nodes together use.
 const CONNECTION_PART: f64 = 0.8;
 /// Connections that a node may always hold.
@@ -440,142 +421,6 @@
         taken
     }
 
-    /// Messages and changes that are due; to be called every [`TICK`].
-    pub fn tick(&mut self, now: Timestamp) -> TickOutput {
-        self.ticks += 1;
-        let peer_changes = self.peers.tick(now);
-        self.ended_lately
-            .retain(|_, ended| now.since(*ended) < OUTCOME_LIFETIME);
-        let mut messages = Vec::new();
-        let near = in_turn(&self.peers.near(), NEAR_FANOUT, &mut self.near_turn);
-        self.address(&mut messages, &near, false, now);
-        if self.ticks.is_multiple_of(FAR_TICKS) {
-            let far = in_turn(&self.peers.far(), FAR_FANOUT, &mut self.far_turn);
-            self.address(&mut messages, &far, false, now);
-            self.placements.clear();
-        }
-        let (period, fanout) = self.search_pace();
-        if self.ticks % period == 1 {
-            let doubtful = self.peers.doubtful(fanout, &mut self.random);
-            self.address(&mut messages, &doubtful, true, now);
-        }
-        TickOutput {
-            messages,
-            peer_changes,
-        }
-    }
-
-    /// Ticks between two attempts to reach doubtful nodes, and how many are tried.
-    fn search_pace(&self) -> (u64, usize) {
-        if self.peers.hearsay_count() > 0 {
-            return (SEARCHING_TICKS, SEARCHING_FANOUT);
-        }
-        if self.ticks < STARTING_TICKS {
-            return (SEARCHING_TICKS, DOUBTFUL_FANOUT);
-        }
-        (DOUBTFUL_TICKS, DOUBTFUL_FANOUT)
-    }
-
-    fn address(
-        &mut self,
-        messages: &mut Vec<(SocketAddr, Gossip)>,
-        peers: &[SocketAddr],
-        wants_answer: bool,
-        now: Timestamp,
-    ) {
-        if peers.is_empty() {
-            return;
-        }
-        let message = self.gossip(wants_answer, now);
-        messages.extend(peers.iter().map(|peer| (*peer, message.clone())));
-    }
-
-    /// The answer to a node that wants one: it names others.
-    pub fn answer(&mut self, now: Timestamp) -> Gossip {
-        let mut answer = self.gossip(false, now);
-        answer.members = self.peers.sample(now, &mut self.random);
-        answer
-    }
-
-    /// The message that tells how this node stands.
-    pub fn gossip(&mut self, wants_answer: bool, now: Timestamp) -> Gossip {
-        let count = self.placements.len().min(PLACEMENTS_PER_MESSAGE);
-        let placements = self.placements[..count].to_vec();
-        let names_members = wants_answer || self.ticks.is_multiple_of(MEMBER_TICKS);
-        let members = if names_members {
-            self.peers.sample(now, &mut self.random)
-        } else {
-            Vec::new()
-        };
-        Gossip {
-            from: self.settings.node.clone(),
-            incarnation: self.settings.incarnation,
-            zone: self.settings.zone.clone(),
-            is_stopping: self.is_stopping,
-            wants_answer,
-            complete_to: self.knowledge.complete_to(),
-            table_revision: self.knowledge.table_revision(),
-            confirmed_ms: self
-                .knowledge
-                .confirmed_age(now)
-                .map(|age| age.milliseconds() as u32),
-            loads: self.own_loads(now),
-            placements,
-            members,
-            news: None,
-        }
-    }
-
-    fn own_loads(&self, now: Timestamp) -> Vec<LoadReport> {
-        let running = self.leases.values().map(|lease| &lease.instance);
-        let busy: BTreeSet<&InstanceId> = running.chain(self.ended_lately.keys()).collect();
-        let states = busy
-            .into_iter()
-            .filter_map(|instance| self.back_ends.get(instance));
-        states
-            .map(|state| LoadReport {
-                back_end: state.digest,
-                running: saturate(u64::from(state.load.own_running())),
-                sensitive: saturate(u64::from(state.load.own_sensitive())),
-                pending_hundreds: saturate(state.load.own_pending_tokens(now) / 100),
-                completed: saturate(u64::from(state.load.own_outcomes(now).completed)),
-                failed: saturate(u64::from(state.load.own_outcomes(now).failed)),
-            })
-            .collect()
-    }
-
-    /// Messages that tell the peers at once of newer documents, which the platform or
-    /// a peer has told this node.
-    pub fn announce(&mut self, is_first_hand: bool, now: Timestamp) -> Vec<(SocketAddr, Gossip)> {
-        let (near, far) = if is_first_hand {
-            (NEAR_FANOUT, FAR_FANOUT)
-        } else {
-            (FORWARD_NEAR_FANOUT, FORWARD_FAR_FANOUT)
-        };
-        let mut peers = in_turn(&self.peers.near(), near, &mut self.near_turn);
-        peers.extend(in_turn(&self.peers.far(), far, &mut self.far_turn));
-        let mut message = self.gossip(false, now);
-        message.placements.clear();
-        message.news = self.news();
-        self.announced_to = self.knowledge.complete_to();
-        peers
-            .into_iter()
-            .map(|peer| (peer, message.clone()))
-            .collect()
-    }
-
-    /// The changes since the last announcement, if they fit a message.
-    fn news(&self) -> Option<News> {
-        let changes = self.knowledge.changes_after(self.announced_to);
-        let has_table = changes
-            .iter()
-            .any(|change| change.key == DocumentKey::Table);
-        (changes.len() <= MOST_NEWS && !has_table).then_some(News {
-            after: self.announced_to,
-            changes,
-        })
-    }
-
     /// Whether this node reads the platform for its zone. One node of a zone does;
     /// the others do so only when they hear nothing fresh from it.
     pub fn reading_duty(&self, now: Timestamp) -> ReadingDuty {
@@ -614,20 +459,6 @@
     }
 }
 
-/// The next peers in turn, so that each is told at a steady pace.
-fn in_turn(peers: &[SocketAddr], most: usize, turn: &mut usize) -> Vec<SocketAddr> {
-    let count = most.min(peers.len());
-    let start = *turn;
-    *turn = turn.wrapping_add(count);
-    (0..count)
-        .map(|offset| peers[start.wrapping_add(offset) % peers.len()])
-        .collect()
-}
-
-fn saturate(value: u64) -> u16 {
-    u16::try_from(value).unwrap_or(u16::MAX)
-}
-
 fn note_placements(placements: &mut Vec<Placement>, back_end: u32, parts: &[PromptPart]) {
     for part in parts.iter().rev() {
         if placements.len() >= PLACEMENTS_PER_MESSAGE {
--- a/crates/transport/relay/src/exchange.rs
+++ b/crates/transport/relay/src/exchange.rs
@@ -3,6 +3,10 @@
 use crate::answer::RelayBody;
 use crate::clock::{Clock, duration};
 use crate::control::{ControlHandle, SharedTable};
+use crate::forwarding::{
+    ForwardedRequest, Told, answer, forwarded_headers, is_event_stream, path_and_query,
+    read_answer, read_body, request_id,
+};
 use crate::lease::Lease;
 use crate::own_answer::OwnAnswer;
 use crate::progress::Progress;
@@ -11,42 +15,21 @@
 use crate::upstream::{Connection, SendError, Upstream};
 use crate::vocabulary::Vocabulary;
 use crate::{events, metrics};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use eiderferry_dispatch::{Decision, Demand, Outcome};
 use eiderferry_routing::{InstanceId, PoolName, RouteKind};
 use eiderferry_types::{Reason, Span, Timestamp};
 use futures_lite::FutureExt;
-use http::header::{self, HeaderName, HeaderValue};
-use http::request::Parts;
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use http_body::Body;
-use http_body_util::{BodyExt, Full};
+use http::{Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use std::rc::Rc;
 
-/// Headers that belong to one connection.
-const CONNECTION_HEADERS: [HeaderName; 8] = [
-    header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    header::PROXY_AUTHENTICATE,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    header::EXPECT,
-];
-/// Answers up to this size are read whole before they are passed on.
-const WHOLE_ANSWER_BYTES: usize = 256 * 1024;
 /// Time after which a request without a configuration is worth sending again.
 const NOT_READY_RETRY: Span = Span::from_milliseconds(300);
 /// Back ends tried without a connection coming up.
 const MAXIMUM_UNREACHABLE: u32 = 3;
 /// Attempt's time for an answer that may be asked for again, in targets.
 const ATTEMPT_TARGETS: u64 = 2;
-const EVENT_STREAM: &[u8] = b"text/event-stream";
-/// Least urgent rank that back ends know.
-const LOWEST_RANK: u8 = 9;
-
 /// What all requests of a traffic thread share.
 pub(crate) struct Traffic {
     pub upstream: Upstream,
@@ -71,10 +54,7 @@
     pub traffic: Rc<Traffic>,
     pub head: RequestHead,
     pool: PoolName,
-    method: Method,
-    uri: Uri,
-    headers: HeaderMap,
-    body: Bytes,
+    request: ForwardedRequest,
     pub started: Timestamp,
     pub deadline: Timestamp,
     pub attempts: u32,
@@ -131,10 +111,12 @@
         traffic,
         head,
         pool,
-        method: parts.method,
-        uri: path_and_query(parts.uri),
-        headers,
-        body,
+        request: ForwardedRequest {
+            method: parts.method,
+            uri: path_and_query(parts.uri),
+            headers,
+            body,
+        },
         started,
         deadline,
         attempts: 0,
@@ -147,66 +129,6 @@
     })
 }
 
-fn request_id(parts: &Parts, vocabulary: &Vocabulary) -> String {
-    let value = parts.headers.get(&vocabulary.request_id);
-    let text = value.and_then(|value| value.to_str().ok());
-    text.unwrap_or_default().to_owned()
-}
-
-fn path_and_query(uri: Uri) -> Uri {
-    uri.into_parts()
-        .path_and_query
-        .map_or_else(Uri::default, Uri::from)
-}
-
-async fn read_body(mut body: Incoming, limit: u64) -> Result<Bytes, OwnAnswer> {
-    if body.size_hint().lower() > limit {
-        return Err(OwnAnswer::BodyTooLarge);
-    }
-    let mut collected = BytesMut::with_capacity(body.size_hint().lower() as usize);
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| OwnAnswer::BodyBroken)?;
-        if let Ok(data) = frame.into_data() {
-            collected.extend_from_slice(&data);
-        }
-        if collected.len() as u64 > limit {
-            return Err(OwnAnswer::BodyTooLarge);
-        }
-    }
-    Ok(collected.freeze())
-}
-
-fn forwarded_headers(headers: &HeaderMap, vocabulary: &Vocabulary) -> HeaderMap {
-    let own = [
-        &header::AUTHORIZATION,
-        &header::CONTENT_LENGTH,
-        &vocabulary.tenant,
-        &vocabulary.remaining_ms,
-        &vocabulary.expected_instance,
-        &vocabulary.rank,
-        &vocabulary.copy_from,
-    ];
-    let mut forwarded = without_connection_headers(headers);
-    for name in own {
-        forwarded.remove(name);
-    }
-    forwarded
-}
-
-/// A copy without what belongs to the connection.
-pub(crate) fn without_connection_headers(headers: &HeaderMap) -> HeaderMap {
-    let mut copy = headers.clone();
-    let listed = headers.get_all(header::CONNECTION).iter();
-    let listed = listed.filter_map(|value| value.to_str().ok());
-    for name in listed.flat_map(|value| value.split(',')) {
-        copy.remove(name.trim());
-    }
-    for name in &CONNECTION_HEADERS {
-        copy.remove(name);
-    }
-    copy
-}
-
 impl Exchange {
     async fn run(mut self) -> Response<RelayBody> {
         let mut fallback = None;
@@ -350,7 +272,14 @@
         lease: &Lease,
         last_event_id: Option<u64>,
     ) -> Result<(Response<Incoming>, Connection), Outcome> {
-        let request = self.request(lease, last_event_id);
+        let told = Told {
+            grant: &lease.grant,
+            left: self.traffic.clock.now().until(self.deadline),
+            rank: self.head.rank,
+            tenant: self.head.tenant.as_deref(),
+            last_event_id,
+        };
+        let request = self.request.attempt(&self.traffic.vocabulary, &told);
         self.progress.note_sent();
         let may_repeat = self.head.route.may_repeat();
         let limit = self.head_deadline(lease);
@@ -430,40 +359,6 @@
         left.min(patience)
     }
 
-    fn request(&self, lease: &Lease, last_event_id: Option<u64>) -> Request<Full<Bytes>> {
-        let vocabulary = &self.traffic.vocabulary;
-        let mut headers = self.headers.clone();
-        let left = self.traffic.clock.now().until(self.deadline);
-        let mut set = |name: &HeaderName, value: &str| {
-            if let Ok(value) = HeaderValue::from_str(value) {
-                headers.insert(name.clone(), value);
-            }
-        };
-        set(
-            &vocabulary.remaining_ms,
-            &left.milliseconds().max(1).to_string(),
-        );
-        set(&vocabulary.expected_instance, lease.grant.instance.as_str());
-        set(
-            &vocabulary.rank,
-            &self.head.rank.min(LOWEST_RANK).to_string(),
-        );
-        if let Some(tenant) = &self.head.tenant {
-            set(&vocabulary.tenant, tenant);
-        }
-        if let Some(address) = lease.grant.copy_from {
-            set(&vocabulary.copy_from, &address.to_string());
-        }
-        if let Some(id) = last_event_id {
-            set(&vocabulary.last_event_id, &id.to_string());
-        }
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
-        *request.headers_mut() = headers;
-        request
-    }
-
     /// One attempt at a back end. The exchange comes back unless a stream holds it.
     async fn attempt(mut self, lease: Lease) -> (Option<Self>, AttemptEnd) {
         match self.send(&lease, None).await {
@@ -537,31 +432,3 @@
         self.end("caller_left");
     }
 }
-
-fn is_event_stream(response: &Response<Incoming>) -> bool {
-    let kind = response.headers().get(header::CONTENT_TYPE);
-    kind.is_some_and(|kind| kind.as_bytes().starts_with(EVENT_STREAM))
-}
-
-/// An answer with a back end's head.
-pub(crate) fn answer(parts: &http::response::Parts, body: RelayBody) -> Response<RelayBody> {
-    let mut response = Response::new(body);
-    *response.status_mut() = parts.status;
-    *response.headers_mut() = without_connection_headers(&parts.headers);
-    response.headers_mut().remove(header::CONTENT_LENGTH);
-    response
-}
-
-async fn read_answer(mut body: Incoming) -> Result<Bytes, Outcome> {
-    let mut collected = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| Outcome::Broken)?;
-        if let Ok(data) = frame.into_data() {
-            collected.extend_from_slice(&data);
-        }
-        if collected.len() > WHOLE_ANSWER_BYTES * 16 {
-            return Err(Outcome::Broken);
-        }
-    }
-    Ok(collected.freeze())
-}
--- /dev/null
+++ b/crates/transport/relay/src/forwarding.rs
@@ -0,0 +1,176 @@
+//! What goes on to a back end, and what comes back, stripped of what belongs to one
+//! connection.
+
+use crate::answer::RelayBody;
+use crate::own_answer::OwnAnswer;
+use crate::vocabulary::Vocabulary;
+use bytes::{Bytes, BytesMut};
+use eiderferry_dispatch::{Grant, Outcome};
+use eiderferry_types::Span;
+use http::header::{self, HeaderName, HeaderValue};
+use http::request::Parts;
+use http::{HeaderMap, Method, Request, Response, Uri};
+use http_body::Body;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+
+/// Headers that belong to one connection.
+const CONNECTION_HEADERS: [HeaderName; 8] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::EXPECT,
+];
+/// Longest answer that is no stream; a longer one counts as broken.
+const MAXIMUM_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+/// Least urgent rank that back ends know.
+const LOWEST_RANK: u8 = 9;
+
+/// A caller's request as every attempt passes it on.
+pub(crate) struct ForwardedRequest {
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// What one attempt tells its back end besides.
+pub(crate) struct Told<'a> {
+    pub grant: &'a Grant,
+    pub left: Span,
+    pub rank: u8,
+    pub tenant: Option<&'a str>,
+    pub last_event_id: Option<u64>,
+}
+
+impl ForwardedRequest {
+    /// The request for one attempt.
+    pub fn attempt(&self, vocabulary: &Vocabulary, told: &Told<'_>) -> Request<Full<Bytes>> {
+        let mut headers = self.headers.clone();
+        let mut set = |name: &HeaderName, value: &str| {
+            if let Ok(value) = HeaderValue::from_str(value) {
+                headers.insert(name.clone(), value);
+            }
+        };
+        set(
+            &vocabulary.remaining_ms,
+            &told.left.milliseconds().max(1).to_string(),
+        );
+        set(&vocabulary.expected_instance, told.grant.instance.as_str());
+        set(&vocabulary.rank, &told.rank.min(LOWEST_RANK).to_string());
+        if let Some(tenant) = told.tenant {
+            set(&vocabulary.tenant, tenant);
+        }
+        if let Some(address) = told.grant.copy_from {
+            set(&vocabulary.copy_from, &address.to_string());
+        }
+        if let Some(id) = told.last_event_id {
+            set(&vocabulary.last_event_id, &id.to_string());
+        }
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = headers;
+        request
+    }
+}
+
+/// The request's identity, or nothing.
+pub(crate) fn request_id(parts: &Parts, vocabulary: &Vocabulary) -> String {
+    let value = parts.headers.get(&vocabulary.request_id);
+    let text = value.and_then(|value| value.to_str().ok());
+    text.unwrap_or_default().to_owned()
+}
+
+/// The part of an address that back ends see.
+pub(crate) fn path_and_query(uri: Uri) -> Uri {
+    uri.into_parts()
+        .path_and_query
+        .map_or_else(Uri::default, Uri::from)
+}
+
+/// The whole body of a request, if it is no longer than allowed.
+pub(crate) async fn read_body(mut body: Incoming, limit: u64) -> Result<Bytes, OwnAnswer> {
+    if body.size_hint().lower() > limit {
+        return Err(OwnAnswer::BodyTooLarge);
+    }
+    let mut collected = BytesMut::with_capacity(body.size_hint().lower() as usize);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| OwnAnswer::BodyBroken)?;
+        if let Ok(data) = frame.into_data() {
+            collected.extend_from_slice(&data);
+        }
+        if collected.len() as u64 > limit {
+            return Err(OwnAnswer::BodyTooLarge);
+        }
+    }
+    Ok(collected.freeze())
+}
+
+/// Headers passed on to back ends: without those that belong to the connection, and
+/// without those that this node sets itself.
+pub(crate) fn forwarded_headers(headers: &HeaderMap, vocabulary: &Vocabulary) -> HeaderMap {
+    let own = [
+        &header::AUTHORIZATION,
+        &header::CONTENT_LENGTH,
+        &vocabulary.tenant,
+        &vocabulary.remaining_ms,
+        &vocabulary.expected_instance,
+        &vocabulary.rank,
+        &vocabulary.copy_from,
+    ];
+    let mut forwarded = without_connection_headers(headers);
+    for name in own {
+        forwarded.remove(name);
+    }
+    forwarded
+}
+
+/// A copy without what belongs to the connection.
+fn without_connection_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut copy = headers.clone();
+    let listed = headers.get_all(header::CONNECTION).iter();
+    let listed = listed.filter_map(|value| value.to_str().ok());
+    for name in listed.flat_map(|value| value.split(',')) {
+        copy.remove(name.trim());
+    }
+    for name in &CONNECTION_HEADERS {
+        copy.remove(name);
+    }
+    copy
+}
+
+/// Whether an answer is a stream of events.
+pub(crate) fn is_event_stream(response: &Response<Incoming>) -> bool {
+    let kind = response.headers().get(header::CONTENT_TYPE);
+    kind.is_some_and(|kind| kind.as_bytes().starts_with(EVENT_STREAM))
+}
+
+/// An answer with a back end's head.
+pub(crate) fn answer(parts: &http::response::Parts, body: RelayBody) -> Response<RelayBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = without_connection_headers(&parts.headers);
+    response.headers_mut().remove(header::CONTENT_LENGTH);
+    response
+}
+
+/// The whole body of an answer.
+pub(crate) async fn read_answer(mut body: Incoming) -> Result<Bytes, Outcome> {
+    let mut collected = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Outcome::Broken)?;
+        if let Ok(data) = frame.into_data() {
+            collected.extend_from_slice(&data);
+        }
+        if collected.len() > MAXIMUM_ANSWER_BYTES {
+            return Err(Outcome::Broken);
+        }
+    }
+    Ok(collected.freeze())
+}
--- a/crates/transport/relay/src/lib.rs
+++ b/crates/transport/relay/src/lib.rs
@@ -14,6 +14,7 @@
 mod event_stream;
 mod events;
 mod exchange;
+mod forwarding;
 mod gossip;
 mod lease;
 mod logging;
--- a/crates/transport/relay/src/stream.rs
+++ b/crates/transport/relay/src/stream.rs
@@ -3,7 +3,8 @@
 use crate::answer::{BrokenAnswer, RelayBody};
 use crate::clock::duration;
 use crate::event_stream::EventSplitter;
-use crate::exchange::{AttemptEnd, Exchange, answer};
+use crate::exchange::{AttemptEnd, Exchange};
+use crate::forwarding::answer;
 use crate::lease::Lease;
 use crate::upstream::Connection;
 use crate::{events, metrics};
