--- a/crates/transport/relay/src/stream.rs
+++ b/crates/transport/relay/src/stream.rs
@@ -122,6 +122,7 @@
                     return Some((Err(BrokenAnswer::TimedOut), self));
                 }
                 Piece::Broken(outcome) => {
+                    self.note_break(outcome);
                     self.finish_source(outcome);
                     if !self.resume().await {
                         self.exchange.end("broken_off");
@@ -188,6 +189,15 @@
         Span(pause.0 * PAUSE_TARGETS).max(MINIMUM_PAUSE)
     }
 
+    fn note_break(&self, outcome: Outcome) {
+        let Some(source) = &self.source else {
+            return;
+        };
+        let back_end = source.lease.grant.instance.as_str();
+        let exchange = &self.exchange;
+        events::attempt_failed(&exchange.head.id, exchange.attempts, back_end, outcome);
+    }
+
     fn finish_source(&mut self, outcome: Outcome) {
         let Some(source) = self.source.take() else {
             return;
