Dispatch: two unused functions and a field taken out

Cause: on rereading the change, Peers::youngest_confirmation with the field that fed it and BackEndLoad::slowness were called by nobody. Change: taken out; behaviour as it was.

--- a/crates/coordination/dispatch/src/load.rs
+++ b/crates/coordination/dispatch/src/load.rs
@@ -109,11 +109,6 @@
         Span::from_seconds(milliseconds / 1_000.0)
     }
 
-    /// How slow it is against the assumption; 1 is as assumed.
-    pub fn slowness(&self) -> f64 {
-        self.slowness
-    }
-
     /// Takes over what another node reports of its requests there.
     pub fn report(&mut self, node: u64, report: &LoadReport, at: Timestamp) {
         let report = Report {
--- a/crates/coordination/dispatch/src/peers.rs
+++ b/crates/coordination/dispatch/src/peers.rs
@@ -38,7 +38,6 @@
     heard: Timestamp,
     is_lost: bool,
     is_stopping: bool,
-    confirmed_at: Option<Timestamp>,
 }
 
 /// What is known of the other nodes.
@@ -84,9 +83,6 @@
     ) -> Option<PeerChange> {
         self.take_members(&message.members, now);
         self.hearsay.remove(&address);
-        let confirmed_at = message
-            .confirmed_ms
-            .map(|age| now - Span::from_milliseconds(u64::from(age)));
         let previous = self.peers.insert(
             address,
             Peer {
@@ -96,7 +92,6 @@
                 heard: now,
                 is_lost: false,
                 is_stopping: message.is_stopping,
-                confirmed_at,
             },
         );
         self.most_known = self.most_known.max(self.peers.len() as u32 + 1);
@@ -203,12 +198,6 @@
         self.living(|peer| peer.zone == self.zone && !peer.is_stopping)
     }
 
-    /// The youngest confirmation by the platform that a living peer reports.
-    pub fn youngest_confirmation(&self) -> Option<Timestamp> {
-        let living = self.peers.values().filter(|peer| !peer.is_lost);
-        living.filter_map(|peer| peer.confirmed_at).max()
-    }
-
     /// Number of living peers.
     pub fn living_count(&self) -> usize {
         self.peers.values().filter(|peer| !peer.is_lost).count()
