Store: seeds read at once at a start, the others ask them at once

Change: a seed reads without waiting, a node without any document asks the seeds at each tick, the first of them at its start, and reads itself after 0.2 to 0.3 s; within 1.5 s of a start only seeds count as first readers, since others know too few nodes. Conclusion: few calls and a quick start go together.

--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -30,11 +30,16 @@
 const MINIMUM_CONNECTIONS: u32 = 4;
 /// Age of the youngest confirmation at which a node reads the platform itself.
 const CONFIRMATION_LIMIT: Span = Span::from_milliseconds(2_000);
-/// Time after a start in which peers may tell what they know before this node reads.
-const START_PATIENCE: Span = Span::from_milliseconds(400);
-/// The same for a node that has heard peers and is no seed.
-const START_PATIENCE_BEHIND_SEEDS: Span = Span::from_milliseconds(1_400);
-/// Additional patience for each node of the zone that is to read before this one.
+/// Time after a start within which a node comes to know the others of its zone.
+const SETTLING_TIME: Span = Span::from_milliseconds(1_500);
+/// Time after a start in which the seeds may tell what they know before a node that is
+/// no seed reads the platform.
+const START_PATIENCE: Span = Span::from_milliseconds(200);
+/// The same for a node that has heard peers.
+const START_PATIENCE_WITH_PEERS: Span = Span::from_milliseconds(300);
+/// Additional patience at a start for each node of the zone that is to read first.
+const START_PATIENCE_PER_READER: Span = Span::from_milliseconds(100);
+/// The same later, when confirmations have grown old.
 const PATIENCE_PER_READER: Span = Span::from_milliseconds(250);
 /// Time after which a request without any back end is worth sending again.
 const NO_BACK_END_RETRY: Span = Span::from_milliseconds(500);
@@ -434,9 +439,9 @@
     pub fn reading_duty(&self, now: Timestamp) -> ReadingDuty {
         let rank = self.reader_rank();
         let is_due = match self.knowledge.confirmed_age(now) {
-            Some(_) if rank == 0 => true,
+            Some(_) if self.is_appointed_reader(rank, now) => true,
             Some(age) => age > CONFIRMATION_LIMIT + PATIENCE_PER_READER * rank,
-            None => self.uptime(now) > self.start_patience() + PATIENCE_PER_READER * rank,
+            None => self.uptime(now) >= self.start_patience(rank),
         };
         if is_due {
             ReadingDuty::Read
@@ -455,12 +460,24 @@
         before.count() as u64 + u64::from(self.is_stopping)
     }
 
+    /// The first of its zone reads; the seeds do while a node knows too few others to
+    /// tell who is first.
+    fn is_appointed_reader(&self, rank: u64, now: Timestamp) -> bool {
+        if self.uptime(now) < SETTLING_TIME {
+            self.peers.is_seed()
+        } else {
+            rank == 0
+        }
+    }
+
     /// At a start the seeds read first: all nodes ask them, whoever else is known yet.
-    fn start_patience(&self) -> Span {
-        if self.peers.is_seed() || self.peers.living_count() == 0 {
+    fn start_patience(&self, rank: u64) -> Span {
+        if self.peers.is_seed() {
+            Span::ZERO
+        } else if self.peers.living_count() == 0 {
             START_PATIENCE
         } else {
-            START_PATIENCE_BEHIND_SEEDS
+            START_PATIENCE_WITH_PEERS + START_PATIENCE_PER_READER * rank
         }
     }
 
--- a/crates/coordination/dispatch/src/dispatcher/messages.rs
+++ b/crates/coordination/dispatch/src/dispatcher/messages.rs
@@ -48,6 +48,10 @@
             self.address(&mut messages, &far, false, now);
             self.placements.clear();
         }
+        if self.knowledge.complete_to() == 0 {
+            let seeds = self.peers.other_seeds();
+            self.address(&mut messages, &seeds, true, now);
+        }
         let (period, fanout) = self.search_pace();
         if self.ticks % period == 1 {
             let doubtful = self.peers.doubtful(fanout, &mut self.random);
--- a/crates/coordination/dispatch/src/peers.rs
+++ b/crates/coordination/dispatch/src/peers.rs
@@ -74,6 +74,12 @@
         self.seeds.contains(&self.own)
     }
 
+    /// The seeds, but for this node.
+    pub fn other_seeds(&self) -> Vec<SocketAddr> {
+        let seeds = self.seeds.iter().copied();
+        seeds.filter(|seed| *seed != self.own).collect()
+    }
+
     /// The largest number of nodes ever known at once, this one included.
     pub fn most_known(&self) -> u32 {
         self.most_known
@@ -175,9 +181,8 @@
     pub fn doubtful(&self, count: usize, random: &mut impl Rng) -> Vec<SocketAddr> {
         let lost = self.peers.iter().filter(|(_, peer)| peer.is_lost);
         let lost = lost.map(|(address, _)| *address);
-        let seeds = self.seeds.iter().copied();
+        let seeds = self.other_seeds().into_iter();
         let unknown = seeds.chain(self.hearsay.keys().copied());
-        let unknown = unknown.filter(|address| *address != self.own);
         let unknown = unknown.filter(|address| !self.peers.contains_key(address));
         unknown.chain(lost).choose_multiple(random, count)
     }
--- a/crates/transport/relay/src/control.rs
+++ b/crates/transport/relay/src/control.rs
@@ -22,6 +22,8 @@
 const GAUGE_TICKS: u64 = 10;
 /// Time between two looks at whether this node has to read documents.
 const DUTY_CHECK: Span = Span::from_milliseconds(150);
+/// The same while nothing is known yet.
+const START_CHECK: Span = Span::from_milliseconds(20);
 
 /// A table that every thread may read.
 pub(crate) type SharedTable = Arc<ArcSwapOption<RoutingTable>>;
@@ -143,6 +145,7 @@
     pub async fn run_ticks(&self) {
         let mut previous = self.clock.now();
         let mut count: u64 = 0;
+        self.tick(previous);
         loop {
             smol::Timer::after(crate::clock::duration(TICK)).await;
             let now = self.clock.now();
@@ -273,7 +276,13 @@
             if self.control.dispatcher.borrow().reading_duty(now) == ReadingDuty::Read {
                 return;
             }
-            smol::Timer::after(crate::clock::duration(DUTY_CHECK)).await;
+            let knows_nothing = self.complete_to() == 0;
+            let pause = if knows_nothing {
+                START_CHECK
+            } else {
+                DUTY_CHECK
+            };
+            smol::Timer::after(crate::clock::duration(pause)).await;
         }
     }
 
