Back ends whose entries lapse while the store is away stay for two seconds

Cause: entries that living back ends could not renew during an outage are removed, and written again within about two seconds of the store's return; until then they got no work, and what was known of their caches was lost with them. Tests: two of placement, which failed to compile before the change existed.

--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -49,6 +49,9 @@
 /// way to the zone is cut.
 const UNREACHABLE_FOR_CUT: usize = 2;
 const CUT_WINDOW: Span = Span::from_milliseconds(3_000);
+/// Time within which a back end whose entry lapsed while the platform was away is
+/// listed again, if it lives.
+const LAPSE_GRACE: Span = Span::from_milliseconds(2_000);
 /// Time for which the outcomes at a back end are told.
 const OUTCOME_LIFETIME: Span = Span::from_milliseconds(4_000);
 /// Requests at a back end, as a multiple of its slots, beyond which none is added.
@@ -157,6 +160,8 @@
     announced_to: u64,
     is_stopping: bool,
     started: Option<Timestamp>,
+    ticked_at: Timestamp,
+    lapsed: HashMap<InstanceId, Timestamp>,
     random: ChaCha8Rng,
 }
 
@@ -186,6 +191,8 @@
             announced_to: 0,
             is_stopping: false,
             started: None,
+            ticked_at: Timestamp::default(),
+            lapsed: HashMap::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -222,11 +229,15 @@
     fn take(&mut self, change: Change) {
         let table = self.knowledge.table().cloned();
         match (change.key, change.content) {
-            (DocumentKey::BackEnd(_), Content::BackEnd(back_end)) => {
+            (DocumentKey::BackEnd(instance), Content::BackEnd(back_end)) => {
+                self.lapsed.remove(&instance);
                 let table = table.as_deref();
                 self.back_ends.list(back_end, change.revision, table);
             }
-            (DocumentKey::BackEnd(instance), _) => self.back_ends.remove(&instance),
+            (DocumentKey::BackEnd(instance), Content::Lapsed) => {
+                self.lapsed.insert(instance, self.ticked_at);
+            }
+            (DocumentKey::BackEnd(instance), _) => self.forget_back_end(&instance),
             (DocumentKey::Table, _) => {
                 if let Some(table) = table {
                     self.back_ends.take_table(&table);
@@ -235,6 +246,21 @@
         }
     }
 
+    fn forget_back_end(&mut self, instance: &InstanceId) {
+        self.lapsed.remove(instance);
+        self.back_ends.remove(instance);
+    }
+
+    /// Back ends whose entries lapsed and that did not come back are gone.
+    fn forget_lapsed(&mut self, now: Timestamp) {
+        let overdue = |at: &Timestamp| now.since(*at) >= LAPSE_GRACE;
+        let lapsed = self.lapsed.iter().filter(|(_, at)| overdue(at));
+        let gone: Vec<InstanceId> = lapsed.map(|(instance, _)| instance.clone()).collect();
+        for instance in gone {
+            self.forget_back_end(&instance);
+        }
+    }
+
     /// Notes that the platform, or a peer that heard it, confirmed a revision.
     pub fn confirm(&mut self, revision: u64, at: Timestamp) {
         self.knowledge.confirm(revision, at);
--- a/crates/coordination/dispatch/src/dispatcher/messages.rs
+++ b/crates/coordination/dispatch/src/dispatcher/messages.rs
@@ -37,6 +37,8 @@
     pub fn tick(&mut self, now: Timestamp) -> TickOutput {
         self.ticks += 1;
         self.started.get_or_insert(now);
+        self.ticked_at = now;
+        self.forget_lapsed(now);
         let peer_changes = self.peers.tick(now);
         self.ended_lately
             .retain(|_, ended| now.since(*ended) < OUTCOME_LIFETIME);
--- a/crates/coordination/dispatch/src/knowledge.rs
+++ b/crates/coordination/dispatch/src/knowledge.rs
@@ -30,6 +30,8 @@
     BackEnd(BackEnd),
     /// The item is gone.
     Gone,
+    /// The item ran out while the platform was away; it may be back soon.
+    Lapsed,
 }
 
 /// One change.
@@ -109,7 +111,7 @@
             (DocumentKey::BackEnd(instance), Content::BackEnd(back_end)) => {
                 self.apply_back_end(instance, change.revision, back_end)
             }
-            (DocumentKey::BackEnd(instance), Content::Gone) => {
+            (DocumentKey::BackEnd(instance), Content::Gone | Content::Lapsed) => {
                 self.remove(instance, change.revision)
             }
             _ => Applied::Known,
--- a/crates/coordination/dispatch/tests/placement.rs
+++ b/crates/coordination/dispatch/tests/placement.rs
@@ -7,7 +7,8 @@
 use eiderferry_types::{Reason, Span};
 use std::collections::BTreeSet;
 use support::{
-    START, back_end, back_end_address, back_end_change, demand, granted, table_change, with_engines,
+    START, back_end, back_end_address, back_end_change, demand, granted, lapsed_change,
+    table_change, with_engines,
 };
 
 #[test]
@@ -56,6 +57,33 @@
     );
 }
 
+#[test]
+fn a_back_end_whose_entry_lapsed_serves_until_it_is_overdue() {
+    let mut subject = with_engines(1);
+    subject.tick(START);
+    subject.apply(lapsed_change("engine-0", 3));
+    granted(subject.ask(&demand(1, 13_000, 400), START));
+    subject.tick(START + Span::from_milliseconds(1_900));
+    granted(subject.ask(&demand(1, 13_000, 500), START));
+    let overdue = START + Span::from_milliseconds(2_000);
+    subject.tick(overdue);
+    let decision = subject.ask(&demand(1, 13_000, 600), overdue);
+    assert!(matches!(decision, Decision::Refuse(Reason::NoBackEnd, _)));
+}
+
+#[test]
+fn a_back_end_that_is_listed_again_keeps_what_is_known_of_its_cache() {
+    let mut subject = with_engines(1);
+    subject.tick(START);
+    granted(subject.ask(&demand(1, 13_000, 400), START));
+    subject.apply(lapsed_change("engine-0", 3));
+    subject.apply(back_end_change(back_end("engine-0", 0, 0), 4));
+    let later = START + Span::from_milliseconds(5_000);
+    subject.tick(later);
+    let grant = granted(subject.ask(&demand(1, 13_000, 500), later));
+    assert!(grant.uncached_tokens < 1_000, "{}", grant.uncached_tokens);
+}
+
 #[test]
 fn of_two_runs_at_one_address_only_the_newer_gets_work() {
     let mut subject = with_engines(1);
--- a/crates/coordination/dispatch/tests/support/mod.rs
+++ b/crates/coordination/dispatch/tests/support/mod.rs
@@ -84,6 +84,14 @@
     }
 }
 
+pub fn lapsed_change(name: &str, revision: u64) -> Change {
+    Change {
+        key: DocumentKey::BackEnd(InstanceId::from(name)),
+        revision,
+        content: Content::Lapsed,
+    }
+}
+
 pub fn dispatcher(number: usize, zone_number: usize, seeds: Vec<SocketAddr>) -> Dispatcher {
     Dispatcher::new(DispatcherSettings {
         node: NodeName::from(format!("node-{number}")),
