Holders that come back: leases return, stand-ins yield, asks are collected

Change: owners bring requests home before they answer about leases; a stand-in gives its queue back before it counts a release; a holder that takes up its work collects asks for 100 ms. Ruled out: stale load reports (back ends had all reported).

--- a/crates/coordination/admission/src/cell.rs
+++ b/crates/coordination/admission/src/cell.rs
@@ -112,6 +112,8 @@
     last_open_grant: BTreeMap<Tier, Timestamp>,
     /// Until then a new holder waits for load reports before it hands out slots.
     learning_until: Timestamp,
+    /// Until then a new holder collects what owners ask for again.
+    collecting_until: Timestamp,
     /// Back ends that have not reported since the holder took over.
     unreported: BTreeSet<BackEndId>,
     events: Vec<CellEvent>,
@@ -132,20 +134,24 @@
             first_token: Average::new(ASSUMED_FIRST_TOKEN, HOLDING_WEIGHT),
             last_open_grant: BTreeMap::new(),
             learning_until: Timestamp::default(),
+            collecting_until: Timestamp::default(),
             unreported: BTreeSet::new(),
             events: Vec::new(),
         }
     }
 
     /// Begins to learn what earlier holders placed: no slot is handed out until
-    /// every back end has reported its load, or the learning time is over.
+    /// every back end has reported its load, or the learning time is over, and owners
+    /// have had the time to ask again.
     pub fn start_learning(&mut self, now: Timestamp) {
         self.learning_until = now + self.policy.learning_time;
+        self.collecting_until = now + self.policy.collecting_time;
         self.unreported = self.back_ends.keys().copied().collect();
     }
 
     fn is_learning(&self, now: Timestamp) -> bool {
-        now < self.learning_until && !self.unreported.is_empty()
+        let is_unreported = now < self.learning_until && !self.unreported.is_empty();
+        is_unreported || now < self.collecting_until
     }
 
     /// Applies a configuration. Requests of classes that are gone are refused.
--- a/crates/coordination/admission/src/policy.rs
+++ b/crates/coordination/admission/src/policy.rs
@@ -27,6 +27,9 @@
     pub wait_safety_factor: f64,
     /// How long a new holder trusts load reports over its own empty table.
     pub learning_time: Span,
+    /// How long a new holder collects asks before it grants any, so that the order of
+    /// their arrival does not decide between tiers.
+    pub collecting_time: Span,
 }
 
 impl Default for CellPolicy {
@@ -41,6 +44,7 @@
             maximum_waiting: 20_000,
             wait_safety_factor: 0.9,
             learning_time: Span::from_milliseconds(1_500),
+            collecting_time: Span::from_milliseconds(100),
         }
     }
 }
--- a/crates/coordination/node/src/holding.rs
+++ b/crates/coordination/node/src/holding.rs
@@ -212,6 +212,9 @@
         cell: CellId,
         observation: &Observation,
     ) {
+        // Places that come free because their requests went to another holder are no
+        // room for what waits here.
+        self.yield_to_living_holder(cell);
         let now = self.now;
         if let Some(held) = self.cells.get_mut(&cell) {
             held.last_use = now;
--- a/crates/coordination/node/src/leases.rs
+++ b/crates/coordination/node/src/leases.rs
@@ -46,12 +46,15 @@
     }
 
     /// A holder asks which of its leases are still in use: the others are released.
+    /// Requests that a stand-in took over while the holder stood still are in use, and
+    /// come back to it first.
     pub(crate) fn handle_check_leases(
         &mut self,
         from: NodeId,
         cell: CellId,
         names: Vec<AttemptName>,
     ) {
+        self.rehome_running();
         for name in names {
             let in_use = self.requests.get(&name.sequence).is_some_and(|request| {
                 let uses_holder = matches!(
