Dispatch: loads of whole zones are told by digest in large fleets

Cause: at 78 nodes a node tells 8 of 62 nodes of other zones each 0.4 s, and a report counts for 2.5 s, so that most nodes knew the requests of their own zone only. Change: where other zones have more than 8 nodes, two nodes of each zone in turn tell one node of each other zone, each 0.2 s, what all nodes of theirs have at the back ends; that node passes it on with its next messages to its own zone. A digest replaces the zone's previous one; loads of single nodes of other zones are not counted beside it. Tests: requests of one node are known to all others and counted once (71 nodes in 0.9 s, 240 in 1.5 s), also when the senders of digests are dead; three failed before.

--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -1,6 +1,7 @@
 //! The state machine of a relay's decisions.
 
 mod messages;
+mod zone_loads;
 
 pub(crate) use messages::{FAR_FANOUT, FAR_TICKS, NEAR_FANOUT};
 
@@ -19,6 +20,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
+use zone_loads::ZoneDigests;
 
 /// Time between two ticks.
 pub const TICK: Span = Span::from_milliseconds(100);
@@ -162,6 +164,7 @@
     started: Option<Timestamp>,
     ticked_at: Timestamp,
     lapsed: HashMap<InstanceId, Timestamp>,
+    zone_digests: ZoneDigests,
     random: ChaCha8Rng,
 }
 
@@ -193,6 +196,7 @@
             started: None,
             ticked_at: Timestamp::default(),
             lapsed: HashMap::new(),
+            zone_digests: ZoneDigests::default(),
             random: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -419,7 +423,14 @@
     pub fn receive(&mut self, address: SocketAddr, message: &Gossip, now: Timestamp) -> Received {
         let change = self.peers.heard(address, message, now);
         let sender = message.from.digest();
-        self.back_ends.take_loads(sender, &message.loads, now);
+        let is_in_digest = message.zone != self.settings.zone && self.tells_zones_by_digest();
+        let loads = if is_in_digest {
+            &[]
+        } else {
+            &message.loads[..]
+        };
+        self.back_ends.take_loads(sender, loads, now);
+        self.take_zone_loads(message, now);
         self.back_ends.take_placements(&message.placements);
         let taken = self.take_news(message);
         let knows_all = message.complete_to <= self.knowledge.complete_to()
--- a/crates/coordination/dispatch/src/dispatcher/messages.rs
+++ b/crates/coordination/dispatch/src/dispatcher/messages.rs
@@ -45,9 +45,16 @@
         let mut messages = Vec::new();
         let near = in_turn(&self.peers.near(), NEAR_FANOUT, &mut self.near_turn);
         self.address(&mut messages, &near, false, now);
+        self.pass_digests_on(&mut messages, now);
+        messages.extend(self.zone_digests(now));
         if self.ticks.is_multiple_of(FAR_TICKS) {
             let far = in_turn(&self.peers.far(), FAR_FANOUT, &mut self.far_turn);
+            let begun = messages.len();
             self.address(&mut messages, &far, false, now);
+            if self.tells_zones_by_digest() {
+                let told = messages[begun..].iter_mut();
+                told.for_each(|(_, message)| message.forget_own_work());
+            }
             self.placements.clear();
         }
         if self.knowledge.complete_to() == 0 {
@@ -120,6 +127,7 @@
                 .confirmed_age(now)
                 .map(|age| age.milliseconds() as u32),
             loads: self.own_loads(now),
+            zone_loads: Vec::new(),
             placements,
             members,
             news: None,
@@ -132,15 +140,9 @@
         let states = busy
             .into_iter()
             .filter_map(|instance| self.back_ends.get(instance));
+        let alone = BTreeSet::new();
         states
-            .map(|state| LoadReport {
-                back_end: state.digest,
-                running: saturate(u64::from(state.load.own_running())),
-                sensitive: saturate(u64::from(state.load.own_sensitive())),
-                pending_hundreds: saturate(state.load.own_pending_tokens(now) / 100),
-                completed: saturate(u64::from(state.load.own_outcomes(now).completed)),
-                failed: saturate(u64::from(state.load.own_outcomes(now).failed)),
-            })
+            .map(|state| state.load.report_with(state.digest, &alone, now))
             .collect()
     }
 
@@ -186,7 +188,3 @@
         .map(|offset| peers[start.wrapping_add(offset) % peers.len()])
         .collect()
 }
-
-fn saturate(value: u64) -> u16 {
-    u16::try_from(value).unwrap_or(u16::MAX)
-}
--- a/crates/coordination/dispatch/src/load.rs
+++ b/crates/coordination/dispatch/src/load.rs
@@ -2,7 +2,7 @@
 
 use crate::{LeaseId, LoadReport, Outcome, OutcomeCounts, PrefixCache, RecentOutcomes};
 use eiderferry_types::{Span, Timestamp};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Time for which another node's report counts.
 pub const REPORT_LIFETIME: Span = Span::from_milliseconds(2_500);
@@ -34,6 +34,27 @@
     at: Timestamp,
 }
 
+impl Report {
+    fn is_fresh(&self, now: Timestamp) -> bool {
+        now.since(self.at) < REPORT_LIFETIME
+    }
+
+    fn to_message(self, back_end: u32) -> LoadReport {
+        LoadReport {
+            back_end,
+            running: saturate(u64::from(self.running)),
+            sensitive: saturate(u64::from(self.sensitive)),
+            pending_hundreds: saturate(self.pending_tokens / 100),
+            completed: saturate(u64::from(self.outcomes.completed)),
+            failed: saturate(u64::from(self.outcomes.failed)),
+        }
+    }
+}
+
+fn saturate(value: u64) -> u16 {
+    u16::try_from(value).unwrap_or(u16::MAX)
+}
+
 /// Load of one back end.
 #[derive(Clone, Debug)]
 pub struct BackEndLoad {
@@ -99,8 +120,8 @@
     }
 
     fn fresh(&self, now: Timestamp) -> impl Iterator<Item = &Report> {
-        let is_fresh = move |report: &&Report| now.since(report.at) < REPORT_LIFETIME;
-        self.reports.values().filter(is_fresh)
+        let reports = self.reports.values();
+        reports.filter(move |report| report.is_fresh(now))
     }
 
     /// Expected time to read so many prompt tokens.
@@ -124,6 +145,32 @@
         self.reports.insert(node, report);
     }
 
+    /// What this node and some others have there, as one report.
+    pub(crate) fn report_with(
+        &self,
+        back_end: u32,
+        others: &BTreeSet<u64>,
+        now: Timestamp,
+    ) -> LoadReport {
+        let reports = self.reports.iter();
+        let reports =
+            reports.filter(|(node, report)| others.contains(node) && report.is_fresh(now));
+        let mut total = Report {
+            running: self.own_running(),
+            sensitive: self.own_sensitive(),
+            pending_tokens: self.own_pending_tokens(now),
+            outcomes: self.own_outcomes(now),
+            at: now,
+        };
+        for (_, report) in reports {
+            total.running += report.running;
+            total.sensitive += report.sensitive;
+            total.pending_tokens += report.pending_tokens;
+            total.outcomes = total.outcomes.plus(report.outcomes);
+        }
+        total.to_message(back_end)
+    }
+
     /// Forgets what a node reported.
     pub fn forget(&mut self, node: u64) {
         self.reports.remove(&node);
--- a/crates/coordination/dispatch/src/message.rs
+++ b/crates/coordination/dispatch/src/message.rs
@@ -22,6 +22,17 @@
     pub failed: u16,
 }
 
+/// Requests of all nodes of a zone at back ends, as one of these nodes counted them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneLoads {
+    /// The zone.
+    pub zone: ZoneName,
+    /// How long ago they were counted, in milliseconds.
+    pub age_ms: u32,
+    /// The requests.
+    pub loads: Vec<LoadReport>,
+}
+
 /// A prompt part that was sent to a back end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Placement {
@@ -65,6 +76,8 @@
     pub confirmed_ms: Option<u32>,
     /// Requests of the sender at back ends.
     pub loads: Vec<LoadReport>,
+    /// Requests of whole zones at back ends.
+    pub zone_loads: Vec<ZoneLoads>,
     /// Shared parts of prompts placed lately.
     pub placements: Vec<Placement>,
     /// Some other nodes.
@@ -73,6 +86,21 @@
     pub news: Option<News>,
 }
 
+impl Gossip {
+    /// Leaves out what the sender has at back ends and placed there.
+    pub(crate) fn forget_own_work(&mut self) {
+        self.loads.clear();
+        self.placements.clear();
+    }
+}
+
+impl LoadReport {
+    /// Whether there is anything to tell.
+    pub(crate) fn says_something(&self) -> bool {
+        self.running > 0 || self.completed > 0 || self.failed > 0
+    }
+}
+
 /// Changes that follow on a revision without a gap.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct News {
--- a/crates/coordination/dispatch/src/peers.rs
+++ b/crates/coordination/dispatch/src/peers.rs
@@ -6,7 +6,7 @@
 use eiderferry_types::{Span, Timestamp};
 use rand::Rng;
 use rand::seq::IteratorRandom;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// Silence after which a peer of the own zone counts as lost, at the least.
@@ -164,6 +164,27 @@
         self.living(|peer| peer.zone == self.zone)
     }
 
+    /// Digests of their names.
+    pub fn near_digests(&self) -> BTreeSet<u64> {
+        let near = self.peers.values();
+        let near = near.filter(|peer| !peer.is_lost && peer.zone == self.zone);
+        near.map(|peer| peer.name.digest()).collect()
+    }
+
+    /// A peer that is there of each other zone.
+    pub fn one_of_each_other_zone(&self, random: &mut impl Rng) -> Vec<SocketAddr> {
+        let mut zones: BTreeMap<&ZoneName, Vec<SocketAddr>> = BTreeMap::new();
+        for (address, peer) in &self.peers {
+            if !peer.is_lost && peer.zone != self.zone {
+                zones.entry(&peer.zone).or_default().push(*address);
+            }
+        }
+        let zones = zones.values();
+        zones
+            .filter_map(|peers| peers.iter().copied().choose(random))
+            .collect()
+    }
+
     /// Peers of other zones that are there.
     pub fn far(&self) -> Vec<SocketAddr> {
         self.living(|peer| peer.zone != self.zone)
--- a/crates/coordination/dispatch/tests/fleet.rs
+++ b/crates/coordination/dispatch/tests/fleet.rs
@@ -2,10 +2,13 @@
 
 mod support;
 
-use eiderferry_dispatch::TICK;
+use eiderferry_dispatch::{Decision, TICK};
 use rstest::rstest;
 use std::collections::BTreeSet;
-use support::{Fleet, table_change};
+use support::{Fleet, demand, granted, table_change};
+
+/// Requests beyond which an engine of 64 slots gets no more.
+const MOST_AT_ENGINE: usize = 84;
 
 #[rstest]
 #[case::today(7, 3)]
@@ -190,6 +193,62 @@
     assert!((2..=4).contains(&readers), "{readers} readers");
 }
 
+/// A fleet that knows one engine, at which the first node has so many requests.
+fn busy_fleet(count: usize, zones: usize, requests: u32, milliseconds: u64) -> Fleet {
+    let mut fleet = Fleet::new(count, zones);
+    fleet.run_with_platform(20_000, 1);
+    let change = support::back_end_change(support::back_end("engine-1", 1, 0), 2);
+    fleet.read_change(0, change, 2);
+    fleet.run(500);
+    let now = fleet.now;
+    for own in 0..requests {
+        granted(fleet.nodes[0].ask(&demand(1, 13_000, own), now));
+    }
+    fleet.run(milliseconds);
+    fleet
+}
+
+#[rstest]
+#[case::today(7, 3, 500)]
+#[case::larger(71, 3, 900)]
+#[case::much_larger(240, 5, 1_500)]
+fn requests_of_one_node_are_known_to_all_others_and_counted_once(
+    #[case] count: usize,
+    #[case] zones: usize,
+    #[case] milliseconds: u64,
+) {
+    let mut fleet = busy_fleet(count, zones, 70, milliseconds);
+    let now = fleet.now;
+    for number in 1..count {
+        let asked = (0..100).map(|own| fleet.nodes[number].ask(&demand(2, 13_000, own), now));
+        let granted = asked.filter(|decision| matches!(decision, Decision::Grant(_)));
+        assert_eq!(granted.count(), MOST_AT_ENGINE - 70, "node {number}");
+    }
+}
+
+#[test]
+fn a_zone_whose_digest_senders_are_dead_is_told_of_by_others() {
+    let mut fleet = busy_fleet(71, 3, 0, 0);
+    let mut nodes = 0..71;
+    let teller = nodes.find(|number| fleet.zones[*number] == 1).expect("one");
+    let readers = fleet.readers();
+    let dead = readers.into_iter().filter(|number| *number != teller);
+    fleet.dark.extend(dead);
+    fleet.run_with_platform(2_500, 2);
+    let now = fleet.now;
+    for own in 0..70 {
+        granted(fleet.nodes[teller].ask(&demand(1, 13_000, own), now));
+    }
+    fleet.run(900);
+    let now = fleet.now;
+    let other = (0..71)
+        .find(|number| fleet.zones[*number] == 0 && !fleet.dark.contains(number))
+        .expect("one");
+    let asked = (0..100).map(|own| fleet.nodes[other].ask(&demand(2, 13_000, own), now));
+    let granted = asked.filter(|decision| matches!(decision, Decision::Grant(_)));
+    assert_eq!(granted.count(), MOST_AT_ENGINE - 70);
+}
+
 #[test]
 fn a_seed_sends_nothing_to_itself() {
     let own = support::node_address(0);
--- a/crates/transport/relay/src/gossip.rs
+++ b/crates/transport/relay/src/gossip.rs
@@ -5,9 +5,9 @@
 use std::net::{SocketAddr, UdpSocket};
 
 /// First byte of each datagram: the version of the format.
-const FORMAT_VERSION: u8 = 1;
+const FORMAT_VERSION: u8 = 2;
 /// Largest datagram read.
-const RECEIVE_BYTES: usize = 4_096;
+const RECEIVE_BYTES: usize = 16_384;
 
 /// The socket for messages of other nodes.
 pub(crate) struct PeerSocket {
