Dispatch: placements of whole zones are told by digest

Cause: nodes of other zones never learned most placements (a placement was told to 8 far nodes and then dropped), so that they took prompts that the home engine kept for unread, overrated what waits there and sent the prompt to be read elsewhere. Change: a digest carries the shared parts that its zone's nodes placed since the sender's last one (120 at the most); a node that passes digests on keeps those of a digest that a younger one replaces before all of its zone heard it.

--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -1,7 +1,7 @@
 //! The state machine of a relay's decisions.
 
 mod messages;
-mod zone_loads;
+mod zone_digest;
 
 pub(crate) use messages::{FAR_FANOUT, FAR_TICKS, NEAR_FANOUT};
 
@@ -20,7 +20,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
-use zone_loads::ZoneDigests;
+use zone_digest::ZoneDigests;
 
 /// Time between two ticks.
 pub const TICK: Span = Span::from_milliseconds(100);
@@ -319,7 +319,9 @@
         state.load.begin(lease, plan.uncached, is_sensitive, now);
         state.load.cache.insert(&demand.parts);
         let address = state.back_end.address;
+        let known = self.placements.len();
         note_placements(&mut self.placements, state.digest, demand.shared_parts());
+        self.zone_digests.note_placements(&self.placements[known..]);
         let record = Lease {
             instance: plan.instance.clone(),
             pool: demand.pool.clone(),
@@ -430,7 +432,7 @@
             &message.loads[..]
         };
         self.back_ends.take_loads(sender, loads, now);
-        self.take_zone_loads(message, now);
+        self.take_zone_digests(message, now);
         self.back_ends.take_placements(&message.placements);
         let taken = self.take_news(message);
         let knows_all = message.complete_to <= self.knowledge.complete_to()
--- a/crates/coordination/dispatch/src/dispatcher/messages.rs
+++ b/crates/coordination/dispatch/src/dispatcher/messages.rs
@@ -127,7 +127,7 @@
                 .confirmed_age(now)
                 .map(|age| age.milliseconds() as u32),
             loads: self.own_loads(now),
-            zone_loads: Vec::new(),
+            zone_digests: Vec::new(),
             placements,
             members,
             news: None,
--- a/crates/coordination/dispatch/src/dispatcher/zone_loads.rs
+++ b/crates/coordination/dispatch/src/dispatcher/zone_digest.rs
@@ -1,11 +1,11 @@
-//! Loads of whole zones: in a large fleet no node hears each node of other zones often
+//! Loads and placements of whole zones: in a large fleet no node hears each node of other zones often
 //! enough, so a few nodes of each zone tell one node of each other zone what all nodes
 //! of theirs have at the back ends, and that node passes it on in its own zone.
 
 use super::Dispatcher;
 use super::messages::{FAR_FANOUT, NEAR_FANOUT};
-use crate::message::{Gossip, LoadReport, ZoneLoads};
-use eiderferry_routing::ZoneName;
+use crate::message::{Gossip, LoadReport, Placement, ZoneDigest};
+use eiderferry_routing::{PartId, ZoneName};
 use eiderferry_types::{Span, Timestamp};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -16,6 +16,8 @@
 const DIGEST_SENDERS: u64 = 2;
 /// Back ends named in one digest: those with most requests.
 const MOST_LOADS: usize = 200;
+/// Placements named in one digest.
+const MOST_PLACEMENTS: usize = 120;
 /// Zones passed on in one message.
 const MOST_ZONES: usize = 4;
 
@@ -24,39 +26,59 @@
 struct HeardDigest {
     counted_at: Timestamp,
     loads: Vec<LoadReport>,
+    placements: Vec<Placement>,
     /// Ticks for which it is passed on in the own zone.
     ticks_left: u64,
 }
 
-/// Digests heard of other zones.
+/// Digests heard of other zones, and placements for the digest of the own one.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ZoneDigests {
     heard: BTreeMap<ZoneName, HeardDigest>,
+    placed: BTreeMap<(u32, PartId), Placement>,
 }
 
 impl ZoneDigests {
-    /// Takes a digest over; false if one as young is known.
-    fn take(&mut self, zone: &ZoneName, digest: HeardDigest) -> bool {
+    /// Notes placements by nodes of the own zone.
+    pub(super) fn note_placements(&mut self, placements: &[Placement]) {
+        for placement in placements {
+            let key = (placement.back_end, placement.part);
+            if self.placed.len() < MOST_PLACEMENTS || self.placed.contains_key(&key) {
+                self.placed.insert(key, *placement);
+            }
+        }
+    }
+
+    /// Takes a digest over; false if one as young is known. Placements of the previous
+    /// one that were still to be passed on stay.
+    fn take(&mut self, zone: &ZoneName, mut digest: HeardDigest) -> bool {
         let known = self.heard.get(zone);
         if known.is_some_and(|known| known.counted_at >= digest.counted_at) {
             return false;
         }
+        if let Some(known) = known.filter(|known| known.ticks_left > 0) {
+            let room = MOST_PLACEMENTS.saturating_sub(digest.placements.len());
+            let kept = known.placements.iter().take(room);
+            digest.placements.extend(kept.copied());
+            digest.ticks_left = digest.ticks_left.max(known.ticks_left);
+        }
         self.heard.insert(zone.clone(), digest);
         true
     }
 
     /// Digests that are to be passed on with the messages of this tick.
-    fn passed_on(&mut self, now: Timestamp) -> Vec<ZoneLoads> {
+    fn passed_on(&mut self, now: Timestamp) -> Vec<ZoneDigest> {
         let mut passed_on = Vec::new();
         for (zone, digest) in &mut self.heard {
             if digest.ticks_left == 0 || passed_on.len() == MOST_ZONES {
                 continue;
             }
             digest.ticks_left -= 1;
-            passed_on.push(ZoneLoads {
+            passed_on.push(ZoneDigest {
                 zone: zone.clone(),
                 age_ms: now.since(digest.counted_at).milliseconds() as u32,
                 loads: digest.loads.clone(),
+                placements: digest.placements.clone(),
             });
         }
         passed_on
@@ -80,10 +102,13 @@
         let peers = self.peers.one_of_each_other_zone(&mut self.random);
         let mut message = self.gossip(false, now);
         message.forget_own_work();
-        message.zone_loads.push(ZoneLoads {
+        message.zone_digests.push(ZoneDigest {
             zone: self.settings.zone.clone(),
             age_ms: 0,
             loads: self.loads_of_zone(now),
+            placements: std::mem::take(&mut self.zone_digests.placed)
+                .into_values()
+                .collect(),
         });
         let to_each = |peer| (peer, message.clone());
         peers.into_iter().map(to_each).collect()
@@ -101,23 +126,28 @@
     }
 
     /// Takes over the digests that a message carries.
-    pub(super) fn take_zone_loads(&mut self, message: &Gossip, now: Timestamp) {
+    pub(super) fn take_zone_digests(&mut self, message: &Gossip, now: Timestamp) {
         let is_first_hand = message.zone != self.settings.zone;
         let tell_all = self.peers.near().len().div_ceil(NEAR_FANOUT) as u64;
-        for zone_loads in &message.zone_loads {
-            if zone_loads.zone == self.settings.zone {
+        if !is_first_hand {
+            self.zone_digests.note_placements(&message.placements);
+        }
+        for zone_digest in &message.zone_digests {
+            if zone_digest.zone == self.settings.zone {
                 continue;
             }
-            let counted_at = now - Span::from_milliseconds(u64::from(zone_loads.age_ms));
+            self.back_ends.take_placements(&zone_digest.placements);
+            let counted_at = now - Span::from_milliseconds(u64::from(zone_digest.age_ms));
             let digest = HeardDigest {
                 counted_at,
-                loads: zone_loads.loads.clone(),
+                loads: zone_digest.loads.clone(),
+                placements: zone_digest.placements.clone(),
                 ticks_left: if is_first_hand { tell_all } else { 0 },
             };
-            if self.zone_digests.take(&zone_loads.zone, digest) {
-                let sender = zone_loads.zone.digest();
+            if self.zone_digests.take(&zone_digest.zone, digest) {
+                let sender = zone_digest.zone.digest();
                 self.back_ends
-                    .take_loads(sender, &zone_loads.loads, counted_at);
+                    .take_loads(sender, &zone_digest.loads, counted_at);
             }
         }
     }
@@ -130,7 +160,7 @@
     ) {
         let passed_on = self.zone_digests.passed_on(now);
         for (_, message) in messages {
-            message.zone_loads.clone_from(&passed_on);
+            message.zone_digests.clone_from(&passed_on);
         }
     }
 }
--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -29,7 +29,7 @@
 pub use health::{Health, HealthChange};
 pub use knowledge::{Applied, Change, Content, DocumentKey, Knowledge};
 pub use load::{BackEndLoad, REPORT_LIFETIME};
-pub use message::{Gossip, LoadReport, Member, News, Placement, ZoneLoads};
+pub use message::{Gossip, LoadReport, Member, News, Placement, ZoneDigest};
 pub use outcomes::{OutcomeCounts, RecentOutcomes};
 pub use peers::{PeerChange, Peers};
 pub use placement::{Candidate, Interference, choose};
--- a/crates/coordination/dispatch/src/message.rs
+++ b/crates/coordination/dispatch/src/message.rs
@@ -22,15 +22,17 @@
     pub failed: u16,
 }
 
-/// Requests of all nodes of a zone at back ends, as one of these nodes counted them.
+/// What all nodes of a zone have at back ends, as one of these nodes counted it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ZoneLoads {
+pub struct ZoneDigest {
     /// The zone.
     pub zone: ZoneName,
     /// How long ago they were counted, in milliseconds.
     pub age_ms: u32,
     /// The requests.
     pub loads: Vec<LoadReport>,
+    /// Shared parts of prompts that the zone's nodes placed lately.
+    pub placements: Vec<Placement>,
 }
 
 /// A prompt part that was sent to a back end.
@@ -76,8 +78,8 @@
     pub confirmed_ms: Option<u32>,
     /// Requests of the sender at back ends.
     pub loads: Vec<LoadReport>,
-    /// Requests of whole zones at back ends.
-    pub zone_loads: Vec<ZoneLoads>,
+    /// What whole zones have at back ends.
+    pub zone_digests: Vec<ZoneDigest>,
     /// Shared parts of prompts placed lately.
     pub placements: Vec<Placement>,
     /// Some other nodes.
--- a/crates/coordination/dispatch/tests/fleet.rs
+++ b/crates/coordination/dispatch/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use eiderferry_dispatch::{Decision, TICK};
+use eiderferry_dispatch::{Decision, Dispatcher, TICK};
 use rstest::rstest;
 use std::collections::BTreeSet;
 use support::{Fleet, demand, granted, table_change};
@@ -249,6 +249,26 @@
     assert_eq!(granted.count(), MOST_AT_ENGINE - 70);
 }
 
+#[rstest]
+#[case::today(7, 3, 700)]
+#[case::larger(71, 3, 1_200)]
+#[case::much_larger(240, 5, 1_800)]
+fn prompts_placed_by_one_node_are_known_to_nearly_all_others(
+    #[case] count: usize,
+    #[case] zones: usize,
+    #[case] milliseconds: u64,
+) {
+    let mut fleet = busy_fleet(count, zones, 30, milliseconds);
+    let now = fleet.now;
+    let knows = |node: &mut Dispatcher| {
+        let grant = granted(node.ask(&demand(1, 13_000, 500), now));
+        grant.uncached_tokens < 1_000
+    };
+    let knowing = fleet.nodes.iter_mut().map(knows);
+    let knowing = knowing.filter(|knows| *knows).count();
+    assert!(knowing * 10 >= count * 9, "{knowing} of {count}");
+}
+
 #[test]
 fn a_seed_sends_nothing_to_itself() {
     let own = support::node_address(0);
