--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -31,7 +31,7 @@
 /// Connections that a node may always hold.
 const MINIMUM_CONNECTIONS: u32 = 4;
 /// Age of the youngest confirmation at which a node reads the platform itself.
-const CONFIRMATION_LIMIT: Span = Span::from_milliseconds(2_000);
+const CONFIRMATION_LIMIT: Span = Span::from_milliseconds(1_900);
 /// Time after a start within which a node comes to know the others of its zone.
 const SETTLING_TIME: Span = Span::from_milliseconds(1_500);
 /// Time after a start in which the seeds may tell what they know before a node that is
@@ -42,7 +42,7 @@
 /// Additional patience at a start for each node of the zone that is to read first.
 const START_PATIENCE_PER_READER: Span = Span::from_milliseconds(100);
 /// The same later, when confirmations have grown old.
-const PATIENCE_PER_READER: Span = Span::from_milliseconds(250);
+const PATIENCE_PER_READER: Span = Span::from_milliseconds(150);
 /// Time after which a request without any back end is worth sending again.
 const NO_BACK_END_RETRY: Span = Span::from_milliseconds(500);
 /// Time after which a request refused for load is worth sending again.
@@ -112,6 +112,8 @@
 pub struct TakenNews {
     /// Which item.
     pub key: DocumentKey,
+    /// What became of the item.
+    pub kind: &'static str,
     /// Revision of the change.
     pub revision: u64,
     /// What came of it.
@@ -466,6 +468,7 @@
             let applied = self.apply(change.clone());
             taken.push(TakenNews {
                 key: change.key.clone(),
+                kind: change.content.kind(),
                 revision: change.revision,
                 applied,
             });
--- a/crates/coordination/dispatch/src/dispatcher/messages.rs
+++ b/crates/coordination/dispatch/src/dispatcher/messages.rs
@@ -4,7 +4,7 @@
 use crate::DocumentKey;
 use crate::message::{Gossip, LoadReport, News};
 use eiderferry_routing::InstanceId;
-use eiderferry_types::Timestamp;
+use eiderferry_types::{Span, Timestamp};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
@@ -29,6 +29,9 @@
 /// Peers told by a node that was told itself.
 const FORWARD_NEAR_FANOUT: usize = 3;
 const FORWARD_FAR_FANOUT: usize = 1;
+/// What a message may take on its way, the rounding of ages included: without it a
+/// confirmation that is passed on and back grows younger.
+const ON_THE_WAY: Span = Span::from_milliseconds(10);
 /// Most changes that one message carries.
 const MOST_NEWS: usize = 6;
 
@@ -125,7 +128,7 @@
             confirmed_ms: self
                 .knowledge
                 .confirmed_age(now)
-                .map(|age| age.milliseconds() as u32),
+                .map(|age| (age + ON_THE_WAY).milliseconds() as u32),
             loads: self.own_loads(now),
             zone_digests: Vec::new(),
             placements,
--- a/crates/coordination/dispatch/src/knowledge.rs
+++ b/crates/coordination/dispatch/src/knowledge.rs
@@ -34,6 +34,17 @@
     Lapsed,
 }
 
+impl Content {
+    /// What became of the item, as a word for logs.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Content::Table(_) | Content::BackEnd(_) => "written",
+            Content::Gone => "gone",
+            Content::Lapsed => "lapsed",
+        }
+    }
+}
+
 /// One change.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Change {
--- a/crates/coordination/dispatch/tests/fleet.rs
+++ b/crates/coordination/dispatch/tests/fleet.rs
@@ -3,10 +3,13 @@
 mod support;
 
 use eiderferry_dispatch::{Decision, Dispatcher, TICK};
+use eiderferry_types::Span;
 use rstest::rstest;
 use std::collections::BTreeSet;
 use support::{Fleet, demand, granted, table_change};
 
+/// Time that a message of two nodes takes.
+const ON_THE_WAY: Span = Span(900);
 /// Requests beyond which an engine of 64 slots gets no more.
 const MOST_AT_ENGINE: usize = 84;
 
@@ -269,6 +272,42 @@
     assert!(knowing * 10 >= count * 9, "{knowing} of {count}");
 }
 
+#[test]
+fn a_confirmation_does_not_grow_younger_on_its_way_between_nodes() {
+    let mut one = support::dispatcher(0, 0, Vec::new());
+    let mut two = support::dispatcher(1, 0, Vec::new());
+    let mut now = support::START;
+    for node in [&mut one, &mut two] {
+        node.apply(table_change(1));
+        node.confirm(1, now);
+    }
+    for _ in 0..500 {
+        let message = one.gossip(false, now);
+        now = now + ON_THE_WAY;
+        two.receive(support::node_address(0), &message, now);
+        let message = two.gossip(false, now);
+        now = now + ON_THE_WAY;
+        one.receive(support::node_address(1), &message, now);
+    }
+    let age = now.since(support::START);
+    assert!(one.snapshot(now).confirmed_age_seconds >= age.seconds());
+}
+
+#[rstest]
+#[case::today(7, 3)]
+#[case::larger(71, 3)]
+fn within_two_and_a_half_seconds_of_silence_somebody_reads(
+    #[case] count: usize,
+    #[case] zones: usize,
+) {
+    let mut fleet = Fleet::new(count, zones);
+    fleet.run_with_platform(10_000, 1);
+    let appointed = fleet.readers();
+    fleet.run(2_500);
+    let others = fleet.readers().len() - appointed.len();
+    assert!((zones..=5 * zones).contains(&others), "{others} others");
+}
+
 #[test]
 fn a_seed_sends_nothing_to_itself() {
     let own = support::node_address(0);
--- a/crates/transport/relay/src/control.rs
+++ b/crates/transport/relay/src/control.rs
@@ -218,11 +218,15 @@
     fn take(&self, changes: Vec<Change>, source: &'static str) {
         let mut is_news = false;
         for change in changes {
-            let key = change.key.clone();
-            let revision = change.revision;
-            let applied = self.dispatcher.borrow_mut().apply(change);
-            is_news |= applied == Applied::Taken;
-            events::document(&key, revision, &applied, source);
+            let mut taken = TakenNews {
+                key: change.key.clone(),
+                kind: change.content.kind(),
+                revision: change.revision,
+                applied: Applied::Known,
+            };
+            taken.applied = self.dispatcher.borrow_mut().apply(change);
+            is_news |= taken.applied == Applied::Taken;
+            events::document(&taken, source);
         }
         if !is_news {
             return;
@@ -242,7 +246,7 @@
     /// Notes changes that came with a message, and passes them on.
     fn follow_news(&self, taken: &[TakenNews]) {
         for news in taken {
-            events::document(&news.key, news.revision, &news.applied, "peer");
+            events::document(news, "peer");
         }
         if taken.iter().any(|news| news.applied == Applied::Taken) {
             self.announce(false);
--- a/crates/transport/relay/src/events.rs
+++ b/crates/transport/relay/src/events.rs
@@ -5,7 +5,9 @@
 
 use crate::documents::FetchError;
 use crate::own_answer::OwnAnswer;
-use eiderferry_dispatch::{Applied, DocumentKey, Grant, HealthChange, Outcome, PeerChange};
+use eiderferry_dispatch::{
+    Applied, DocumentKey, Grant, HealthChange, Outcome, PeerChange, TakenNews,
+};
 use eiderferry_routing::InstanceId;
 use eiderferry_types::{Reason, Span};
 use std::net::SocketAddr;
@@ -63,15 +65,16 @@
 }
 
 /// A document was taken, or refused.
-pub(crate) fn document(key: &DocumentKey, revision: u64, applied: &Applied, source: &'static str) {
-    let item = match key {
+pub(crate) fn document(news: &TakenNews, source: &'static str) {
+    let (kind, revision) = (news.kind, news.revision);
+    let item = match &news.key {
         DocumentKey::Table => "table",
         DocumentKey::BackEnd(instance) => instance.as_str(),
     };
-    match applied {
+    match &news.applied {
         Applied::Known => {}
         Applied::Taken => log::info!(
-            event = "document_taken", item = item, revision = revision, source = source;
+            event = "document_taken", item = item, kind = kind, revision = revision, source = source;
             "document in force"
         ),
         Applied::Refused(error) => log::warn!(
