--- a/crates/transport/relay/src/forwarding.rs
+++ b/crates/transport/relay/src/forwarding.rs
@@ -113,31 +113,31 @@
 }
 
 /// Headers passed on to back ends: without those that belong to the connection, and
-/// without those that this node sets itself.
+/// without those that this node alone sets.
 pub(crate) fn forwarded_headers(headers: &HeaderMap, vocabulary: &Vocabulary) -> HeaderMap {
-    let own = [
-        &header::AUTHORIZATION,
-        &header::CONTENT_LENGTH,
-        &vocabulary.tenant,
-        &vocabulary.remaining_ms,
-        &vocabulary.expected_instance,
-        &vocabulary.rank,
-        &vocabulary.copy_from,
-    ];
-    let mut forwarded = without_connection_headers(headers);
-    for name in own {
+    let keeps = |name: &HeaderName| vocabulary.describes_request(name);
+    let mut forwarded = without_connection_headers(headers, keeps);
+    forwarded.remove(header::AUTHORIZATION);
+    forwarded.remove(header::CONTENT_LENGTH);
+    for name in vocabulary.set_by_node() {
         forwarded.remove(name);
     }
     forwarded
 }
 
-/// A copy without what belongs to the connection.
-fn without_connection_headers(headers: &HeaderMap) -> HeaderMap {
+/// A copy without what belongs to the connection; of what `Connection` lists, `keeps`
+/// tells which stays all the same.
+fn without_connection_headers(
+    headers: &HeaderMap,
+    keeps: impl Fn(&HeaderName) -> bool,
+) -> HeaderMap {
     let mut copy = headers.clone();
     let listed = headers.get_all(header::CONNECTION).iter();
     let listed = listed.filter_map(|value| value.to_str().ok());
-    for name in listed.flat_map(|value| value.split(',')) {
-        copy.remove(name.trim());
+    let names = listed.flat_map(|value| value.split(','));
+    let names = names.filter_map(|name| name.trim().parse::<HeaderName>().ok());
+    for name in names.filter(|name| !keeps(name)) {
+        copy.remove(name);
     }
     for name in &CONNECTION_HEADERS {
         copy.remove(name);
@@ -155,7 +155,7 @@
 pub(crate) fn answer(parts: &http::response::Parts, body: RelayBody) -> Response<RelayBody> {
     let mut response = Response::new(body);
     *response.status_mut() = parts.status;
-    *response.headers_mut() = without_connection_headers(&parts.headers);
+    *response.headers_mut() = without_connection_headers(&parts.headers, |_| false);
     response.headers_mut().remove(header::CONTENT_LENGTH);
     response
 }
--- a/crates/transport/relay/src/vocabulary.rs
+++ b/crates/transport/relay/src/vocabulary.rs
@@ -28,4 +28,37 @@
     pub copy_from: HeaderName,
     /// Where a stream is taken up.
     pub last_event_id: HeaderName,
+    /// Model that a request asks for.
+    pub model: HeaderName,
+    /// Further headers by which a router commands back ends. A caller's copy never goes
+    /// on: a back end would take it for this node's word.
+    pub commands: Vec<HeaderName>,
+}
+
+impl Vocabulary {
+    /// Headers that this node alone sets on a request to a back end.
+    pub(crate) fn set_by_node(&self) -> impl Iterator<Item = &HeaderName> {
+        let told = [
+            &self.tenant,
+            &self.remaining_ms,
+            &self.expected_instance,
+            &self.rank,
+            &self.copy_from,
+        ];
+        told.into_iter().chain(&self.commands)
+    }
+
+    /// Whether a header describes the request itself: a caller that lists it in
+    /// `Connection` does not keep it from the back end.
+    pub(crate) fn describes_request(&self, name: &HeaderName) -> bool {
+        let own = [
+            &self.request_id,
+            &self.model,
+            &self.token_usage,
+            &self.prompt_parts,
+            &self.length_hint,
+            &self.last_event_id,
+        ];
+        own.contains(&name)
+    }
 }
--- a/crates/transport/relay/tests/answers.rs
+++ b/crates/transport/relay/tests/answers.rs
@@ -35,6 +35,27 @@
     assert!((1..=2_500).contains(&remaining));
 }
 
+#[test]
+fn a_caller_cannot_command_a_back_end_or_hide_what_describes_its_request() {
+    let back_end = StandIn::start(|stream, seen, _| {
+        write(stream, &whole(seen, "answer"));
+        true
+    });
+    let relay = Running::before(&[&back_end]);
+    let extra = "Reserve: 7\r\nRESERVE: 8\r\nCopy-From: 10.0.0.9:1\r\nModel: m\r\n\
+                 Token-Usage: 9,9\r\nX-Hop: 1\r\nConnection: Model, X-Hop, Request-Id\r\n\
+                 Connection: Tenant, Token-Usage\r\n";
+    let answer = relay.call("POST", "/write/1", extra, "x");
+    assert_eq!(answer.status, 200);
+    let seen = back_end.first();
+    assert_eq!(seen.header("reserve"), None, "{}", seen.head);
+    assert_eq!(seen.header("copy-from"), None);
+    assert_eq!(seen.header("x-hop"), None);
+    assert_eq!(seen.header("model"), Some("m"));
+    assert_eq!(seen.header("token-usage"), Some("9,9"));
+    assert_eq!(seen.header("tenant"), Some("radio"));
+}
+
 #[test]
 fn a_surplus_answer_is_not_taken_for_the_next_ones() {
     let back_end = StandIn::start(|stream, seen, _| {
--- a/crates/transport/relay/tests/support/mod.rs
+++ b/crates/transport/relay/tests/support/mod.rs
@@ -200,6 +200,8 @@
         length_hint: HeaderName::from_static("length-hint"),
         copy_from: HeaderName::from_static("copy-from"),
         last_event_id: HeaderName::from_static("last-event-id"),
+        model: HeaderName::from_static("model"),
+        commands: vec![HeaderName::from_static("reserve")],
     }
 }
 
