--- a/crates/coordination/dispatch/src/cache.rs
+++ b/crates/coordination/dispatch/src/cache.rs
@@ -21,6 +21,7 @@
 /// to go.
 #[derive(Clone, Debug)]
 pub struct PrefixCache {
+    engine_tokens: u64,
     capacity: u64,
     used: u64,
     next_order: u64,
@@ -32,6 +33,7 @@
     /// An empty cache of an engine with memory for so many tokens.
     pub fn new(engine_tokens: u64) -> Self {
         Self {
+            engine_tokens,
             capacity: usable(engine_tokens),
             used: 0,
             next_order: 0,
@@ -42,10 +44,16 @@
 
     /// The engine has memory for so many tokens.
     pub fn set_engine_tokens(&mut self, engine_tokens: u64) {
+        self.engine_tokens = engine_tokens;
         self.capacity = usable(engine_tokens);
         self.evict();
     }
 
+    /// Tokens that the engine has memory for; 0 for a back end that is no engine.
+    pub fn engine_tokens(&self) -> u64 {
+        self.engine_tokens
+    }
+
     /// Tokens at the beginning of the prompt that need not be read.
     pub fn kept_tokens(&self, parts: &[PromptPart]) -> u32 {
         let kept = parts.iter().take_while(|part| self.keeps(part.id));
--- a/crates/coordination/dispatch/src/demand.rs
+++ b/crates/coordination/dispatch/src/demand.rs
@@ -97,16 +97,7 @@
     Abandoned,
 }
 
-/// Pauses allowed to a stream below which long prompts read beside it make it late:
-/// several pieces of a prompt are read between two of its events.
-const SHORT_PAUSE: Span = Span::from_milliseconds(450);
-
 impl Demand {
-    /// Whether long prompts read beside it would make it late.
-    pub fn is_pause_sensitive(&self) -> bool {
-        self.pause_target.is_some_and(|pause| pause <= SHORT_PAUSE)
-    }
-
     /// The parts of the prompt that other requests may share: all but the last.
     pub fn shared_parts(&self) -> &[PromptPart] {
         let count = self.parts.len().saturating_sub(1);
--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -11,7 +11,7 @@
 use crate::{
     Applied, BudgetSettings, Candidate, Change, Content, Decision, Demand, DocumentKey, Gossip,
     Grant, Knowledge, LeaseId, Outcome, PeerChange, Peers, Placement, PromptPart, RetryBudget,
-    choose,
+    StreamPacing, choose,
 };
 use eiderferry_routing::{InstanceId, NodeName, PoolName, ZoneName};
 use eiderferry_types::{Reason, Span, Timestamp};
@@ -317,8 +317,7 @@
         let revision = self.knowledge.complete_to();
         let list_age = self.knowledge.confirmed_age(now).unwrap_or(Span::ZERO);
         let state = self.back_ends.get_mut(&plan.instance)?;
-        let is_sensitive = demand.is_pause_sensitive();
-        state.load.begin(lease, plan.uncached, is_sensitive, now);
+        state.load.begin(lease, plan.footprint, now);
         state.load.cache.insert(&demand.parts);
         let address = state.back_end.address;
         let known = self.placements.len();
@@ -334,7 +333,7 @@
             instance: plan.instance,
             address,
             connections,
-            uncached_tokens: plan.uncached,
+            uncached_tokens: plan.footprint.uncached_tokens,
             copy_from: plan.copy_from,
             expected: plan.candidate.first_event,
             revision,
@@ -358,6 +357,13 @@
         }
     }
 
+    /// How the events of a stream came, told before its place is given back.
+    pub fn note_pacing(&mut self, lease: LeaseId, pacing: &StreamPacing) {
+        if let Some(lease) = self.leases.get(&lease) {
+            self.back_ends.learn(&lease.instance, pacing);
+        }
+    }
+
     fn state_of(&mut self, lease: LeaseId) -> Option<&mut BackEndState> {
         let lease = self.leases.get(&lease)?;
         self.back_ends.get_mut(&lease.instance)
--- /dev/null
+++ b/crates/coordination/dispatch/src/engine_model.rs
@@ -0,0 +1,182 @@
+//! How an engine treats its streams, learned from the streams that ran there.
+//!
+//! An engine generates a token for each of its streams a step, and reads a piece of a
+//! waiting prompt in the same step. A step that reads takes many times longer, and an
+//! event may hold several tokens: while a long prompt is read, the events of all streams
+//! beside it come late, up to a pause that no longer prompt exceeds. That longest pause
+//! and the spacing without disturbance are learned, for a pool and for each engine.
+
+use crate::StreamPacing;
+use eiderferry_routing::EngineSpecification;
+use eiderferry_types::Span;
+
+/// Time of a step that reads a piece of a prompt, until streams have been seen: 2,048
+/// tokens, the usual default of engines, at 38 tokens a millisecond (measured at the
+/// first deployment), and a step of 6 ms.
+const ASSUMED_READING_STEP_MS: f64 = 60.0;
+/// Time of a step without reading, until streams have been seen (measured there, too).
+const ASSUMED_STEP_MS: f64 = 6.0;
+/// Tokens of an event where the configuration tells nothing.
+const ASSUMED_TOKENS_PER_EVENT: u32 = 1;
+/// Part of the streams whose longest pause stays under the learned one: the streams that
+/// ran beside a long prompt are mostly more than a tenth, and their pauses lie close.
+const PAUSE_QUANTILE: f64 = 0.9;
+/// Part of the streams whose spacing stays under the learned one: those that ran almost
+/// without disturbance.
+const SPACING_QUANTILE: f64 = 0.25;
+/// Largest change of a learned quantile by one stream, as a part of it.
+const LEARNING_RATE: f64 = 0.06;
+/// Streams shorter than this tell too little.
+const MINIMUM_EVENTS: u64 = 5;
+/// A learned figure stays within this factor of where it began: faults of a few
+/// seconds must not make it useless.
+const MOST_DRIFT: f64 = 4.0;
+/// Slowest and fastest that an engine is believed to be against its pool.
+const RELATIVE_SPEED: (f64, f64) = (0.6, 3.0);
+/// Longest pauses of streams beside a long prompt, against the learned quantile: the
+/// middle one, and their spread on a logarithmic scale (measured on 3,500 streams).
+const MIDDLE_OF_PAUSES: f64 = 0.9;
+const SPREAD_OF_PAUSES: f64 = 0.15;
+
+/// A quantile that follows a series of samples.
+#[derive(Clone, Copy, Debug)]
+struct Quantile {
+    value: f64,
+    start: f64,
+    part: f64,
+}
+
+impl Quantile {
+    fn new(start: f64, part: f64) -> Self {
+        Self {
+            value: start,
+            start,
+            part,
+        }
+    }
+
+    fn learn(&mut self, sample: f64) {
+        let step = if sample > self.value {
+            self.part
+        } else {
+            self.part - 1.0
+        };
+        let bounds = (self.start / MOST_DRIFT, self.start * MOST_DRIFT);
+        self.value = (self.value * (LEARNING_RATE * step).exp()).clamp(bounds.0, bounds.1);
+    }
+}
+
+fn milliseconds(span: Span) -> f64 {
+    span.seconds() * 1_000.0
+}
+
+/// What is learned of the engines of a pool together.
+#[derive(Clone, Copy, Debug)]
+pub struct PoolModel {
+    reading_pause_ms: Quantile,
+    spacing_ms: Quantile,
+    streams: u64,
+}
+
+/// How fast one engine is against its pool.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineSpeed {
+    spacing_ms: Quantile,
+}
+
+impl PoolModel {
+    /// What is assumed of engines that no stream has been seen of.
+    pub fn new(engine: Option<&EngineSpecification>) -> Self {
+        let tokens = engine.map_or(ASSUMED_TOKENS_PER_EVENT, |engine| engine.tokens_per_event);
+        let tokens = f64::from(tokens.max(1));
+        Self {
+            reading_pause_ms: Quantile::new(tokens * ASSUMED_READING_STEP_MS, PAUSE_QUANTILE),
+            spacing_ms: Quantile::new(tokens * ASSUMED_STEP_MS, SPACING_QUANTILE),
+            streams: 0,
+        }
+    }
+
+    /// Whether anything was learned yet.
+    pub fn has_seen_streams(&self) -> bool {
+        self.streams > 0
+    }
+
+    /// Learns from a stream that has ended.
+    pub fn learn(&mut self, pacing: &StreamPacing) {
+        let Some(spacing) = pacing.spacing().filter(|_| tells_enough(pacing)) else {
+            return;
+        };
+        self.streams += 1;
+        self.spacing_ms.learn(milliseconds(spacing));
+        self.reading_pause_ms
+            .learn(milliseconds(pacing.longest_pause()));
+    }
+
+    /// An engine of this pool that no stream has been seen of.
+    pub fn engine_speed(&self) -> EngineSpeed {
+        EngineSpeed {
+            spacing_ms: self.spacing_ms,
+        }
+    }
+
+    /// Longest pause that reading makes at an engine, however long the prompt is.
+    pub fn reading_pause(&self, speed: &EngineSpeed) -> Span {
+        Span::from_seconds(self.reading_pause_ms.value * self.relative(speed) / 1_000.0)
+    }
+
+    /// Time between two events of an undisturbed stream at an engine.
+    pub fn spacing(&self, speed: &EngineSpeed) -> Span {
+        Span::from_seconds(self.spacing_ms.value * self.relative(speed) / 1_000.0)
+    }
+
+    fn relative(&self, speed: &EngineSpeed) -> f64 {
+        let relative = speed.spacing_ms.value / self.spacing_ms.value;
+        relative.clamp(RELATIVE_SPEED.0, RELATIVE_SPEED.1)
+    }
+
+    /// Chance that a stream exceeds its target for pauses, 0 to 1, when a prompt that
+    /// takes so long to read is read beside it.
+    pub fn chance_of_late_event(&self, speed: &EngineSpeed, target: Span, reading: Span) -> f64 {
+        let longest = milliseconds(self.reading_pause(speed)) * MIDDLE_OF_PAUSES;
+        let pause = (milliseconds(self.spacing(speed)) + milliseconds(reading)).min(longest);
+        let excess = (pause / milliseconds(target).max(1.0)).ln() / SPREAD_OF_PAUSES;
+        1.0 / (1.0 + (-excess).exp())
+    }
+
+    /// The same for prompts so long that no longer one would make a difference.
+    pub fn chance_beside_long_prompts(&self, speed: &EngineSpeed, target: Span) -> f64 {
+        self.chance_of_late_event(speed, target, Span(u64::MAX))
+    }
+
+    /// Part of the streams that the longest reading would make late which one of this
+    /// length makes late, 0 to 1. Their targets are taken to lie at the longest pause:
+    /// of those far above none is late, and far below there are few.
+    pub fn share_made_late(&self, speed: &EngineSpeed, reading: Span) -> f64 {
+        let target = part_of(self.reading_pause(speed), MIDDLE_OF_PAUSES);
+        let longest = self.chance_beside_long_prompts(speed, target);
+        self.chance_of_late_event(speed, target, reading) / longest
+    }
+
+    /// Whether a prompt that takes so long to read disturbs others noticeably: half as
+    /// much as the longest can.
+    pub fn is_long_reading(&self, speed: &EngineSpeed, reading: Span) -> bool {
+        reading.0 * 2 >= self.reading_pause(speed).0
+    }
+}
+
+impl EngineSpeed {
+    /// Learns from a stream that has ended there.
+    pub fn learn(&mut self, pacing: &StreamPacing) {
+        if let Some(spacing) = pacing.spacing().filter(|_| tells_enough(pacing)) {
+            self.spacing_ms.learn(milliseconds(spacing));
+        }
+    }
+}
+
+fn part_of(span: Span, part: f64) -> Span {
+    Span((span.0 as f64 * part) as u64)
+}
+
+fn tells_enough(pacing: &StreamPacing) -> bool {
+    pacing.events() >= MINIMUM_EVENTS
+}
--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -10,11 +10,13 @@
 mod cache;
 mod demand;
 mod dispatcher;
+mod engine_model;
 mod health;
 mod knowledge;
 mod load;
 mod message;
 mod outcomes;
+mod pacing;
 mod peers;
 mod placement;
 mod planning;
@@ -26,11 +28,13 @@
 pub use dispatcher::{
     Dispatcher, DispatcherSettings, ReadingDuty, Received, Snapshot, TICK, TakenNews, TickOutput,
 };
+pub use engine_model::{EngineSpeed, PoolModel};
 pub use health::{Health, HealthChange};
 pub use knowledge::{Applied, Change, Content, DocumentKey, Knowledge};
-pub use load::{BackEndLoad, REPORT_LIFETIME};
+pub use load::{BackEndLoad, Footprint, Occupancy, REPORT_LIFETIME};
 pub use message::{Gossip, LoadReport, Member, News, Placement, ZoneDigest};
 pub use outcomes::{OutcomeCounts, RecentOutcomes};
+pub use pacing::StreamPacing;
 pub use peers::{PeerChange, Peers};
-pub use placement::{Candidate, Interference, choose};
+pub use placement::{Candidate, choose};
 pub use retry_budget::{BudgetSettings, RetryBudget};
--- a/crates/coordination/dispatch/src/load.rs
+++ b/crates/coordination/dispatch/src/load.rs
@@ -1,6 +1,8 @@
 //! How loaded a back end is, as this node knows it.
 
-use crate::{LeaseId, LoadReport, Outcome, OutcomeCounts, PrefixCache, RecentOutcomes};
+use crate::{
+    EngineSpeed, LeaseId, LoadReport, Outcome, OutcomeCounts, PrefixCache, RecentOutcomes,
+};
 use eiderferry_types::{Span, Timestamp};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -14,22 +16,62 @@
 const SPEED_BOUNDS: (f64, f64) = (0.5, 8.0);
 /// Prompts shorter than this tell nothing of an engine's speed.
 const MINIMUM_OBSERVED_TOKENS: u32 = 1_500;
+/// Unit in which messages tell tokens, and parts of a stream.
+const HUNDRED: u64 = 100;
+
+/// What a request takes of a back end, and how it and the others there disturb each
+/// other.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Footprint {
+    /// Prompt tokens that have to be read.
+    pub uncached_tokens: u32,
+    /// Tokens of memory at its end.
+    pub memory_tokens: u32,
+    /// Chance that a long prompt read beside it makes it late.
+    pub exposure: f64,
+    /// Whether its own prompt takes long to read.
+    pub is_long_reading: bool,
+}
 
 /// A request that this node has at a back end.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Running {
-    pub uncached_tokens: u32,
-    pub is_sensitive: bool,
-    pub pending_before: u64,
-    pub started: Timestamp,
-    pub has_begun: bool,
+struct Running {
+    footprint: Footprint,
+    pending_before: u64,
+    started: Timestamp,
+    has_begun: bool,
+}
+
+/// What all nodes' requests take of a back end together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Occupancy {
+    /// Requests.
+    pub running: u32,
+    /// Streams that a long prompt would make late, in expectation.
+    pub exposed: f64,
+    /// Requests whose own prompts take long to read.
+    pub long_readings: u32,
+    /// Tokens of memory at their ends.
+    pub memory_tokens: u64,
+    /// Prompt tokens that are still to be read.
+    pub pending_tokens: u64,
+}
+
+impl Occupancy {
+    fn plus(self, other: Self) -> Self {
+        Self {
+            running: self.running + other.running,
+            exposed: self.exposed + other.exposed,
+            long_readings: self.long_readings + other.long_readings,
+            memory_tokens: self.memory_tokens + other.memory_tokens,
+            pending_tokens: self.pending_tokens + other.pending_tokens,
+        }
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Report {
-    running: u32,
-    sensitive: u32,
-    pending_tokens: u64,
+    occupancy: Occupancy,
     outcomes: OutcomeCounts,
     at: Timestamp,
 }
@@ -42,9 +84,11 @@
     fn to_message(self, back_end: u32) -> LoadReport {
         LoadReport {
             back_end,
-            running: saturate(u64::from(self.running)),
-            sensitive: saturate(u64::from(self.sensitive)),
-            pending_hundreds: saturate(self.pending_tokens / 100),
+            running: saturate(u64::from(self.occupancy.running)),
+            exposed_hundredths: saturate((self.occupancy.exposed * HUNDRED as f64) as u64),
+            long_readings: saturate(u64::from(self.occupancy.long_readings)),
+            memory_hundreds: saturate(self.occupancy.memory_tokens / HUNDRED),
+            pending_hundreds: saturate(self.occupancy.pending_tokens / HUNDRED),
             completed: saturate(u64::from(self.outcomes.completed)),
             failed: saturate(u64::from(self.outcomes.failed)),
         }
@@ -62,18 +106,21 @@
     reports: HashMap<u64, Report>,
     slowness: f64,
     outcomes: RecentOutcomes,
+    /// Its speed against its pool.
+    pub speed: EngineSpeed,
     /// Prompts it is believed to keep.
     pub cache: PrefixCache,
 }
 
 impl BackEndLoad {
     /// A back end that nothing is known of, with memory for so many tokens.
-    pub fn new(engine_tokens: u64) -> Self {
+    pub fn new(engine_tokens: u64, speed: EngineSpeed) -> Self {
         Self {
             running: BTreeMap::new(),
             reports: HashMap::new(),
             slowness: 1.0,
             outcomes: RecentOutcomes::default(),
+            speed,
             cache: PrefixCache::new(engine_tokens),
         }
     }
@@ -89,7 +136,7 @@
         let rate = ASSUMED_TOKENS_PER_MS / self.slowness;
         let total: u64 = waiting
             .clone()
-            .map(|running| u64::from(running.uncached_tokens))
+            .map(|running| u64::from(running.footprint.uncached_tokens))
             .sum();
         let oldest = waiting.map(|running| running.started).min();
         let elapsed = oldest.map_or(0, |started| now.since(started).milliseconds());
@@ -97,26 +144,26 @@
         total.saturating_sub(read.min(total / 2))
     }
 
-    /// Requests of all nodes there.
-    pub fn total_running(&self, now: Timestamp) -> u32 {
-        self.own_running() + self.fresh(now).map(|report| report.running).sum::<u32>()
-    }
-
-    /// Requests of this node there that long prompts make late.
-    pub fn own_sensitive(&self) -> u32 {
-        let sensitive = self.running.values().filter(|running| running.is_sensitive);
-        sensitive.count() as u32
-    }
-
-    /// Requests of all nodes there that long prompts make late.
-    pub fn total_sensitive(&self, now: Timestamp) -> u32 {
-        self.own_sensitive() + self.fresh(now).map(|report| report.sensitive).sum::<u32>()
+    /// What this node's requests take there.
+    pub fn own_occupancy(&self, now: Timestamp) -> Occupancy {
+        let footprints = self.running.values().map(|running| &running.footprint);
+        let mut own = Occupancy {
+            running: self.own_running(),
+            pending_tokens: self.own_pending_tokens(now),
+            ..Occupancy::default()
+        };
+        for footprint in footprints {
+            own.exposed += footprint.exposure;
+            own.long_readings += u32::from(footprint.is_long_reading);
+            own.memory_tokens += u64::from(footprint.memory_tokens);
+        }
+        own
     }
 
-    /// Prompt tokens of all nodes' requests that are still to be read there.
-    pub fn total_pending_tokens(&self, now: Timestamp) -> u64 {
-        let others: u64 = self.fresh(now).map(|report| report.pending_tokens).sum();
-        self.own_pending_tokens(now) + others
+    /// What all nodes' requests take there.
+    pub fn occupancy(&self, now: Timestamp) -> Occupancy {
+        let others = self.fresh(now).map(|report| report.occupancy);
+        others.fold(self.own_occupancy(now), Occupancy::plus)
     }
 
     fn fresh(&self, now: Timestamp) -> impl Iterator<Item = &Report> {
@@ -133,9 +180,13 @@
     /// Takes over what another node reports of its requests there.
     pub fn report(&mut self, node: u64, report: &LoadReport, at: Timestamp) {
         let report = Report {
-            running: u32::from(report.running),
-            sensitive: u32::from(report.sensitive),
-            pending_tokens: u64::from(report.pending_hundreds) * 100,
+            occupancy: Occupancy {
+                running: u32::from(report.running),
+                exposed: f64::from(report.exposed_hundredths) / HUNDRED as f64,
+                long_readings: u32::from(report.long_readings),
+                memory_tokens: u64::from(report.memory_hundreds) * HUNDRED,
+                pending_tokens: u64::from(report.pending_hundreds) * HUNDRED,
+            },
             outcomes: OutcomeCounts {
                 completed: u32::from(report.completed),
                 failed: u32::from(report.failed),
@@ -156,16 +207,12 @@
         let reports =
             reports.filter(|(node, report)| others.contains(node) && report.is_fresh(now));
         let mut total = Report {
-            running: self.own_running(),
-            sensitive: self.own_sensitive(),
-            pending_tokens: self.own_pending_tokens(now),
+            occupancy: self.own_occupancy(now),
             outcomes: self.own_outcomes(now),
             at: now,
         };
         for (_, report) in reports {
-            total.running += report.running;
-            total.sensitive += report.sensitive;
-            total.pending_tokens += report.pending_tokens;
+            total.occupancy = total.occupancy.plus(report.occupancy);
             total.outcomes = total.outcomes.plus(report.outcomes);
         }
         total.to_message(back_end)
@@ -176,17 +223,10 @@
         self.reports.remove(&node);
     }
 
-    pub(crate) fn begin(
-        &mut self,
-        lease: LeaseId,
-        uncached_tokens: u32,
-        is_sensitive: bool,
-        now: Timestamp,
-    ) {
+    pub(crate) fn begin(&mut self, lease: LeaseId, footprint: Footprint, now: Timestamp) {
         let running = Running {
-            uncached_tokens,
-            is_sensitive,
-            pending_before: self.total_pending_tokens(now),
+            footprint,
+            pending_before: self.occupancy(now).pending_tokens,
             started: now,
             has_begun: false,
         };
@@ -202,13 +242,13 @@
             return;
         }
         let running = *running;
-        if running.uncached_tokens >= MINIMUM_OBSERVED_TOKENS {
+        if running.footprint.uncached_tokens >= MINIMUM_OBSERVED_TOKENS {
             self.observe_speed(&running, now);
         }
     }
 
     fn observe_speed(&mut self, running: &Running, now: Timestamp) {
-        let tokens = running.pending_before + u64::from(running.uncached_tokens);
+        let tokens = running.pending_before + u64::from(running.footprint.uncached_tokens);
         let expected = tokens as f64 / ASSUMED_TOKENS_PER_MS;
         let observed = now.since(running.started).milliseconds() as f64;
         let ratio = (observed / expected).clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
--- a/crates/coordination/dispatch/src/message.rs
+++ b/crates/coordination/dispatch/src/message.rs
@@ -12,8 +12,13 @@
     pub back_end: u32,
     /// Requests that the sender has there.
     pub running: u16,
-    /// Those of them that long prompts make late.
-    pub sensitive: u16,
+    /// Streams among them that a long prompt read beside them would make late, in
+    /// hundredths of a stream: the sum of their chances.
+    pub exposed_hundredths: u16,
+    /// Those of them whose own prompts take long to read.
+    pub long_readings: u16,
+    /// Tokens of memory that they take at their end, in hundreds.
+    pub memory_hundreds: u16,
     /// Prompt tokens of these that it has still to read, in hundreds.
     pub pending_hundreds: u16,
     /// Requests of the sender that ended well there in the last seconds.
--- /dev/null
+++ b/crates/coordination/dispatch/src/pacing.rs
@@ -0,0 +1,46 @@
+//! How the events of a stream came.
+
+use eiderferry_types::{Span, Timestamp};
+
+/// When the events of one stream arrived from its back end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StreamPacing {
+    events: u64,
+    first_at: Timestamp,
+    last_at: Timestamp,
+    longest_pause: Span,
+}
+
+impl StreamPacing {
+    /// Notes that some events arrived together.
+    pub fn note(&mut self, events: u64, now: Timestamp) {
+        if self.events == 0 {
+            self.first_at = now;
+        } else {
+            self.longest_pause = self.longest_pause.max(now.since(self.last_at));
+        }
+        self.events += events;
+        self.last_at = now;
+    }
+
+    /// Events that arrived.
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+
+    /// When the first event arrived; nothing before it.
+    pub fn first_at(&self) -> Option<Timestamp> {
+        (self.events > 0).then_some(self.first_at)
+    }
+
+    /// Longest time between two arrivals.
+    pub fn longest_pause(&self) -> Span {
+        self.longest_pause
+    }
+
+    /// Mean time from one event to the next; nothing before the second event.
+    pub fn spacing(&self) -> Option<Span> {
+        let intervals = self.events.checked_sub(1).filter(|count| *count > 0)?;
+        Some(Span(self.last_at.since(self.first_at).0 / intervals))
+    }
+}
--- a/crates/coordination/dispatch/src/placement.rs
+++ b/crates/coordination/dispatch/src/placement.rs
@@ -1,79 +1,65 @@
-//! Choice of a back end.
+//! Choice of a back end: what each would cost, in one unit.
+//!
+//! All costs are times. A request that misses its target costs [`LATE_REQUEST`]; prices
+//! of other things are set against that.
 
 use eiderferry_types::Span;
 
+/// What a request that misses its target costs: about the target of a first event, so
+/// that a delay of one target weighs as much as a loss.
+const LATE_REQUEST: Span = Span::from_milliseconds(450);
 /// Time that a request in another zone is held to cost more, for its bytes.
 const OTHER_ZONE: Span = Span::from_milliseconds(20);
-/// Time that each running request costs the others of its batch.
-const PER_RUNNING: Span = Span::from_milliseconds(4);
-/// Time that a full batch costs at least.
-const FULL: Span = Span::from_milliseconds(1_000);
+/// Time that a full batch costs. A place in a batch costs next to nothing until the
+/// batch is nearly full (a step of 64 streams takes half as long again as one of a single
+/// stream), so the cost rises with the cube of its fullness: streams gather, and leave
+/// other engines to long prompts. Near the end it makes up for choices that other nodes
+/// make at the same moment.
+const FULL_BATCH: Span = Span::from_milliseconds(256);
+/// Time that a request costs beyond a full batch at least: it waits for an end.
+const WAITING: Span = Span::from_milliseconds(1_000);
 /// What reading a shared prompt token again is held to cost beside its time, in
 /// microseconds: the room it takes from other prompts, and the work done twice.
 const READ_AGAIN_PER_TOKEN: u64 = 70;
 /// The same for a token copied from another engine.
 const COPY_PER_TOKEN: u64 = 30;
-
-/// Longest reading of a prompt that counts as disturbing one stream.
-const LONGEST_DISTURBANCE: Span = Span::from_milliseconds(300);
-/// What a disturbance of one sensitive stream costs, as a part of its length.
-const DISTURBANCE_PART: f64 = 0.3;
-/// What each request that may bring further prompts costs a sensitive stream.
-const PER_NEIGHBOUR: Span = Span::from_milliseconds(10);
+/// What it costs that reading a prompt holds all requests of a full batch up, as a part
+/// of the time that they lose together: they keep their slots that much longer.
+const HELD_UP_PART: f64 = 0.1;
+/// Part of an engine's memory beyond which requests begin to push each other out:
+/// what is known of the others is some hundred milliseconds old.
+const COMFORTABLE_MEMORY: f64 = 0.75;
+/// What a request costs that fills the memory to the end: it, or another, is put back
+/// and read anew.
+const FULL_MEMORY: Span = Span::from_milliseconds(2_000);
 
 /// What a failure costs a request that may be sent again, and one that may not.
 const FAILURE: Span = Span::from_milliseconds(800);
 const FAILURE_FOR_GOOD: Span = Span::from_milliseconds(4_000);
 
-/// How a request and those beside it disturb each other: while an engine reads a long
-/// prompt, the events of all its streams come late.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Interference {
-    /// The request is a stream with short pauses.
-    Suffered {
-        /// Time to read the prompts that wait there.
-        pending: Span,
-        /// Requests there that are not sensitive themselves.
-        others: u32,
-    },
-    /// The request's prompt is read beside streams with short pauses.
-    Caused {
-        /// Time to read it.
-        reading: Span,
-        /// Such streams there.
-        sensitive: u32,
-    },
-}
-
-impl Interference {
-    fn cost(&self) -> Span {
-        match self {
-            Interference::Suffered { pending, others } => {
-                Span(pending.0 + u64::from(*others) * PER_NEIGHBOUR.0)
-            }
-            Interference::Caused { reading, sensitive } => {
-                let disturbance = reading.0.min(LONGEST_DISTURBANCE.0) as f64 * DISTURBANCE_PART;
-                Span((disturbance * f64::from(*sensitive)) as u64)
-            }
-        }
-    }
-}
-
 /// A back end that could take a request.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Candidate {
     /// Expected time to the first event there.
     pub first_event: Span,
+    /// Time within which the first event is in time.
+    pub target: Span,
     /// Shared prompt tokens that it would have to read although another has them.
     pub read_again: u32,
     /// Shared prompt tokens that it would have to copy from another.
     pub copied: u32,
-    /// How the request and those there disturb each other.
-    pub interference: Interference,
+    /// Chance that prompts read there make the request's own events late.
+    pub own_late_event: f64,
+    /// Streams there that its prompt would make late, in expectation.
+    pub others_late: f64,
+    /// Time to read its prompt there.
+    pub reading: Span,
     /// Requests there.
     pub running: u32,
     /// Requests that run there at once.
     pub slots: u32,
+    /// Part of its memory that is taken with the request; 0 where it has none.
+    pub memory: f64,
     /// Whether it stands in the node's zone.
     pub is_near: bool,
     /// By how much its share of failures exceeds that of its pool.
@@ -85,36 +71,72 @@
 impl Candidate {
     /// What choosing it costs, as a time.
     pub fn cost(&self) -> Span {
-        let zone = if self.is_near { 0 } else { OTHER_ZONE.0 };
-        let waiting = u64::from(self.running.saturating_sub(self.slots));
-        let full = if self.running >= self.slots {
-            FULL.0 + waiting * FULL.0 / u64::from(self.slots.max(1))
+        let zone = if self.is_near { Span::ZERO } else { OTHER_ZONE };
+        self.first_event
+            + zone
+            + self.batch_cost()
+            + self.held_up_cost()
+            + self.memory_cost()
+            + self.reading_cost()
+            + part_of(LATE_REQUEST, self.late_first_event())
+            + part_of(LATE_REQUEST, self.own_late_event + self.others_late)
+            + self.failure_cost()
+    }
+
+    /// Chance that the first event comes late: prompts that other nodes sent a moment ago
+    /// are not known yet, and the longer the known queue the more of them there are.
+    fn late_first_event(&self) -> f64 {
+        if self.target == Span::ZERO {
+            return 0.0;
+        }
+        let part = self.first_event.0 as f64 / self.target.0 as f64;
+        part.min(1.0).powi(2)
+    }
+
+    fn batch_cost(&self) -> Span {
+        let slots = f64::from(self.slots.max(1));
+        let fullness = f64::from(self.running) / slots;
+        let waiting = if self.running >= self.slots {
+            part_of(WAITING, fullness)
         } else {
-            0
+            Span::ZERO
         };
-        let batch = u64::from(self.running) * PER_RUNNING.0;
+        part_of(FULL_BATCH, fullness.powi(3)) + waiting
+    }
+
+    /// The emptier a batch is, the less a longer stay in it matters.
+    fn held_up_cost(&self) -> Span {
+        let fullness = f64::from(self.running) / f64::from(self.slots.max(1));
+        let scarcity = fullness.min(1.0).powi(3);
+        let lost = f64::from(self.running) * scarcity;
+        part_of(self.reading, lost * HELD_UP_PART)
+    }
+
+    fn memory_cost(&self) -> Span {
+        let excess = (self.memory - COMFORTABLE_MEMORY) / (1.0 - COMFORTABLE_MEMORY);
+        part_of(FULL_MEMORY, excess.max(0.0))
+    }
+
+    fn reading_cost(&self) -> Span {
         let read_again = u64::from(self.read_again) * READ_AGAIN_PER_TOKEN;
         let copied = u64::from(self.copied) * COPY_PER_TOKEN;
-        let interference = self.interference.cost().0;
+        Span(read_again + copied)
+    }
+
+    fn failure_cost(&self) -> Span {
         let failure = if self.may_repeat {
             FAILURE
         } else {
             FAILURE_FOR_GOOD
         };
-        let failures = (self.excess_failures * failure.0 as f64) as u64;
-        Span(
-            self.first_event.0
-                + zone
-                + full
-                + batch
-                + read_again
-                + copied
-                + interference
-                + failures,
-        )
+        part_of(failure, self.excess_failures)
     }
 }
 
+fn part_of(span: Span, part: f64) -> Span {
+    Span((span.0 as f64 * part.max(0.0)) as u64)
+}
+
 /// Index of the cheapest candidate.
 pub fn choose(candidates: &[Candidate]) -> Option<usize> {
     let costs = candidates.iter().enumerate();
--- a/crates/coordination/dispatch/src/planning.rs
+++ b/crates/coordination/dispatch/src/planning.rs
@@ -1,9 +1,9 @@
 //! What sending a request to each of some back ends would mean.
 
 use crate::registry::{BackEndState, Registry};
-use crate::{Candidate, Demand, Interference};
+use crate::{Candidate, Demand, Footprint, Occupancy, PoolModel};
 use eiderferry_routing::{InstanceId, ZoneName};
-use eiderferry_types::Timestamp;
+use eiderferry_types::{Span, Timestamp};
 use rand::Rng;
 use rand::seq::IteratorRandom;
 use std::net::SocketAddr;
@@ -13,6 +13,10 @@
 const MINIMUM_COPIED_TOKENS: u32 = 1_000;
 /// Difference of two shares of failures that is put down to chance.
 const CHANCE_SHARE: f64 = 0.07;
+/// Chance that, while a stream runs, another long prompt comes to an engine for each
+/// request with a long prompt that runs there: streams last a few seconds, as long as
+/// those requests do.
+const FURTHER_LONG_READING: f64 = 0.3;
 /// Back ends compared for one request where the pool has more.
 const MOST_COMPARED: usize = 32;
 /// Of these, those first in the order of preference for the request's prompt.
@@ -26,7 +30,7 @@
 pub(crate) struct Plan {
     pub instance: InstanceId,
     pub candidate: Candidate,
-    pub uncached: u32,
+    pub footprint: Footprint,
     pub copy_from: Option<SocketAddr>,
 }
 
@@ -59,6 +63,7 @@
         .map(|state| &state.back_end.instance);
     let compared = shortlist(&staying, zone, demand, now, random);
     let setting = Setting {
+        model: registry.model(&demand.pool),
         home,
         keepers: Keepers::among(&staying, home, demand, now),
         usual_failures: usual_failure_share(&staying, now),
@@ -149,6 +154,7 @@
 
 /// What all plans for one request share.
 struct Setting<'a> {
+    model: Option<&'a PoolModel>,
     home: Option<&'a InstanceId>,
     keepers: Keepers<'a>,
     usual_failures: f64,
@@ -178,47 +184,103 @@
     let is_home = setting.home == Some(instance);
     let read_again = if is_home { 0 } else { missing - copied };
     let uncached = demand.prompt_tokens.saturating_sub(kept + copied);
-    let pending = state.load.total_pending_tokens(now);
+    let there = state.load.occupancy(now);
+    let footprint = footprint(state, demand, uncached, setting);
+    let mut candidate = Candidate {
+        first_event: state
+            .load
+            .reading_time(there.pending_tokens + u64::from(uncached)),
+        target: demand.target,
+        read_again,
+        copied,
+        reading: state.load.reading_time(u64::from(uncached)),
+        running: there.running,
+        slots: state.back_end.slots,
+        memory: memory_part(state, &there, &footprint),
+        is_near: state.back_end.zone == *setting.zone,
+        excess_failures: excess_failures(state, setting),
+        may_repeat: demand.may_repeat,
+        ..Candidate::default()
+    };
+    if let Some(model) = setting.model {
+        let readings = Readings::at(state, &there, &footprint);
+        candidate.own_late_event = readings.own_late_event(&footprint);
+        candidate.others_late = readings.others_late(model, state, there.exposed);
+    }
     Plan {
         instance: instance.clone(),
-        uncached,
+        footprint,
         copy_from,
-        candidate: Candidate {
-            first_event: state.load.reading_time(pending + u64::from(uncached)),
-            read_again,
-            copied,
-            interference: interference(state, demand, uncached, pending, now),
-            running: state.load.total_running(now),
-            slots: state.back_end.slots,
-            is_near: state.back_end.zone == *setting.zone,
-            excess_failures: excess_failures(state, setting),
-            may_repeat: demand.may_repeat,
-        },
+        candidate,
     }
 }
 
-/// By how much a back end fails more than the sound ones of its pool, beyond chance.
-fn excess_failures(state: &BackEndState, setting: &Setting<'_>) -> f64 {
-    let share = state.load.failure_share(setting.now);
-    (share - setting.usual_failures - CHANCE_SHARE).max(0.0)
-}
-
-fn interference(
+fn footprint(
     state: &BackEndState,
     demand: &Demand,
     uncached: u32,
-    pending: u64,
-    now: Timestamp,
-) -> Interference {
-    let sensitive = state.load.total_sensitive(now);
-    if demand.is_pause_sensitive() {
-        return Interference::Suffered {
-            pending: state.load.reading_time(pending),
-            others: state.load.total_running(now).saturating_sub(sensitive),
-        };
+    setting: &Setting<'_>,
+) -> Footprint {
+    let reading = state.load.reading_time(u64::from(uncached));
+    let speed = &state.load.speed;
+    let exposure = setting.model.zip(demand.pause_target);
+    Footprint {
+        uncached_tokens: uncached,
+        memory_tokens: demand.prompt_tokens.saturating_add(demand.output_tokens),
+        exposure: exposure.map_or(0.0, |(model, target)| {
+            model.chance_beside_long_prompts(speed, target)
+        }),
+        is_long_reading: setting
+            .model
+            .is_some_and(|model| model.is_long_reading(speed, reading)),
     }
-    Interference::Caused {
-        reading: state.load.reading_time(u64::from(uncached)),
-        sensitive,
+}
+
+/// Part of an engine's memory that its requests take with one more.
+fn memory_part(state: &BackEndState, there: &Occupancy, footprint: &Footprint) -> f64 {
+    let capacity = state.load.cache.engine_tokens();
+    if capacity == 0 {
+        return 0.0;
+    }
+    let taken = there.memory_tokens + u64::from(footprint.memory_tokens);
+    taken as f64 / capacity as f64
+}
+
+/// Prompts that are read at an engine: those that wait there, and the newcomer's.
+struct Readings {
+    waiting: Span,
+    own: Span,
+    long_there: u32,
+}
+
+impl Readings {
+    fn at(state: &BackEndState, there: &Occupancy, footprint: &Footprint) -> Self {
+        let own = u64::from(footprint.uncached_tokens);
+        Self {
+            waiting: state.load.reading_time(there.pending_tokens),
+            own: state.load.reading_time(own),
+            long_there: there.long_readings,
+        }
+    }
+
+    /// Chance that the newcomer's events come late: where requests with long prompts
+    /// run, further ones are likely to come while it runs.
+    fn own_late_event(&self, footprint: &Footprint) -> f64 {
+        let none_comes = (1.0 - FURTHER_LONG_READING).powi(self.long_there as i32);
+        footprint.exposure * (1.0 - none_comes)
     }
+
+    /// Streams that the newcomer's prompt makes late, in expectation.
+    fn others_late(&self, model: &PoolModel, state: &BackEndState, exposed: f64) -> f64 {
+        let together = Span(self.waiting.0 + self.own.0);
+        let after = model.share_made_late(&state.load.speed, together);
+        let before = model.share_made_late(&state.load.speed, self.waiting);
+        exposed * (after - before).max(0.0)
+    }
+}
+
+/// By how much a back end fails more than the sound ones of its pool, beyond chance.
+fn excess_failures(state: &BackEndState, setting: &Setting<'_>) -> f64 {
+    let share = state.load.failure_share(setting.now);
+    (share - setting.usual_failures - CHANCE_SHARE).max(0.0)
 }
--- a/crates/coordination/dispatch/src/registry.rs
+++ b/crates/coordination/dispatch/src/registry.rs
@@ -1,8 +1,8 @@
 //! The back ends that may get work, with what this node knows of each.
 
 use crate::health::Health;
-use crate::{BackEndLoad, LoadReport, Placement, PromptPart};
-use eiderferry_routing::{BackEnd, InstanceId, PoolName, RoutingTable};
+use crate::{BackEndLoad, LoadReport, Placement, PoolModel, PromptPart, StreamPacing};
+use eiderferry_routing::{BackEnd, EngineSpecification, InstanceId, PoolName, RoutingTable};
 use eiderferry_types::Timestamp;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -35,16 +35,19 @@
     by_address: HashMap<SocketAddr, (u64, InstanceId)>,
     by_digest: HashMap<u32, InstanceId>,
     reported: HashMap<u64, Vec<u32>>,
+    models: HashMap<PoolName, PoolModel>,
 }
 
 fn instance_digest(instance: &InstanceId) -> u32 {
     instance.digest() as u32
 }
 
+fn engine<'a>(table: Option<&'a RoutingTable>, pool: &PoolName) -> Option<&'a EngineSpecification> {
+    table?.pool(pool)?.engine.as_ref()
+}
+
 fn engine_tokens(table: Option<&RoutingTable>, pool: &PoolName) -> u64 {
-    let pool = table.and_then(|table| table.pool(pool));
-    let engine = pool.and_then(|pool| pool.engine.as_ref());
-    engine.map_or(NO_ENGINE_TOKENS, |engine| engine.cache_tokens)
+    engine(table, pool).map_or(NO_ENGINE_TOKENS, |engine| engine.cache_tokens)
 }
 
 impl Registry {
@@ -102,6 +105,9 @@
         let instance = back_end.instance.clone();
         let digest = instance_digest(&instance);
         let tokens = engine_tokens(table, &back_end.pool);
+        let model = self.models.entry(back_end.pool.clone());
+        let model = model.or_insert_with(|| PoolModel::new(engine(table, &back_end.pool)));
+        let speed = model.engine_speed();
         let pool = self.pools.entry(back_end.pool.clone()).or_default();
         if let Err(position) = pool.binary_search(&instance) {
             pool.insert(position, instance.clone());
@@ -110,7 +116,7 @@
         let state = BackEndState {
             back_end,
             digest,
-            load: BackEndLoad::new(tokens),
+            load: BackEndLoad::new(tokens, speed),
             health: Health::default(),
         };
         self.states.insert(instance, state);
@@ -132,14 +138,45 @@
         }
     }
 
-    /// A new table may give pools other memory.
+    /// What is learned of a pool's engines; `None` before one of them is listed.
+    pub fn model(&self, pool: &PoolName) -> Option<&PoolModel> {
+        self.models.get(pool)
+    }
+
+    /// Learns from a stream that ended at a back end.
+    pub fn learn(&mut self, instance: &InstanceId, pacing: &StreamPacing) {
+        let Some(state) = self.states.get_mut(instance) else {
+            return;
+        };
+        state.load.speed.learn(pacing);
+        if let Some(model) = self.models.get_mut(&state.back_end.pool) {
+            model.learn(pacing);
+        }
+    }
+
+    /// A new table may give pools other memory, and tell what they are for the first
+    /// time: back ends may be listed before it.
     pub fn take_table(&mut self, table: &RoutingTable) {
+        self.renew_unseen_models(table);
         for state in self.states.values_mut() {
             let tokens = engine_tokens(Some(table), &state.back_end.pool);
             state.load.cache.set_engine_tokens(tokens);
         }
     }
 
+    fn renew_unseen_models(&mut self, table: &RoutingTable) {
+        for (pool, model) in &mut self.models {
+            if model.has_seen_streams() {
+                continue;
+            }
+            *model = PoolModel::new(engine(Some(table), pool));
+            let states = self.states.values_mut();
+            for state in states.filter(|state| state.back_end.pool == *pool) {
+                state.load.speed = model.engine_speed();
+            }
+        }
+    }
+
     /// Takes over what a node reports of its requests.
     pub fn take_loads(&mut self, sender: u64, loads: &[LoadReport], now: Timestamp) {
         let digests = loads.iter().map(|report| report.back_end).collect();
--- a/crates/coordination/dispatch/tests/placement.rs
+++ b/crates/coordination/dispatch/tests/placement.rs
@@ -2,10 +2,10 @@
 
 mod support;
 
-use eiderferry_dispatch::{Decision, HealthChange, Outcome};
+use eiderferry_dispatch::{Decision, Dispatcher, HealthChange, Outcome, StreamPacing};
 use eiderferry_routing::InstanceId;
 use eiderferry_types::{Reason, Span};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use support::{
     START, back_end, back_end_address, back_end_change, demand, granted, lapsed_change,
     table_change, with_engines,
@@ -200,9 +200,35 @@
     assert!(matches!(decision, Decision::Refuse(Reason::NoBackEnd, _)));
 }
 
+/// Lets a node see streams at its engines whose longest pauses are so long.
+fn see_pauses(subject: &mut Dispatcher, longest: Span) {
+    for thing in 0..200 {
+        let grant = granted(subject.ask(&demand(1_000 + thing, 300, 100), START));
+        subject.note_pacing(grant.lease, &stream_with_pause(longest));
+        subject.end(grant.lease, Outcome::Completed, START);
+    }
+}
+
+/// A stream of 20 events, 25 ms apart but for one pause.
+fn stream_with_pause(longest: Span) -> StreamPacing {
+    let mut pacing = StreamPacing::default();
+    let mut now = START;
+    for number in 0..20 {
+        pacing.note(1, now);
+        let pause = if number == 10 {
+            longest
+        } else {
+            Span::from_milliseconds(25)
+        };
+        now = now + pause;
+    }
+    pacing
+}
+
 #[test]
 fn streams_with_short_pauses_and_long_prompts_are_kept_apart() {
     let mut subject = with_engines(4);
+    see_pauses(&mut subject, Span::from_milliseconds(330));
     let mut engines_of_streams = BTreeSet::new();
     let mut engines_of_prompts = BTreeSet::new();
     for number in 0..12 {
@@ -224,6 +250,32 @@
     );
 }
 
+#[test]
+fn streams_that_no_prompt_makes_late_stay_beside_long_prompts() {
+    let mut subject = with_engines(1);
+    see_pauses(&mut subject, Span::from_milliseconds(120));
+    let mut stream = demand(1, 300, 1_000);
+    stream.pause_target = Some(Span::from_milliseconds(300));
+    granted(subject.ask(&stream, START));
+    let told = subject.gossip(false, START);
+    assert_eq!(told.loads[0].running, 1);
+    assert_eq!(told.loads[0].exposed_hundredths, 0);
+}
+
+#[test]
+fn an_engine_whose_memory_is_taken_gets_no_more_although_it_has_slots() {
+    let mut subject = with_engines(2);
+    let large = demand(1, 50_000, 5_000);
+    let mut counts: BTreeMap<InstanceId, u32> = BTreeMap::new();
+    for _ in 0..14 {
+        let grant = granted(subject.ask(&large, START));
+        subject.first_event(grant.lease, START);
+        *counts.entry(grant.instance).or_default() += 1;
+    }
+    let most = counts.values().max().expect("granted");
+    assert!(*most <= 9, "55,100 of 520,000 tokens each: {counts:?}");
+}
+
 #[test]
 fn a_table_that_comes_after_the_back_ends_gives_them_their_memory() {
     let mut subject = support::dispatcher(0, 0, Vec::new());
--- a/crates/coordination/dispatch/tests/support/mod.rs
+++ b/crates/coordination/dispatch/tests/support/mod.rs
@@ -45,6 +45,7 @@
         engine: Some(EngineSpecification {
             slots: 64,
             cache_tokens: 520_000,
+            tokens_per_event: 4,
         }),
     };
     Change {
--- a/crates/state/routing/src/lib.rs
+++ b/crates/state/routing/src/lib.rs
@@ -9,6 +9,7 @@
 mod error;
 mod identity;
 mod table;
+mod urgency;
 
 pub use back_end::BackEnd;
 pub use error::TableError;
@@ -17,3 +18,4 @@
     EngineSpecification, Limits, Pool, Route, RouteKind, RouteMatch, RoutingTable, Split,
     TableDocument, Tenant,
 };
+pub use urgency::URGENCY_LEVELS;
--- a/crates/state/routing/src/table.rs
+++ b/crates/state/routing/src/table.rs
@@ -1,5 +1,6 @@
 //! The routing table: which request goes to which pool, and for whom.
 
+use crate::urgency::UrgencyScale;
 use crate::{PoolName, TableError};
 use eiderferry_types::Span;
 use serde::{Deserialize, Serialize};
@@ -86,6 +87,8 @@
     pub slots: u32,
     /// Tokens of context that one engine holds.
     pub cache_tokens: u64,
+    /// Tokens that one event of a stream holds.
+    pub tokens_per_event: u32,
 }
 
 /// A pool of interchangeable back ends.
@@ -144,6 +147,7 @@
     document: TableDocument,
     routes_by_host: HashMap<String, Vec<usize>>,
     tenants_by_key: HashMap<String, usize>,
+    urgency: UrgencyScale,
 }
 
 /// What a request's host and path lead to.
@@ -163,10 +167,12 @@
         }
         let tenants_by_key = index_keys(&document.tenants)?;
         let routes_by_host = index_routes(&document.routes);
+        let urgency = UrgencyScale::of(&document.routes);
         Ok(Self {
             document,
             routes_by_host,
             tenants_by_key,
+            urgency,
         })
     }
 
@@ -201,6 +207,12 @@
         }
     }
 
+    /// How urgent a request is to an engine; 0 is the most urgent.
+    pub fn urgency(&self, route: &Route, tenant: Option<&Tenant>) -> u8 {
+        self.urgency
+            .level(route.rank, tenant.and_then(|tenant| tenant.rank))
+    }
+
     /// The tenant that holds a key.
     pub fn tenant(&self, key: &str) -> Option<&Tenant> {
         let index = self.tenants_by_key.get(key)?;
--- /dev/null
+++ b/crates/state/routing/src/urgency.rs
@@ -0,0 +1,36 @@
+//! The levels of urgency by which engines admit requests and push others out.
+//!
+//! A request's route comes first and its tenant second: an engine that has to push a
+//! request out takes the least urgent one, and that must not be one of a higher tier
+//! while one of a lower tier runs on, whoever their tenants are.
+
+use crate::Route;
+
+/// Levels that engines tell apart.
+pub const URGENCY_LEVELS: u8 = 10;
+
+/// Places the ranks of routes, and those of tenants between them, on the levels.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct UrgencyScale {
+    levels_per_rank: u8,
+}
+
+impl UrgencyScale {
+    /// A scale that tells all ranks of these routes apart.
+    pub fn of(routes: &[Route]) -> Self {
+        let least_urgent = routes.iter().map(|route| route.rank).max().unwrap_or(0);
+        let ranks = least_urgent.saturating_add(1);
+        Self {
+            levels_per_rank: (URGENCY_LEVELS / ranks).max(1),
+        }
+    }
+
+    /// Level of a request on a route of one rank, for a tenant of another.
+    pub fn level(&self, route_rank: u8, tenant_rank: Option<u8>) -> u8 {
+        let within = tenant_rank.unwrap_or(0).min(self.levels_per_rank - 1);
+        let level = route_rank
+            .saturating_mul(self.levels_per_rank)
+            .saturating_add(within);
+        level.min(URGENCY_LEVELS - 1)
+    }
+}
--- a/crates/transport/relay/src/control.rs
+++ b/crates/transport/relay/src/control.rs
@@ -6,7 +6,8 @@
 use crate::metrics;
 use arc_swap::ArcSwapOption;
 use eiderferry_dispatch::{
-    Applied, Change, Decision, Demand, Dispatcher, LeaseId, Outcome, ReadingDuty, TICK, TakenNews,
+    Applied, Change, Decision, Demand, Dispatcher, LeaseId, Outcome, ReadingDuty, StreamPacing,
+    TICK, TakenNews,
 };
 use eiderferry_routing::{InstanceId, RoutingTable};
 use eiderferry_types::{Span, Timestamp};
@@ -39,7 +40,7 @@
     /// The first event of a request came.
     FirstEvent(LeaseId),
     /// A place is given back.
-    End(LeaseId, Outcome),
+    End(LeaseId, Outcome, StreamPacing),
     /// A planned stop has begun.
     Stop,
 }
@@ -71,8 +72,8 @@
         self.tell(Command::FirstEvent(lease));
     }
 
-    pub fn end(&self, lease: LeaseId, outcome: Outcome) {
-        self.tell(Command::End(lease, outcome));
+    pub fn end(&self, lease: LeaseId, outcome: Outcome, pacing: StreamPacing) {
+        self.tell(Command::End(lease, outcome, pacing));
     }
 
     pub fn stop(&self) {
@@ -132,7 +133,8 @@
                 let _ = reply.try_send(dispatcher.ask(&demand, now));
             }
             Command::FirstEvent(lease) => dispatcher.first_event(lease, now),
-            Command::End(lease, outcome) => {
+            Command::End(lease, outcome, pacing) => {
+                dispatcher.note_pacing(lease, &pacing);
                 for (instance, change) in dispatcher.end(lease, outcome, now) {
                     events::back_end_standing(&instance, change, outcome);
                 }
--- a/crates/transport/relay/src/event_stream.rs
+++ b/crates/transport/relay/src/event_stream.rs
@@ -9,6 +9,7 @@
 pub struct EventSplitter {
     pending: BytesMut,
     last_id: Option<u64>,
+    handed_out: u64,
 }
 
 impl EventSplitter {
@@ -17,6 +18,7 @@
         Self {
             pending: BytesMut::new(),
             last_id,
+            handed_out: 0,
         }
     }
 
@@ -25,6 +27,11 @@
         self.last_id
     }
 
+    /// Events handed out.
+    pub fn handed_out(&self) -> u64 {
+        self.handed_out
+    }
+
     /// Bytes of an event that is not whole yet.
     pub fn has_partial_event(&self) -> bool {
         !self.pending.is_empty()
@@ -39,6 +46,7 @@
             let event = self.pending.split_to(end);
             if self.accept(&event) {
                 events.unsplit(event);
+                self.handed_out += 1;
             }
         }
         events.freeze()
--- a/crates/transport/relay/src/events.rs
+++ b/crates/transport/relay/src/events.rs
@@ -6,10 +6,10 @@
 use crate::documents::FetchError;
 use crate::own_answer::OwnAnswer;
 use eiderferry_dispatch::{
-    Applied, DocumentKey, Grant, HealthChange, Outcome, PeerChange, TakenNews,
+    Applied, DocumentKey, Grant, HealthChange, Outcome, PeerChange, StreamPacing, TakenNews,
 };
 use eiderferry_routing::InstanceId;
-use eiderferry_types::{Reason, Span};
+use eiderferry_types::{Reason, Span, Timestamp};
 use std::net::SocketAddr;
 
 /// A node serves callers from now on.
@@ -135,6 +135,18 @@
     );
 }
 
+/// A back end's part of a stream is over.
+pub(crate) fn stream_paced(id: &str, pacing: &StreamPacing, started: Timestamp) {
+    let spacing = pacing.spacing().unwrap_or_default();
+    let first_at = pacing.first_at().unwrap_or(started);
+    log::info!(
+        event = "stream_paced", request = id, events = pacing.events(),
+        first_event_ms = first_at.since(started).milliseconds(),
+        spacing_ms = spacing.milliseconds(), longest_pause_ms = pacing.longest_pause().milliseconds();
+        "events came"
+    );
+}
+
 /// A request was answered by this node itself.
 pub(crate) fn answered_here(id: &str, answer: &OwnAnswer, elapsed: Span) {
     log::warn!(
--- a/crates/transport/relay/src/exchange.rs
+++ b/crates/transport/relay/src/exchange.rs
@@ -275,7 +275,7 @@
         let told = Told {
             grant: &lease.grant,
             left: self.traffic.clock.now().until(self.deadline),
-            rank: self.head.rank,
+            urgency: self.head.urgency,
             tenant: self.head.tenant.as_deref(),
             last_event_id,
         };
--- a/crates/transport/relay/src/forwarding.rs
+++ b/crates/transport/relay/src/forwarding.rs
@@ -28,8 +28,6 @@
 /// Longest answer that is no stream; a longer one counts as broken.
 const MAXIMUM_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 const EVENT_STREAM: &[u8] = b"text/event-stream";
-/// Least urgent rank that back ends know.
-const LOWEST_RANK: u8 = 9;
 
 /// A caller's request as every attempt passes it on.
 pub(crate) struct ForwardedRequest {
@@ -43,7 +41,7 @@
 pub(crate) struct Told<'a> {
     pub grant: &'a Grant,
     pub left: Span,
-    pub rank: u8,
+    pub urgency: u8,
     pub tenant: Option<&'a str>,
     pub last_event_id: Option<u64>,
 }
@@ -62,7 +60,7 @@
             &told.left.milliseconds().max(1).to_string(),
         );
         set(&vocabulary.expected_instance, told.grant.instance.as_str());
-        set(&vocabulary.rank, &told.rank.min(LOWEST_RANK).to_string());
+        set(&vocabulary.urgency, &told.urgency.to_string());
         if let Some(tenant) = told.tenant {
             set(&vocabulary.tenant, tenant);
         }
--- a/crates/transport/relay/src/lease.rs
+++ b/crates/transport/relay/src/lease.rs
@@ -1,7 +1,7 @@
 //! A granted place that gives itself back.
 
 use crate::control::ControlHandle;
-use eiderferry_dispatch::{Grant, Outcome};
+use eiderferry_dispatch::{Grant, Outcome, StreamPacing};
 
 /// A place on a back end. Dropped without a word, it was abandoned.
 #[derive(Debug)]
@@ -26,16 +26,22 @@
     }
 
     /// Gives the place back.
-    pub fn end(mut self, outcome: Outcome) {
+    pub fn end(self, outcome: Outcome) {
+        self.end_stream(outcome, StreamPacing::default());
+    }
+
+    /// Gives the place of a stream back, with how its events came.
+    pub fn end_stream(mut self, outcome: Outcome, pacing: StreamPacing) {
         self.is_over = true;
-        self.control.end(self.grant.lease, outcome);
+        self.control.end(self.grant.lease, outcome, pacing);
     }
 }
 
 impl Drop for Lease {
     fn drop(&mut self) {
         if !self.is_over {
-            self.control.end(self.grant.lease, Outcome::Abandoned);
+            let (lease, pacing) = (self.grant.lease, StreamPacing::default());
+            self.control.end(lease, Outcome::Abandoned, pacing);
         }
     }
 }
--- a/crates/transport/relay/src/request_head.rs
+++ b/crates/transport/relay/src/request_head.rs
@@ -22,6 +22,8 @@
     pub route: Route,
     pub tenant: Option<String>,
     pub rank: u8,
+    /// Level at which engines admit it; 0 is the most urgent.
+    pub urgency: u8,
     pub remaining: Span,
     pub parts: Vec<PromptPart>,
     pub prompt_tokens: u32,
@@ -51,6 +53,7 @@
             route: route.clone(),
             tenant: tenant.map(|tenant| tenant.name.clone()),
             rank,
+            urgency: table.urgency(route, tenant),
             remaining,
             parts: prompt_parts(text(headers, &vocabulary.prompt_parts).unwrap_or_default()),
             prompt_tokens,
--- a/crates/transport/relay/src/stream.rs
+++ b/crates/transport/relay/src/stream.rs
@@ -9,7 +9,7 @@
 use crate::upstream::Connection;
 use crate::{events, metrics};
 use bytes::Bytes;
-use eiderferry_dispatch::Outcome;
+use eiderferry_dispatch::{Outcome, StreamPacing};
 use eiderferry_types::Span;
 use futures_lite::FutureExt;
 use futures_lite::stream::unfold;
@@ -37,6 +37,7 @@
     connection: Connection,
     headers: HeaderMap,
     body: Incoming,
+    pacing: StreamPacing,
 }
 
 /// A stream on its way to the caller.
@@ -63,6 +64,7 @@
                 connection,
                 headers: parts.headers.clone(),
                 body,
+                pacing: StreamPacing::default(),
             }),
             splitter: EventSplitter::default(),
             ready: None,
@@ -158,8 +160,11 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
+                    let before = self.splitter.handed_out();
                     let events = self.splitter.push(&data);
                     if !events.is_empty() {
+                        let count = self.splitter.handed_out() - before;
+                        source.pacing.note(count, self.exchange.traffic.clock.now());
                         return Piece::Events(events);
                     }
                 }
@@ -207,7 +212,9 @@
             let upstream = &self.exchange.traffic.upstream;
             upstream.keep(source.connection, &source.headers);
         }
-        source.lease.end(outcome);
+        let exchange = &self.exchange;
+        events::stream_paced(&exchange.head.id, &source.pacing, exchange.started);
+        source.lease.end_stream(outcome, source.pacing);
     }
 
     /// Takes the stream up at another back end.
@@ -240,6 +247,7 @@
             connection,
             headers: parts.headers,
             body,
+            pacing: StreamPacing::default(),
         });
     }
 }
--- a/crates/transport/relay/src/vocabulary.rs
+++ b/crates/transport/relay/src/vocabulary.rs
@@ -14,8 +14,8 @@
     pub expected_instance: HeaderName,
     /// Tenant, as told to back ends.
     pub tenant: HeaderName,
-    /// Rank, as told to back ends; 0 is the most urgent.
-    pub rank: HeaderName,
+    /// Level of urgency, as told to back ends; 0 is the most urgent.
+    pub urgency: HeaderName,
     /// A back end's word that it has not run the request.
     pub not_run: HeaderName,
     /// Prompt tokens and the most tokens out, joined by a comma.
@@ -42,7 +42,7 @@
             &self.tenant,
             &self.remaining_ms,
             &self.expected_instance,
-            &self.rank,
+            &self.urgency,
             &self.copy_from,
         ];
         told.into_iter().chain(&self.commands)
