--- a/crates/coordination/dispatch/src/cache.rs
+++ b/crates/coordination/dispatch/src/cache.rs
@@ -13,6 +13,15 @@
     order: u64,
 }
 
+/// What was read or made at one moment.
+#[derive(Clone, Copy, Debug)]
+enum Entry {
+    /// A part that requests share.
+    Shared(PartId),
+    /// So many tokens that nobody asks for again.
+    Untold(u64),
+}
+
 fn usable(engine_tokens: u64) -> u64 {
     (engine_tokens as f64 * USABLE_PART) as u64
 }
@@ -26,7 +35,7 @@
     used: u64,
     next_order: u64,
     parts: HashMap<PartId, Kept>,
-    by_age: BTreeMap<u64, PartId>,
+    by_age: BTreeMap<u64, Entry>,
 }
 
 impl PrefixCache {
@@ -73,14 +82,29 @@
         self.evict();
     }
 
+    /// Notes tokens that take room and that no other request shares.
+    pub fn insert_untold(&mut self, tokens: u64) {
+        if tokens == 0 {
+            return;
+        }
+        self.by_age.insert(self.next_order, Entry::Untold(tokens));
+        self.next_order += 1;
+        self.used += tokens;
+        self.evict();
+    }
+
     fn evict(&mut self) {
         while self.used > self.capacity {
             let Some((_, oldest)) = self.by_age.pop_first() else {
                 return;
             };
-            if let Some(kept) = self.parts.remove(&oldest) {
-                self.used -= u64::from(kept.tokens);
-            }
+            self.used -= match oldest {
+                Entry::Untold(tokens) => tokens,
+                Entry::Shared(part) => {
+                    let kept = self.parts.remove(&part);
+                    kept.map_or(0, |kept| u64::from(kept.tokens))
+                }
+            };
         }
     }
 
@@ -95,7 +119,7 @@
             self.by_age.remove(&previous.order);
             self.used -= u64::from(previous.tokens);
         }
-        self.by_age.insert(order, part.id);
+        self.by_age.insert(order, Entry::Shared(part.id));
         self.used += u64::from(part.tokens);
     }
 }
--- a/crates/coordination/dispatch/src/demand.rs
+++ b/crates/coordination/dispatch/src/demand.rs
@@ -104,6 +104,12 @@
         &self.parts[..count]
     }
 
+    /// Tokens that no other request shares: the rest of the prompt, and the answer.
+    pub fn single_tokens(&self) -> u32 {
+        let own = self.prompt_tokens.saturating_sub(self.shared_tokens());
+        own.saturating_add(self.output_tokens)
+    }
+
     /// Length of these parts in tokens.
     pub fn shared_tokens(&self) -> u32 {
         self.shared_parts().iter().map(|part| part.tokens).sum()
--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -319,6 +319,8 @@
         let state = self.back_ends.get_mut(&plan.instance)?;
         state.load.begin(lease, plan.footprint, now);
         state.load.cache.insert(&demand.parts);
+        let answer = u64::from(demand.output_tokens);
+        state.load.cache.insert_untold(answer);
         let address = state.back_end.address;
         let known = self.placements.len();
         note_placements(&mut self.placements, state.digest, demand.shared_parts());
--- a/crates/coordination/dispatch/src/load.rs
+++ b/crates/coordination/dispatch/src/load.rs
@@ -27,6 +27,8 @@
     pub uncached_tokens: u32,
     /// Tokens of memory at its end.
     pub memory_tokens: u32,
+    /// Tokens of it that no other request shares, its answer included.
+    pub single_tokens: u32,
     /// Chance that a long prompt read beside it makes it late.
     pub exposure: f64,
     /// Whether its own prompt takes long to read.
@@ -81,7 +83,7 @@
         now.since(self.at) < REPORT_LIFETIME
     }
 
-    fn to_message(self, back_end: u32) -> LoadReport {
+    fn to_message(self, back_end: u32, placed: u64) -> LoadReport {
         LoadReport {
             back_end,
             running: saturate(u64::from(self.occupancy.running)),
@@ -89,6 +91,7 @@
             long_readings: saturate(u64::from(self.occupancy.long_readings)),
             memory_hundreds: saturate(self.occupancy.memory_tokens / HUNDRED),
             pending_hundreds: saturate(self.occupancy.pending_tokens / HUNDRED),
+            placed_hundreds: placed / HUNDRED,
             completed: saturate(u64::from(self.outcomes.completed)),
             failed: saturate(u64::from(self.outcomes.failed)),
         }
@@ -104,6 +107,9 @@
 pub struct BackEndLoad {
     running: BTreeMap<LeaseId, Running>,
     reports: HashMap<u64, Report>,
+    /// Tokens of single requests that this node, and each other one, ever placed there.
+    own_placed: u64,
+    placed_by: HashMap<u64, u64>,
     slowness: f64,
     outcomes: RecentOutcomes,
     /// Its speed against its pool.
@@ -118,6 +124,8 @@
         Self {
             running: BTreeMap::new(),
             reports: HashMap::new(),
+            own_placed: 0,
+            placed_by: HashMap::new(),
             slowness: 1.0,
             outcomes: RecentOutcomes::default(),
             speed,
@@ -179,6 +187,7 @@
 
     /// Takes over what another node reports of its requests there.
     pub fn report(&mut self, node: u64, report: &LoadReport, at: Timestamp) {
+        self.note_placed(node, report.placed_hundreds * HUNDRED);
         let report = Report {
             occupancy: Occupancy {
                 running: u32::from(report.running),
@@ -196,6 +205,14 @@
         self.reports.insert(node, report);
     }
 
+    /// Another node has ever placed so many tokens of single requests there. After its
+    /// restart the sum begins anew.
+    fn note_placed(&mut self, node: u64, placed: u64) {
+        let known = self.placed_by.insert(node, placed);
+        let since = known.map_or(0, |known| placed.saturating_sub(known));
+        self.cache.insert_untold(since);
+    }
+
     /// What this node and some others have there, as one report.
     pub(crate) fn report_with(
         &self,
@@ -206,6 +223,9 @@
         let reports = self.reports.iter();
         let reports =
             reports.filter(|(node, report)| others.contains(node) && report.is_fresh(now));
+        let placed = self.placed_by.iter();
+        let placed = placed.filter(|(node, _)| others.contains(node));
+        let placed = self.own_placed + placed.map(|(_, placed)| placed).sum::<u64>();
         let mut total = Report {
             occupancy: self.own_occupancy(now),
             outcomes: self.own_outcomes(now),
@@ -215,7 +235,7 @@
             total.occupancy = total.occupancy.plus(report.occupancy);
             total.outcomes = total.outcomes.plus(report.outcomes);
         }
-        total.to_message(back_end)
+        total.to_message(back_end, placed)
     }
 
     /// Forgets what a node reported.
@@ -224,6 +244,7 @@
     }
 
     pub(crate) fn begin(&mut self, lease: LeaseId, footprint: Footprint, now: Timestamp) {
+        self.own_placed += u64::from(footprint.single_tokens);
         let running = Running {
             footprint,
             pending_before: self.occupancy(now).pending_tokens,
--- a/crates/coordination/dispatch/src/message.rs
+++ b/crates/coordination/dispatch/src/message.rs
@@ -21,6 +21,9 @@
     pub memory_hundreds: u16,
     /// Prompt tokens of these that it has still to read, in hundreds.
     pub pending_hundreds: u16,
+    /// Tokens that only single requests have, of all that the sender ever placed there,
+    /// in hundreds: they take room from shared parts.
+    pub placed_hundreds: u64,
     /// Requests of the sender that ended well there in the last seconds.
     pub completed: u16,
     /// Those that failed.
--- a/crates/coordination/dispatch/src/planning.rs
+++ b/crates/coordination/dispatch/src/planning.rs
@@ -36,10 +36,10 @@
 
 /// Preference of a back end for a prompt: all nodes compute it alike.
 fn preference(state: &BackEndState, demand: &Demand) -> u64 {
-    let first = demand.shared_parts().first();
+    let deepest = demand.shared_parts().last();
     xxh3_64_with_seed(
         &state.digest.to_le_bytes(),
-        first.map_or(0, |part| part.id.0),
+        deepest.map_or(0, |part| part.id.0),
     )
 }
 
@@ -227,6 +227,7 @@
     Footprint {
         uncached_tokens: uncached,
         memory_tokens: demand.prompt_tokens.saturating_add(demand.output_tokens),
+        single_tokens: demand.single_tokens(),
         exposure: exposure.map_or(0.0, |(model, target)| {
             model.chance_beside_long_prompts(speed, target)
         }),
--- a/crates/coordination/dispatch/tests/cache.rs
+++ b/crates/coordination/dispatch/tests/cache.rs
@@ -48,3 +48,18 @@
     cache.insert(&[part(1, 1)]);
     assert!(!cache.keeps(PartId(1)));
 }
+
+#[test]
+fn tokens_of_single_requests_take_room_from_shared_parts() {
+    let mut cache = PrefixCache::new(1_000);
+    cache.insert(&[part(1, 400)]);
+    cache.insert_untold(300);
+    assert!(cache.keeps(PartId(1)));
+    cache.insert_untold(300);
+    assert!(
+        !cache.keeps(PartId(1)),
+        "700 of 850 usable tokens came after it"
+    );
+    cache.insert(&[part(2, 400)]);
+    assert!(cache.keeps(PartId(2)), "the older of the two made room");
+}
--- a/crates/coordination/dispatch/tests/placement.rs
+++ b/crates/coordination/dispatch/tests/placement.rs
@@ -276,6 +276,31 @@
     assert!(*most <= 9, "55,100 of 520,000 tokens each: {counts:?}");
 }
 
+#[test]
+fn what_other_nodes_place_at_an_engine_pushes_shared_parts_out_of_the_believed_cache() {
+    let (mut subject, mut peer) = (with_engines(1), with_engines(1));
+    let shared = demand(1, 13_000, 400);
+    let first = granted(subject.ask(&shared, START));
+    subject.end(first.lease, Outcome::Completed, START);
+    let again = granted(subject.ask(&shared, START));
+    assert_eq!(again.uncached_tokens, 0);
+    subject.end(again.lease, Outcome::Completed, START);
+    for thing in 0..30 {
+        let grant = granted(peer.ask(&demand(100 + thing, 500, 20_000), START));
+        peer.end(grant.lease, Outcome::Completed, START);
+    }
+    let mut message = peer.gossip(false, START);
+    message.placements.clear();
+    for _ in 0..2 {
+        subject.receive(support::node_address(5), &message, START);
+    }
+    let grant = granted(subject.ask(&demand(1, 13_000, 500), START));
+    assert_eq!(
+        grant.uncached_tokens, 13_500,
+        "603,000 tokens came since, of 520,000"
+    );
+}
+
 #[test]
 fn a_table_that_comes_after_the_back_ends_gives_them_their_memory() {
     let mut subject = support::dispatcher(0, 0, Vec::new());
