--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -6,7 +6,7 @@
 pub(crate) use messages::{FAR_FANOUT, FAR_TICKS, NEAR_FANOUT};
 
 use crate::health::HealthChange;
-use crate::planning::{Plan, plans};
+use crate::planning::{Plan, View, plans};
 use crate::registry::{BackEndState, Registry};
 use crate::{
     Applied, BudgetSettings, Candidate, Change, Content, Decision, Demand, DocumentKey, Gossip,
@@ -15,9 +15,9 @@
 };
 use eiderferry_routing::{InstanceId, NodeName, PoolName, ZoneName};
 use eiderferry_types::{Reason, Span, Timestamp};
-use rand::SeedableRng;
+use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 use zone_digest::ZoneDigests;
@@ -167,6 +167,7 @@
     ticked_at: Timestamp,
     lapsed: HashMap<InstanceId, Timestamp>,
     zone_digests: ZoneDigests,
+    silent_zones: BTreeSet<ZoneName>,
     random: ChaCha8Rng,
 }
 
@@ -179,6 +180,9 @@
             settings.seeds.clone(),
         );
         let seed = settings.node.digest() ^ u64::from(settings.incarnation);
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        // Nodes that start together would tell the same peer in the same turn.
+        let (near_turn, far_turn) = (random.random::<u16>(), random.random::<u16>());
         Self {
             settings,
             knowledge: Knowledge::default(),
@@ -191,15 +195,16 @@
             next_lease: 0,
             placements: Vec::new(),
             ticks: 0,
-            near_turn: 0,
-            far_turn: 0,
+            near_turn: usize::from(near_turn),
+            far_turn: usize::from(far_turn),
             announced_to: 0,
             is_stopping: false,
             started: None,
             ticked_at: Timestamp::default(),
             lapsed: HashMap::new(),
             zone_digests: ZoneDigests::default(),
-            random: ChaCha8Rng::seed_from_u64(seed),
+            silent_zones: BTreeSet::new(),
+            random,
         }
     }
 
@@ -286,8 +291,12 @@
 
     /// Chooses a back end for a request, or refuses it.
     pub fn ask(&mut self, demand: &Demand, now: Timestamp) -> Decision {
-        let zone = &self.settings.zone;
-        let mut plans = plans(&self.back_ends, zone, demand, now, &mut self.random);
+        let view = View {
+            zone: &self.settings.zone,
+            silent_zones: &self.silent_zones,
+            now,
+        };
+        let mut plans = plans(&self.back_ends, &view, demand, &mut self.random);
         let candidates: Vec<Candidate> = plans.iter().map(|plan| plan.candidate).collect();
         let Some(index) = choose(&candidates) else {
             return Decision::Refuse(Reason::NoBackEnd, NO_BACK_END_RETRY);
--- a/crates/coordination/dispatch/src/dispatcher/messages.rs
+++ b/crates/coordination/dispatch/src/dispatcher/messages.rs
@@ -43,6 +43,7 @@
         self.ticked_at = now;
         self.forget_lapsed(now);
         let peer_changes = self.peers.tick(now);
+        self.silent_zones = self.peers.silent_zones(now);
         self.ended_lately
             .retain(|_, ended| now.since(*ended) < OUTCOME_LIFETIME);
         let mut messages = Vec::new();
--- a/crates/coordination/dispatch/src/peers.rs
+++ b/crates/coordination/dispatch/src/peers.rs
@@ -15,6 +15,9 @@
 const FAR_SILENCE: Span = Span::from_milliseconds(1_500);
 /// Turns in a row that a peer has to miss besides.
 const MISSED_TURNS: u64 = 5;
+/// Messages in a row that none of a zone's peers sent when the way there counts as cut:
+/// one or two get lost now and then.
+const MISSED_BY_ZONE: u64 = 3;
 /// Silence after which a peer is forgotten, as a multiple of that at which it is
 /// lost.
 const FORGET_FACTOR: u64 = 60;
@@ -152,6 +155,24 @@
         (near, far)
     }
 
+    /// Other zones of which nothing was heard for some turns, while their peers were not
+    /// known to stop: the way there is probably cut, for requests as well.
+    pub fn silent_zones(&self, now: Timestamp) -> BTreeSet<ZoneName> {
+        let turns = self.far().len().div_ceil(FAR_FANOUT) as u64;
+        let mut zones: BTreeMap<&ZoneName, Vec<Timestamp>> = BTreeMap::new();
+        for peer in self.peers.values().filter(|peer| peer.zone != self.zone) {
+            zones.entry(&peer.zone).or_default().push(peer.heard);
+        }
+        let is_silent = |heard: &Vec<Timestamp>| {
+            // Each of its peers tells this node once in so many turns, one after the other.
+            let apart = turns.div_ceil(heard.len() as u64).max(1);
+            let limit = Span(apart * FAR_TICKS * TICK.0 * MISSED_BY_ZONE);
+            heard.iter().all(|heard| now.since(*heard) > limit)
+        };
+        let silent = zones.into_iter().filter(|(_, heard)| is_silent(heard));
+        silent.map(|(zone, _)| zone.clone()).collect()
+    }
+
     /// After a pause of this process, silence is no fault of the others.
     pub fn pardon(&mut self, now: Timestamp) {
         for peer in self.peers.values_mut().filter(|peer| !peer.is_lost) {
--- a/crates/coordination/dispatch/src/planning.rs
+++ b/crates/coordination/dispatch/src/planning.rs
@@ -6,6 +6,7 @@
 use eiderferry_types::{Span, Timestamp};
 use rand::Rng;
 use rand::seq::IteratorRandom;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -17,6 +18,9 @@
 /// request with a long prompt that runs there: streams last a few seconds, as long as
 /// those requests do.
 const FURTHER_LONG_READING: f64 = 0.3;
+/// Chance that a request into a zone of which nothing is heard fails: its nodes may all
+/// have ended while the way to its back ends is open.
+const CUT_CHANCE: f64 = 0.8;
 /// Back ends compared for one request where the pool has more.
 const MOST_COMPARED: usize = 32;
 /// Of these, those first in the order of preference for the request's prompt.
@@ -43,14 +47,25 @@
     )
 }
 
+/// Where and when a node decides.
+#[derive(Clone, Copy)]
+pub(crate) struct View<'a> {
+    /// Its zone.
+    pub zone: &'a ZoneName,
+    /// Zones that it hears nothing of.
+    pub silent_zones: &'a BTreeSet<ZoneName>,
+    /// The time.
+    pub now: Timestamp,
+}
+
 /// Plans for the back ends worth comparing.
 pub(crate) fn plans(
     registry: &Registry,
-    zone: &ZoneName,
+    view: &View<'_>,
     demand: &Demand,
-    now: Timestamp,
     random: &mut impl Rng,
 ) -> Vec<Plan> {
+    let now = view.now;
     let staying: Vec<&BackEndState> = registry
         .pool(&demand.pool)
         .filter(|state| state.takes_work())
@@ -61,14 +76,13 @@
         .max_by_key(|state| preference(state, demand))
         .filter(|_| has_shared)
         .map(|state| &state.back_end.instance);
-    let compared = shortlist(&staying, zone, demand, now, random);
+    let compared = shortlist(&staying, view, demand, random);
     let setting = Setting {
         model: registry.model(&demand.pool),
         home,
         keepers: Keepers::among(&staying, home, demand, now),
         usual_failures: usual_failure_share(&staying, now),
-        zone,
-        now,
+        view,
     };
     compared
         .into_iter()
@@ -80,13 +94,12 @@
 /// beginning prefers, and some drawn at random.
 fn shortlist<'a>(
     staying: &[&'a BackEndState],
-    zone: &ZoneName,
+    view: &View<'_>,
     demand: &Demand,
-    now: Timestamp,
     random: &mut impl Rng,
 ) -> Vec<&'a BackEndState> {
     let open = |state: &&&BackEndState| !demand.excluded.contains(&state.back_end.instance);
-    let healthy = |state: &&&BackEndState| !state.health.is_ejected(now);
+    let healthy = |state: &&&BackEndState| !state.health.is_ejected(view.now);
     let mut usable: Vec<&BackEndState> = staying
         .iter()
         .filter(open)
@@ -99,7 +112,7 @@
     if usable.len() <= MOST_COMPARED {
         return usable;
     }
-    let is_near = |state: &&&BackEndState| state.back_end.zone == *zone;
+    let is_near = |state: &&&BackEndState| state.back_end.zone == *view.zone;
     let near = usable.iter().filter(is_near).copied();
     let near = near.choose_multiple(random, DRAWN_NEAR);
     let drawn = usable.iter().copied().choose_multiple(random, DRAWN);
@@ -158,8 +171,7 @@
     home: Option<&'a InstanceId>,
     keepers: Keepers<'a>,
     usual_failures: f64,
-    zone: &'a ZoneName,
-    now: Timestamp,
+    view: &'a View<'a>,
 }
 
 /// Share of failures of the sounder quarter of a pool: where many fail, the rest shows
@@ -175,7 +187,7 @@
 }
 
 fn plan(state: &BackEndState, demand: &Demand, setting: &Setting<'_>) -> Plan {
-    let now = setting.now;
+    let now = setting.view.now;
     let instance = &state.back_end.instance;
     let kept = state.load.cache.kept_tokens(&demand.parts);
     let missing = demand.shared_tokens().saturating_sub(kept);
@@ -197,7 +209,7 @@
         running: there.running,
         slots: state.back_end.slots,
         memory: memory_part(state, &there, &footprint),
-        is_near: state.back_end.zone == *setting.zone,
+        is_near: state.back_end.zone == *setting.view.zone,
         excess_failures: excess_failures(state, setting),
         may_repeat: demand.may_repeat,
         ..Candidate::default()
@@ -282,6 +294,11 @@
 
 /// By how much a back end fails more than the sound ones of its pool, beyond chance.
 fn excess_failures(state: &BackEndState, setting: &Setting<'_>) -> f64 {
-    let share = state.load.failure_share(setting.now);
-    (share - setting.usual_failures - CHANCE_SHARE).max(0.0)
+    let share = state.load.failure_share(setting.view.now);
+    let excess = (share - setting.usual_failures - CHANCE_SHARE).max(0.0);
+    if setting.view.silent_zones.contains(&state.back_end.zone) {
+        excess.max(CUT_CHANCE)
+    } else {
+        excess
+    }
 }
--- a/crates/coordination/dispatch/tests/fleet.rs
+++ b/crates/coordination/dispatch/tests/fleet.rs
@@ -2,11 +2,11 @@
 
 mod support;
 
-use eiderferry_dispatch::{Decision, Dispatcher, TICK};
+use eiderferry_dispatch::{Decision, Dispatcher, Outcome, TICK};
 use eiderferry_types::Span;
 use rstest::rstest;
 use std::collections::BTreeSet;
-use support::{Fleet, demand, granted, table_change};
+use support::{Fleet, back_end, back_end_change, demand, granted, table_change};
 
 /// Time that a message of two nodes takes.
 const ON_THE_WAY: Span = Span(900);
@@ -319,3 +319,42 @@
         assert!(output.messages.iter().all(|(to, _)| *to != own));
     }
 }
+
+/// Zone of the engine that a demand of a node goes to, without leaving it there.
+fn zone_chosen(fleet: &mut Fleet, node: usize, thing: u64) -> usize {
+    let now = fleet.now;
+    let grant = granted(fleet.nodes[node].ask(&demand(thing, 600, 100), now));
+    fleet.nodes[node].end(grant.lease, Outcome::Abandoned, now);
+    let name = grant.instance.as_str();
+    name["engine-".len()..].parse::<usize>().expect("a number") % 3
+}
+
+#[rstest]
+#[case::today(9)]
+#[case::larger(87)]
+fn a_zone_of_which_nothing_is_heard_gets_no_requests_until_it_is_heard_again(#[case] count: usize) {
+    let mut fleet = Fleet::new(count, 3);
+    for node in &mut fleet.nodes {
+        for number in 0..9 {
+            let engine = back_end(&format!("engine-{number}"), number, number % 3);
+            node.apply(back_end_change(engine, 1));
+        }
+    }
+    fleet.run_with_platform(20_000, 1);
+    let zones_of = |fleet: &mut Fleet, things: std::ops::Range<u64>| {
+        let chosen = things.map(|thing| zone_chosen(fleet, 0, thing));
+        chosen.collect::<BTreeSet<usize>>()
+    };
+    let all = BTreeSet::from([0, 1, 2]);
+    assert_eq!(
+        zones_of(&mut fleet, 0..40),
+        all,
+        "each zone is home to some"
+    );
+    fleet.cut.insert((0, 1));
+    fleet.run_with_platform(1_700, 1);
+    assert_eq!(zones_of(&mut fleet, 0..80), BTreeSet::from([0, 2]));
+    fleet.cut.clear();
+    fleet.run_with_platform(2_500, 1);
+    assert_eq!(zones_of(&mut fleet, 100..140), all);
+}
