--- a/crates/coordination/dispatch/src/placement.rs
+++ b/crates/coordination/dispatch/src/placement.rs
@@ -12,7 +12,7 @@
 const OTHER_ZONE: Span = Span::from_milliseconds(20);
 /// Time that a full batch costs. A place in a batch costs next to nothing until the
 /// batch is nearly full (a step of 64 streams takes half as long again as one of a single
-/// stream), so the cost rises with the cube of its fullness: streams gather, and leave
+/// stream), so the cost rises with the fifth power of its fullness: streams gather, and leave
 /// other engines to long prompts. Near the end it makes up for choices that other nodes
 /// make at the same moment.
 const FULL_BATCH: Span = Span::from_milliseconds(256);
@@ -23,9 +23,6 @@
 const READ_AGAIN_PER_TOKEN: u64 = 70;
 /// The same for a token copied from another engine.
 const COPY_PER_TOKEN: u64 = 30;
-/// What it costs that reading a prompt holds all requests of a full batch up, as a part
-/// of the time that they lose together: they keep their slots that much longer.
-const HELD_UP_PART: f64 = 0.1;
 /// Part of an engine's memory beyond which requests begin to push each other out:
 /// what is known of the others is some hundred milliseconds old.
 const COMFORTABLE_MEMORY: f64 = 0.75;
@@ -52,8 +49,6 @@
     pub own_late_event: f64,
     /// Streams there that its prompt would make late, in expectation.
     pub others_late: f64,
-    /// Time to read its prompt there.
-    pub reading: Span,
     /// Requests there.
     pub running: u32,
     /// Requests that run there at once.
@@ -75,7 +70,6 @@
         self.first_event
             + zone
             + self.batch_cost()
-            + self.held_up_cost()
             + self.memory_cost()
             + self.reading_cost()
             + part_of(LATE_REQUEST, self.late_first_event())
@@ -101,15 +95,7 @@
         } else {
             Span::ZERO
         };
-        part_of(FULL_BATCH, fullness.powi(3)) + waiting
-    }
-
-    /// The emptier a batch is, the less a longer stay in it matters.
-    fn held_up_cost(&self) -> Span {
-        let fullness = f64::from(self.running) / f64::from(self.slots.max(1));
-        let scarcity = fullness.min(1.0).powi(3);
-        let lost = f64::from(self.running) * scarcity;
-        part_of(self.reading, lost * HELD_UP_PART)
+        part_of(FULL_BATCH, fullness.powi(5)) + waiting
     }
 
     fn memory_cost(&self) -> Span {
--- a/crates/coordination/dispatch/src/planning.rs
+++ b/crates/coordination/dispatch/src/planning.rs
@@ -205,7 +205,6 @@
         target: demand.target,
         read_again,
         copied,
-        reading: state.load.reading_time(u64::from(uncached)),
         running: there.running,
         slots: state.back_end.slots,
         memory: memory_part(state, &there, &footprint),
--- a/crates/transport/relay/src/exchange.rs
+++ b/crates/transport/relay/src/exchange.rs
@@ -17,19 +17,30 @@
 use crate::{events, metrics};
 use bytes::Bytes;
 use eiderferry_dispatch::{Decision, Demand, Outcome};
-use eiderferry_routing::{InstanceId, PoolName, RouteKind};
+use eiderferry_routing::{InstanceId, PoolName, RouteKind, RoutingTable};
 use eiderferry_types::{Reason, Span, Timestamp};
 use futures_lite::FutureExt;
 use http::{Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// Time after which a request without a configuration is worth sending again.
 const NOT_READY_RETRY: Span = Span::from_milliseconds(300);
+/// Longest wait for the first configuration: other nodes or the store answer a node that
+/// has just started in 0.1 to 0.3 s, and a refusal costs the caller as long.
+const FIRST_TABLE_PATIENCE: Span = Span::from_milliseconds(250);
+/// Time between two looks for it.
+const FIRST_TABLE_CHECK: Span = Span::from_milliseconds(10);
 /// Back ends tried without a connection coming up.
 const MAXIMUM_UNREACHABLE: u32 = 3;
 /// Attempt's time for an answer that may be asked for again, in targets.
 const ATTEMPT_TARGETS: u64 = 2;
+/// Patience for the first event of a stream: so many targets, and so many times what was
+/// expected. With one target a loaded pool read 88 prompts twice in 40 s.
+const FIRST_EVENT_TARGETS: u64 = 2;
+const EXPECTED_TIMES: u64 = 2;
+
 /// What all requests of a traffic thread share.
 pub(crate) struct Traffic {
     pub upstream: Upstream,
@@ -91,8 +102,7 @@
 ) -> Result<Exchange, (String, OwnAnswer)> {
     let (parts, body) = request.into_parts();
     let id = request_id(&parts, &traffic.vocabulary);
-    let table = traffic.table.load_full();
-    let Some(table) = table else {
+    let Some(table) = first_table(&traffic).await else {
         let answer = OwnAnswer::NotRun(Reason::NotReady, NOT_READY_RETRY);
         return Err((id, answer));
     };
@@ -129,6 +139,18 @@
     })
 }
 
+/// The table in force. A node that has just started waits a little for its first one.
+async fn first_table(traffic: &Traffic) -> Option<Arc<RoutingTable>> {
+    let until = traffic.clock.now() + FIRST_TABLE_PATIENCE;
+    loop {
+        let table = traffic.table.load_full();
+        if table.is_some() || traffic.clock.now() >= until {
+            return table;
+        }
+        smol::Timer::after(duration(FIRST_TABLE_CHECK)).await;
+    }
+}
+
 impl Exchange {
     async fn run(mut self) -> Response<RelayBody> {
         let mut fallback = None;
@@ -353,12 +375,18 @@
             return left;
         }
         let patience = match route.kind {
-            RouteKind::Streaming => Span(route.target.0 + 2 * lease.grant.expected.0),
+            RouteKind::Streaming => self.first_event_patience(lease.grant.expected),
             _ => Span(route.target.0 * ATTEMPT_TARGETS),
         };
         left.min(patience)
     }
 
+    /// Longest wait for the first event of a stream that may be asked for elsewhere. Where
+    /// many are late the cause is load: asked for again, each prompt would be read twice.
+    pub fn first_event_patience(&self, expected: Span) -> Span {
+        Span(self.head.route.target.0 * FIRST_EVENT_TARGETS + expected.0 * EXPECTED_TIMES)
+    }
+
     /// One attempt at a back end. The exchange comes back unless a stream holds it.
     async fn attempt(mut self, lease: Lease) -> (Option<Self>, AttemptEnd) {
         match self.send(&lease, None).await {
--- a/crates/transport/relay/src/stream.rs
+++ b/crates/transport/relay/src/stream.rs
@@ -188,7 +188,7 @@
             .as_ref()
             .map_or(Span::ZERO, |source| source.lease.grant.expected);
         if is_first {
-            return Span(route.target.0 + 2 * expected.0);
+            return self.exchange.first_event_patience(expected);
         }
         let pause = route.pause_target.unwrap_or(MINIMUM_PAUSE);
         Span(pause.0 * PAUSE_TARGETS).max(MINIMUM_PAUSE)
--- a/crates/transport/relay/tests/callers.rs
+++ b/crates/transport/relay/tests/callers.rs
@@ -62,6 +62,19 @@
     assert!(answer.header("retry-after").is_some());
 }
 
+#[test]
+fn a_request_that_comes_before_the_first_configuration_waits_for_it() {
+    let back_end = sound();
+    let delay = Duration::from_millis(100);
+    let relay = Running::with_late_configuration(&back_end, delay);
+    let begun = Instant::now();
+    let answer = relay.call("GET", "/read/1", "", "");
+    // On a machine so busy that the configuration comes later still, the refusal comes
+    // after the whole wait.
+    let has_waited = begun.elapsed() >= Duration::from_millis(250);
+    assert!(answer.status == 200 || has_waited, "{answer:?}");
+}
+
 #[test]
 fn a_body_over_the_limit_runs_nowhere() {
     let back_end = sound();
