--- a/crates/coordination/dispatch/src/demand.rs
+++ b/crates/coordination/dispatch/src/demand.rs
@@ -22,7 +22,7 @@
 pub struct Demand {
     /// Pool it goes to.
     pub pool: PoolName,
-    /// Rank; 0 is the most urgent.
+    /// Rank of its route; 0 is the most urgent.
     pub rank: u8,
     /// Parts of its prompt in order; empty for plain services.
     pub parts: Vec<PromptPart>,
--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -56,8 +56,12 @@
 const LAPSE_GRACE: Span = Span::from_milliseconds(2_000);
 /// Time for which the outcomes at a back end are told.
 const OUTCOME_LIFETIME: Span = Span::from_milliseconds(4_000);
-/// Requests at a back end, as a multiple of its slots, beyond which none is added.
+/// Requests at a back end, as a multiple of its slots, beyond which none of the least
+/// urgent tier is added: what waits longer comes late anyway.
 const FULLEST: f64 = 1.3;
+/// The same for the most urgent tier: while it is refused, no less urgent request may
+/// begin, and nodes see each other's requests some hundred milliseconds late.
+const FULLEST_MOST_URGENT: f64 = 2.0;
 
 /// What a dispatcher is told at its start.
 #[derive(Clone, Debug)]
@@ -302,8 +306,7 @@
             return Decision::Refuse(Reason::NoBackEnd, NO_BACK_END_RETRY);
         };
         let candidate = candidates[index];
-        let fullest = (f64::from(candidate.slots) * FULLEST).ceil() as u32;
-        if candidate.running >= fullest.max(candidate.slots + 1) {
+        if candidate.running >= self.most_running(demand, candidate.slots) {
             return Decision::Refuse(Reason::QueueFull, OVERLOAD_RETRY);
         }
         if demand.is_repeat {
@@ -319,6 +322,17 @@
         }
     }
 
+    /// Requests at a back end beyond which this one is not added.
+    fn most_running(&self, demand: &Demand, slots: u32) -> u32 {
+        let table = self.knowledge.table();
+        let part = table.map_or(0.0, |table| {
+            table.part_less_urgent(&demand.pool, demand.rank)
+        });
+        let fullest = FULLEST + (FULLEST_MOST_URGENT - FULLEST) * part;
+        let most = (f64::from(slots) * fullest).ceil() as u32;
+        most.max(slots + 1)
+    }
+
     fn grant(&mut self, plan: Plan, demand: &Demand, now: Timestamp) -> Option<Grant> {
         let lease = LeaseId(self.next_lease);
         self.next_lease += 1;
--- a/crates/coordination/dispatch/tests/placement.rs
+++ b/crates/coordination/dispatch/tests/placement.rs
@@ -2,8 +2,10 @@
 
 mod support;
 
-use eiderferry_dispatch::{Decision, Dispatcher, HealthChange, Outcome, StreamPacing};
-use eiderferry_routing::InstanceId;
+use eiderferry_dispatch::{
+    Change, Content, Decision, Demand, Dispatcher, HealthChange, Outcome, StreamPacing,
+};
+use eiderferry_routing::{InstanceId, PoolName, Route, RouteKind, Split};
 use eiderferry_types::{Reason, Span};
 use std::collections::{BTreeMap, BTreeSet};
 use support::{
@@ -301,6 +303,60 @@
     );
 }
 
+/// A table whose engines serve a tier of rank 0 and one of rank 1.
+fn table_of_two_tiers() -> Change {
+    let mut change = table_change(2);
+    let Content::Table(table) = &mut change.content else {
+        panic!("a table");
+    };
+    table.routes = vec![route("chat", 0), route("terms", 1)];
+    change
+}
+
+fn route(name: &str, rank: u8) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "h".to_owned(),
+        path_prefix: format!("/{name}/"),
+        kind: RouteKind::Streaming,
+        timeout: Span::from_milliseconds(15_000),
+        target: Span::from_milliseconds(600),
+        pause_target: None,
+        rank,
+        splits: vec![Split {
+            pool: PoolName::from(support::ENGINES),
+            weight: 1.0,
+        }],
+        maximum_attempts: 1,
+        is_public: false,
+        is_resumable: false,
+    }
+}
+
+#[test]
+fn while_a_tier_is_refused_no_less_urgent_one_begins() {
+    let mut subject = with_engines(2);
+    subject.apply(table_of_two_tiers());
+    let of_rank = |rank| Demand {
+        rank,
+        ..demand(1, 100, 50)
+    };
+    let mut refused = [0, 0];
+    for number in 0..400 {
+        let rank = number % 2;
+        let decision = subject.ask(&of_rank(rank as u8), START);
+        match decision {
+            Decision::Grant(_) => assert_eq!(refused[0], 0, "rank {rank} was granted"),
+            Decision::Refuse(reason, retry_after) => {
+                assert_eq!(reason, Reason::QueueFull);
+                assert!(retry_after > Span::ZERO);
+                refused[rank] += 1;
+            }
+        }
+    }
+    assert!(refused[0] > 0 && refused[1] > refused[0], "{refused:?}");
+}
+
 #[test]
 fn a_table_that_comes_after_the_back_ends_gives_them_their_memory() {
     let mut subject = support::dispatcher(0, 0, Vec::new());
--- a/crates/state/routing/src/table.rs
+++ b/crates/state/routing/src/table.rs
@@ -1,6 +1,6 @@
 //! The routing table: which request goes to which pool, and for whom.
 
-use crate::urgency::UrgencyScale;
+use crate::urgency::{PoolTiers, UrgencyScale};
 use crate::{PoolName, TableError};
 use eiderferry_types::Span;
 use serde::{Deserialize, Serialize};
@@ -148,6 +148,7 @@
     routes_by_host: HashMap<String, Vec<usize>>,
     tenants_by_key: HashMap<String, usize>,
     urgency: UrgencyScale,
+    tiers: PoolTiers,
 }
 
 /// What a request's host and path lead to.
@@ -168,11 +169,13 @@
         let tenants_by_key = index_keys(&document.tenants)?;
         let routes_by_host = index_routes(&document.routes);
         let urgency = UrgencyScale::of(&document.routes);
+        let tiers = PoolTiers::of(&document.routes);
         Ok(Self {
             document,
             routes_by_host,
             tenants_by_key,
             urgency,
+            tiers,
         })
     }
 
@@ -213,6 +216,12 @@
             .level(route.rank, tenant.and_then(|tenant| tenant.rank))
     }
 
+    /// Part of the other tiers that a pool serves which are less urgent than this one:
+    /// 1 for the most urgent of several, 0 for the last and for an only one.
+    pub fn part_less_urgent(&self, pool: &PoolName, rank: u8) -> f64 {
+        self.tiers.part_less_urgent(pool, rank)
+    }
+
     /// The tenant that holds a key.
     pub fn tenant(&self, key: &str) -> Option<&Tenant> {
         let index = self.tenants_by_key.get(key)?;
--- a/crates/state/routing/src/urgency.rs
+++ b/crates/state/routing/src/urgency.rs
@@ -1,10 +1,12 @@
-//! The levels of urgency by which engines admit requests and push others out.
+//! The tiers of routes, and the levels of urgency by which engines admit requests and
+//! push others out.
 //!
 //! A request's route comes first and its tenant second: an engine that has to push a
 //! request out takes the least urgent one, and that must not be one of a higher tier
 //! while one of a lower tier runs on, whoever their tenants are.
 
-use crate::Route;
+use crate::{PoolName, Route};
+use std::collections::{BTreeSet, HashMap};
 
 /// Levels that engines tell apart.
 pub const URGENCY_LEVELS: u8 = 10;
@@ -34,3 +36,35 @@
         level.min(URGENCY_LEVELS - 1)
     }
 }
+
+/// The ranks of the routes that go to each pool.
+#[derive(Clone, Debug)]
+pub(crate) struct PoolTiers {
+    ranks: HashMap<PoolName, BTreeSet<u8>>,
+}
+
+impl PoolTiers {
+    /// The tiers of these routes.
+    pub fn of(routes: &[Route]) -> Self {
+        let mut ranks: HashMap<PoolName, BTreeSet<u8>> = HashMap::new();
+        for route in routes {
+            for split in &route.splits {
+                ranks
+                    .entry(split.pool.clone())
+                    .or_default()
+                    .insert(route.rank);
+            }
+        }
+        Self { ranks }
+    }
+
+    /// Part of the pool's other tiers that are less urgent.
+    pub fn part_less_urgent(&self, pool: &PoolName, rank: u8) -> f64 {
+        let Some(ranks) = self.ranks.get(pool) else {
+            return 0.0;
+        };
+        let others = ranks.iter().filter(|other| **other != rank).count();
+        let below = ranks.iter().filter(|other| **other > rank).count();
+        below as f64 / others.max(1) as f64
+    }
+}
--- a/crates/state/routing/tests/table.rs
+++ b/crates/state/routing/tests/table.rs
@@ -210,3 +210,24 @@
     assert!(levels.is_sorted());
     assert!(levels.iter().all(|level| *level < URGENCY_LEVELS));
 }
+
+#[test]
+fn the_tiers_of_a_pool_are_those_of_its_routes() {
+    let mut elsewhere = ranked("other", 9);
+    elsewhere.splits[0].pool = PoolName::from("second");
+    let mut both = document(vec![
+        ranked("a", 0),
+        ranked("b", 1),
+        ranked("c", 3),
+        elsewhere,
+    ]);
+    let pool = both.pools[&PoolName::from("app")].clone();
+    both.pools.insert(PoolName::from("second"), pool);
+    let table = RoutingTable::new(both).expect("a table");
+    let part = |pool: &str, rank| table.part_less_urgent(&PoolName::from(pool), rank);
+    assert_eq!(part("app", 0), 1.0);
+    assert_eq!(part("app", 1), 0.5);
+    assert_eq!(part("app", 3), 0.0);
+    assert_eq!(part("second", 9), 0.0, "an only tier is its own last");
+    assert_eq!(part("unknown", 0), 0.0);
+}
--- a/crates/transport/relay/src/exchange.rs
+++ b/crates/transport/relay/src/exchange.rs
@@ -250,7 +250,7 @@
         let now = self.traffic.clock.now();
         let demand = Demand {
             pool: self.pool.clone(),
-            rank: self.head.rank,
+            rank: self.head.route.rank,
             parts: self.head.parts.clone(),
             prompt_tokens: self.head.prompt_tokens,
             output_tokens: self.head.output_tokens,
