--- a/crates/coordination/dispatch/src/demand.rs
+++ b/crates/coordination/dispatch/src/demand.rs
@@ -44,6 +44,21 @@
     pub is_repeat: bool,
 }
 
+/// What was expected of a back end when it was chosen, for logs.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Expectation {
+    /// What the choice cost, as a time.
+    pub cost: Span,
+    /// Requests there, as far as known.
+    pub running: u32,
+    /// Chance that the request's own events come late there, 0 to 1.
+    pub own_late_event: f64,
+    /// Streams there that its prompt makes late, in expectation.
+    pub others_late: f64,
+    /// Part of the memory that is taken with it; 0 where there is none.
+    pub memory: f64,
+}
+
 /// A place on a back end.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Grant {
@@ -61,6 +76,8 @@
     pub copy_from: Option<SocketAddr>,
     /// Expected time to the first event.
     pub expected: Span,
+    /// What else spoke for and against the back end.
+    pub expectation: Expectation,
     /// Revision of the list of back ends that the choice rests on.
     pub revision: u64,
     /// Age of the youngest confirmation of that list.
--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -361,6 +361,7 @@
             uncached_tokens: plan.footprint.uncached_tokens,
             copy_from: plan.copy_from,
             expected: plan.candidate.first_event,
+            expectation: plan.candidate.expectation(),
             revision,
             list_age,
         })
--- a/crates/coordination/dispatch/src/placement.rs
+++ b/crates/coordination/dispatch/src/placement.rs
@@ -3,6 +3,7 @@
 //! All costs are times. A request that misses its target costs [`LATE_REQUEST`]; prices
 //! of other things are set against that.
 
+use crate::Expectation;
 use eiderferry_types::Span;
 
 /// What a request that misses its target costs: about the target of a first event, so
@@ -87,6 +88,17 @@
         part.min(1.0).powi(2)
     }
 
+    /// What the choice rests on, for logs.
+    pub(crate) fn expectation(&self) -> Expectation {
+        Expectation {
+            cost: self.cost(),
+            running: self.running,
+            own_late_event: self.own_late_event,
+            others_late: self.others_late,
+            memory: self.memory,
+        }
+    }
+
     fn batch_cost(&self) -> Span {
         let slots = f64::from(self.slots.max(1));
         let fullness = f64::from(self.running) / slots;
--- a/crates/transport/relay/src/events.rs
+++ b/crates/transport/relay/src/events.rs
@@ -98,12 +98,20 @@
     );
 }
 
+fn percent(part: f64) -> u64 {
+    (part * 100.0) as u64
+}
+
 /// A request got a place on a back end.
 pub(crate) fn granted(id: &str, route: &str, rank: u8, attempt: u32, grant: &Grant) {
     log::info!(
         event = "granted", request = id, route = route, rank = rank, attempt = attempt,
         back_end = grant.instance.as_str(), expected_ms = grant.expected.milliseconds(),
-        uncached = grant.uncached_tokens, revision = grant.revision,
+        uncached = grant.uncached_tokens, cost_ms = grant.expectation.cost.milliseconds(),
+        running = grant.expectation.running,
+        own_late_percent = percent(grant.expectation.own_late_event),
+        others_late_percent = percent(grant.expectation.others_late),
+        memory_percent = percent(grant.expectation.memory), revision = grant.revision,
         list_age_ms = grant.list_age.milliseconds();
         "granted"
     );
--- a/crates/transport/relay/src/exchange.rs
+++ b/crates/transport/relay/src/exchange.rs
@@ -270,7 +270,8 @@
                 events::granted(&head.id, &head.route.name, head.rank, attempt, &grant);
                 let kept = head.prompt_tokens.saturating_sub(grant.uncached_tokens);
                 metrics::prompt(kept, grant.uncached_tokens);
-                Ok(Lease::new(grant, self.traffic.control.clone()))
+                let control = self.traffic.control.clone();
+                Ok(Lease::new(grant, control, self.traffic.clock.now()))
             }
             Some(Decision::Refuse(reason, retry_after)) => {
                 events::not_granted(&self.head.id, reason, retry_after);
--- a/crates/transport/relay/src/lease.rs
+++ b/crates/transport/relay/src/lease.rs
@@ -1,26 +1,36 @@
 //! A granted place that gives itself back.
 
 use crate::control::ControlHandle;
+use crate::metrics;
 use eiderferry_dispatch::{Grant, Outcome, StreamPacing};
+use eiderferry_types::Timestamp;
 
 /// A place on a back end. Dropped without a word, it was abandoned.
 #[derive(Debug)]
 pub(crate) struct Lease {
     pub grant: Grant,
     control: ControlHandle,
+    granted: Timestamp,
     is_over: bool,
 }
 
 impl Lease {
-    pub fn new(grant: Grant, control: ControlHandle) -> Self {
+    pub fn new(grant: Grant, control: ControlHandle, now: Timestamp) -> Self {
         Self {
             grant,
             control,
+            granted: now,
             is_over: false,
         }
     }
 
-    /// The first event, or the whole answer, came.
+    /// The first event of a stream came.
+    pub fn first_event_of_stream(&self, now: Timestamp) {
+        metrics::first_event_error(self.grant.expected, now.since(self.granted));
+        self.first_event();
+    }
+
+    /// The whole answer came.
     pub fn first_event(&self) {
         self.control.first_event(self.grant.lease);
     }
--- a/crates/transport/relay/src/metrics.rs
+++ b/crates/transport/relay/src/metrics.rs
@@ -56,6 +56,18 @@
         .record(elapsed.seconds());
 }
 
+/// By how much the first event of a stream differed from what was expected of its back
+/// end: the error of the model that placement rests on.
+pub(crate) fn first_event_error(expected: Span, seen: Span) {
+    let (direction, error) = if seen > expected {
+        ("later", Span(seen.0 - expected.0))
+    } else {
+        ("earlier", Span(expected.0 - seen.0))
+    };
+    metrics::histogram!("eiderferry_first_event_error_seconds", "direction" => direction)
+        .record(error.seconds());
+}
+
 /// An attempt at a back end ended.
 pub(crate) fn attempt(outcome: &'static str) {
     metrics::counter!("eiderferry_attempts_total", "outcome" => outcome).increment(1);
--- a/crates/transport/relay/src/stream.rs
+++ b/crates/transport/relay/src/stream.rs
@@ -93,10 +93,11 @@
 
     fn note_first_event(&self) {
         let exchange = &self.exchange;
-        let elapsed = exchange.traffic.clock.now().since(exchange.started);
+        let now = exchange.traffic.clock.now();
+        let elapsed = now.since(exchange.started);
         metrics::first_event(&exchange.head.route, exchange.head.rank, elapsed);
         if let Some(source) = &self.source {
-            source.lease.first_event();
+            source.lease.first_event_of_stream(now);
         }
     }
 
