--- /dev/null
+++ b/crates/coordination/dispatch/src/dispatcher/granting.rs
@@ -0,0 +1,227 @@
+//! Places at back ends: granted, refused and given back.
+
+use super::{Dispatcher, PLACEMENTS_PER_MESSAGE};
+use crate::health::HealthChange;
+use crate::planning::{Plan, View, plans};
+use crate::registry::BackEndState;
+use crate::{
+    Candidate, Decision, Demand, Grant, LeaseId, Outcome, Placement, PromptPart, RetryBudget,
+    StreamPacing, choose,
+};
+use eiderferry_routing::{InstanceId, PoolName, ZoneName};
+use eiderferry_types::{Reason, Span, Timestamp};
+
+/// Part of a back end's connections that all nodes together use.
+const CONNECTION_PART: f64 = 0.8;
+/// Connections that a node may always hold.
+const MINIMUM_CONNECTIONS: u32 = 4;
+/// Time after which a request without any back end is worth sending again.
+const NO_BACK_END_RETRY: Span = Span::from_milliseconds(500);
+/// Time after which a request refused for load is worth sending again.
+const OVERLOAD_RETRY: Span = Span::from_milliseconds(400);
+/// Back ends of one zone that can't be reached, within a window, which show that the
+/// way to the zone is cut.
+const UNREACHABLE_FOR_CUT: usize = 2;
+const CUT_WINDOW: Span = Span::from_milliseconds(3_000);
+/// Requests at a back end, as a multiple of its slots, beyond which none of the least
+/// urgent tier is added: what waits longer comes late anyway.
+const FULLEST: f64 = 1.3;
+/// The same for the most urgent tier: while it is refused, no less urgent request may
+/// begin, and nodes see each other's requests some hundred milliseconds late.
+const FULLEST_MOST_URGENT: f64 = 2.0;
+
+/// A granted place.
+#[derive(Clone, Debug)]
+pub(super) struct Lease {
+    pub(super) instance: InstanceId,
+    pool: PoolName,
+}
+
+impl Dispatcher {
+    fn budget(&mut self, pool: &PoolName) -> &mut RetryBudget {
+        let settings = self.settings.budget;
+        self.budgets
+            .entry(pool.clone())
+            .or_insert_with(|| RetryBudget::new(settings))
+    }
+
+    /// Counts a caller's request for a pool.
+    pub fn count_request(&mut self, pool: &PoolName, now: Timestamp) {
+        self.budget(pool).request(now);
+    }
+
+    /// Chooses a back end for a request, or refuses it.
+    pub fn ask(&mut self, demand: &Demand, now: Timestamp) -> Decision {
+        let view = View {
+            zone: &self.settings.zone,
+            silent_zones: &self.silent_zones,
+            now,
+        };
+        let mut plans = plans(&self.back_ends, &view, demand, &mut self.random);
+        let candidates: Vec<Candidate> = plans.iter().map(|plan| plan.candidate).collect();
+        let Some(index) = choose(&candidates) else {
+            return Decision::Refuse(Reason::NoBackEnd, NO_BACK_END_RETRY);
+        };
+        let candidate = candidates[index];
+        if candidate.running >= self.most_running(demand, candidate.slots) {
+            return Decision::Refuse(Reason::QueueFull, OVERLOAD_RETRY);
+        }
+        if demand.is_repeat {
+            let nodes = self.peers.most_known();
+            if !self.budget(&demand.pool).spend(now, nodes) {
+                return Decision::Refuse(Reason::RetryBudget, NO_BACK_END_RETRY);
+            }
+        }
+        let plan = plans.swap_remove(index);
+        match self.grant(plan, demand, now) {
+            Some(grant) => Decision::Grant(grant),
+            None => Decision::Refuse(Reason::NoBackEnd, NO_BACK_END_RETRY),
+        }
+    }
+
+    /// Requests at a back end beyond which this one is not added.
+    fn most_running(&self, demand: &Demand, slots: u32) -> u32 {
+        let table = self.knowledge.table();
+        let part = table.map_or(0.0, |table| {
+            table.part_less_urgent(&demand.pool, demand.rank)
+        });
+        let fullest = FULLEST + (FULLEST_MOST_URGENT - FULLEST) * part;
+        let most = (f64::from(slots) * fullest).ceil() as u32;
+        most.max(slots + 1)
+    }
+
+    fn grant(&mut self, plan: Plan, demand: &Demand, now: Timestamp) -> Option<Grant> {
+        let lease = LeaseId(self.next_lease);
+        self.next_lease += 1;
+        let connections = self.connection_limit(&demand.pool);
+        let revision = self.knowledge.complete_to();
+        let list_age = self.knowledge.confirmed_age(now).unwrap_or(Span::ZERO);
+        let state = self.back_ends.get_mut(&plan.instance)?;
+        state.load.begin(lease, plan.footprint, now);
+        state.load.cache.insert(&demand.parts);
+        let answer = u64::from(demand.output_tokens);
+        state.load.cache.insert_untold(answer);
+        let address = state.back_end.address;
+        let known = self.placements.len();
+        note_placements(&mut self.placements, state.digest, demand.shared_parts());
+        self.zone_digests.note_placements(&self.placements[known..]);
+        let record = Lease {
+            instance: plan.instance.clone(),
+            pool: demand.pool.clone(),
+        };
+        self.leases.insert(lease, record);
+        Some(Grant {
+            lease,
+            instance: plan.instance,
+            address,
+            connections,
+            uncached_tokens: plan.footprint.uncached_tokens,
+            copy_from: plan.copy_from,
+            expected: plan.candidate.first_event,
+            expectation: plan.candidate.expectation(),
+            revision,
+            list_age,
+        })
+    }
+
+    fn connection_limit(&self, pool: &PoolName) -> u32 {
+        let table = self.knowledge.table();
+        let maximum = table
+            .and_then(|table| table.pool(pool))
+            .map_or(MINIMUM_CONNECTIONS, |pool| pool.maximum_connections);
+        let share = f64::from(maximum) * CONNECTION_PART / f64::from(self.peers.most_known());
+        (share as u32).max(MINIMUM_CONNECTIONS)
+    }
+
+    /// The first event, or the whole answer, of a request came.
+    pub fn first_event(&mut self, lease: LeaseId, now: Timestamp) {
+        if let Some(state) = self.state_of(lease) {
+            state.load.first_event(lease, now);
+        }
+    }
+
+    /// How the events of a stream came, told before its place is given back.
+    pub fn note_pacing(&mut self, lease: LeaseId, pacing: &StreamPacing) {
+        if let Some(lease) = self.leases.get(&lease) {
+            self.back_ends.learn(&lease.instance, pacing);
+        }
+    }
+
+    fn state_of(&mut self, lease: LeaseId) -> Option<&mut BackEndState> {
+        let lease = self.leases.get(&lease)?;
+        self.back_ends.get_mut(&lease.instance)
+    }
+
+    /// A place is given back. Returns the back ends whose standing changed.
+    pub fn end(
+        &mut self,
+        lease: LeaseId,
+        outcome: Outcome,
+        now: Timestamp,
+    ) -> Vec<(InstanceId, HealthChange)> {
+        let Some(record) = self.leases.remove(&lease) else {
+            return Vec::new();
+        };
+        let pool_share = self.pool_failure_share(&record);
+        self.ended_lately.insert(record.instance.clone(), now);
+        let Some(state) = self.back_ends.get_mut(&record.instance) else {
+            return Vec::new();
+        };
+        state.load.end(lease, outcome, now);
+        let change = state.health.record(outcome, pool_share, now);
+        let own = change.map(|change| (record.instance.clone(), change));
+        let zone = state.back_end.zone.clone();
+        let mut changes: Vec<(InstanceId, HealthChange)> = own.into_iter().collect();
+        if outcome == Outcome::Unreachable && zone != self.settings.zone {
+            changes.extend(self.note_unreachable(zone, record.instance, now));
+        }
+        changes
+    }
+
+    /// Several back ends of another zone that can't be reached show that the way
+    /// there is cut: the rest of them gets no work for a while either.
+    fn note_unreachable(
+        &mut self,
+        zone: ZoneName,
+        instance: InstanceId,
+        now: Timestamp,
+    ) -> Vec<(InstanceId, HealthChange)> {
+        let lately = self.unreachable.entry(zone.clone()).or_default();
+        lately.retain(|_, at| now.since(*at) < CUT_WINDOW);
+        lately.insert(instance, now);
+        if lately.len() < UNREACHABLE_FOR_CUT {
+            return Vec::new();
+        }
+        let states = self.back_ends.all_mut();
+        let there = states.filter(|state| state.back_end.zone == zone);
+        there
+            .filter_map(|state| {
+                let change = state.health.suspect(now)?;
+                Some((state.back_end.instance.clone(), change))
+            })
+            .collect()
+    }
+
+    fn pool_failure_share(&self, lease: &Lease) -> f64 {
+        let states = self.back_ends.pool(&lease.pool);
+        let others = states.filter(|state| state.back_end.instance != lease.instance);
+        let shares: Vec<f64> = others.map(|state| state.health.failure_share()).collect();
+        if shares.is_empty() {
+            return 0.0;
+        }
+        shares.iter().sum::<f64>() / shares.len() as f64
+    }
+}
+
+fn note_placements(placements: &mut Vec<Placement>, back_end: u32, parts: &[PromptPart]) {
+    for part in parts.iter().rev() {
+        if placements.len() >= PLACEMENTS_PER_MESSAGE {
+            return;
+        }
+        placements.push(Placement {
+            back_end,
+            part: part.id,
+            tokens: part.tokens,
+        });
+    }
+}
--- /dev/null
+++ b/crates/coordination/dispatch/src/dispatcher/reading.rs
@@ -0,0 +1,78 @@
+//! Which nodes read the platform, and which hear of changes from them.
+
+use super::Dispatcher;
+use eiderferry_types::{Span, Timestamp};
+use std::net::SocketAddr;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Age of the youngest confirmation at which a node reads the platform itself.
+const CONFIRMATION_LIMIT: Span = Span::from_milliseconds(1_900);
+/// Time after a start within which a node comes to know the others of its zone.
+const SETTLING_TIME: Span = Span::from_milliseconds(1_500);
+/// Time after a start in which the seeds may tell what they know before a node that is
+/// no seed reads the platform.
+const START_PATIENCE: Span = Span::from_milliseconds(200);
+/// The same for a node that has heard peers.
+const START_PATIENCE_WITH_PEERS: Span = Span::from_milliseconds(300);
+/// Additional patience at a start for each node of the zone that is to read first.
+const START_PATIENCE_PER_READER: Span = Span::from_milliseconds(100);
+/// The same later, when confirmations have grown old.
+const PATIENCE_PER_READER: Span = Span::from_milliseconds(150);
+
+/// Whether this node reads the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadingDuty {
+    /// It does.
+    Read,
+    /// It hears of changes from peers.
+    Follow,
+}
+
+impl Dispatcher {
+    /// Whether this node reads the platform for its zone. One node of a zone does; the
+    /// others follow one after the other, as long as nothing fresh is heard.
+    pub fn reading_duty(&self, now: Timestamp) -> ReadingDuty {
+        let rank = self.reader_rank();
+        let is_due = match self.knowledge.confirmed_age(now) {
+            Some(_) if self.is_appointed_reader(rank, now) => true,
+            Some(age) => age > CONFIRMATION_LIMIT + PATIENCE_PER_READER * rank,
+            None => self.uptime(now) >= self.start_patience(rank),
+        };
+        if is_due {
+            ReadingDuty::Read
+        } else {
+            ReadingDuty::Follow
+        }
+    }
+
+    /// Nodes of the zone that are to read before this one: living ones, in an order
+    /// that all nodes compute alike.
+    pub(super) fn reader_rank(&self) -> u64 {
+        let score = |address: &SocketAddr| xxh3_64_with_seed(address.to_string().as_bytes(), 0);
+        let own_score = score(&self.settings.address);
+        let others = self.peers.readers();
+        let before = others.iter().filter(|address| score(address) >= own_score);
+        before.count() as u64 + u64::from(self.is_stopping)
+    }
+
+    /// The first of its zone reads; the seeds do while a node knows too few others to
+    /// tell who is first.
+    fn is_appointed_reader(&self, rank: u64, now: Timestamp) -> bool {
+        if self.uptime(now) < SETTLING_TIME {
+            self.peers.is_seed()
+        } else {
+            rank == 0
+        }
+    }
+
+    /// At a start the seeds read first: all nodes ask them, whoever else is known yet.
+    fn start_patience(&self, rank: u64) -> Span {
+        if self.peers.is_seed() {
+            Span::ZERO
+        } else if self.peers.living_count() == 0 {
+            START_PATIENCE
+        } else {
+            START_PATIENCE_WITH_PEERS + START_PATIENCE_PER_READER * rank
+        }
+    }
+}
--- a/crates/coordination/dispatch/src/dispatcher/zone_digest.rs
+++ b/crates/coordination/dispatch/src/dispatcher/zone_digest.rs
@@ -1,5 +1,5 @@
-//! Loads and placements of whole zones: in a large fleet no node hears each node of other zones often
-//! enough, so a few nodes of each zone tell one node of each other zone what all nodes
+//! Loads and placements of whole zones: in a large fleet no node hears each node of
+//! other zones often enough, so a few nodes of each zone tell one node of each other zone what all nodes
 //! of theirs have at the back ends, and that node passes it on in its own zone.
 
 use super::Dispatcher;
@@ -88,7 +88,7 @@
 impl Dispatcher {
     /// Whether other zones have more nodes than this one tells at a time.
     pub(super) fn tells_zones_by_digest(&self) -> bool {
-        self.peers.far().len() > FAR_FANOUT
+        self.peers.far_count() > FAR_FANOUT
     }
 
     /// Digests of this zone's loads, if it is this node's turn to send them.
@@ -128,7 +128,7 @@
     /// Takes over the digests that a message carries.
     pub(super) fn take_zone_digests(&mut self, message: &Gossip, now: Timestamp) {
         let is_first_hand = message.zone != self.settings.zone;
-        let tell_all = self.peers.near().len().div_ceil(NEAR_FANOUT) as u64;
+        let tell_all = self.peers.near_count().div_ceil(NEAR_FANOUT) as u64;
         if !is_first_hand {
             self.zone_digests.note_placements(&message.placements);
         }
--- a/crates/coordination/dispatch/src/load.rs
+++ b/crates/coordination/dispatch/src/load.rs
@@ -8,7 +8,8 @@
 
 /// Time for which another node's report counts.
 pub const REPORT_LIFETIME: Span = Span::from_milliseconds(2_500);
-/// Prompt tokens that an engine reads in a millisecond, until its answers tell.
+/// Prompt tokens that an engine reads in a millisecond, until its answers tell (measured
+/// at the first deployment, whose engines read 37).
 const ASSUMED_TOKENS_PER_MS: f64 = 38.0;
 /// Weight of the newest observation of an engine's speed.
 const SPEED_SMOOTHING: f64 = 0.15;
--- a/crates/coordination/dispatch/src/peers.rs
+++ b/crates/coordination/dispatch/src/peers.rs
@@ -148,8 +148,8 @@
     /// How long a peer may be silent: each is told in turn, and in a large fleet its
     /// turn comes less often.
     fn silence_limits(&self) -> (Span, Span) {
-        let near = self.near().len().div_ceil(NEAR_FANOUT) as u64;
-        let far = self.far().len().div_ceil(FAR_FANOUT) as u64;
+        let near = self.near_count().div_ceil(NEAR_FANOUT) as u64;
+        let far = self.far_count().div_ceil(FAR_FANOUT) as u64;
         let near = Span(near * TICK.0 * MISSED_TURNS).max(NEAR_SILENCE);
         let far = Span(far * FAR_TICKS * TICK.0 * MISSED_TURNS).max(FAR_SILENCE);
         (near, far)
@@ -158,7 +158,7 @@
     /// Other zones of which nothing was heard for some turns, while their peers were not
     /// known to stop: the way there is probably cut, for requests as well.
     pub fn silent_zones(&self, now: Timestamp) -> BTreeSet<ZoneName> {
-        let turns = self.far().len().div_ceil(FAR_FANOUT) as u64;
+        let turns = self.far_count().div_ceil(FAR_FANOUT) as u64;
         let mut zones: BTreeMap<&ZoneName, Vec<Timestamp>> = BTreeMap::new();
         for peer in self.peers.values().filter(|peer| peer.zone != self.zone) {
             zones.entry(&peer.zone).or_default().push(peer.heard);
@@ -206,6 +206,17 @@
             .collect()
     }
 
+    /// Number of peers of the own zone that are there.
+    pub fn near_count(&self) -> usize {
+        let living = self.peers.values().filter(|peer| !peer.is_lost);
+        living.filter(|peer| peer.zone == self.zone).count()
+    }
+
+    /// Number of peers of other zones that are there.
+    pub fn far_count(&self) -> usize {
+        self.living_count() - self.near_count()
+    }
+
     /// Peers of other zones that are there.
     pub fn far(&self) -> Vec<SocketAddr> {
         self.living(|peer| peer.zone != self.zone)
--- a/crates/transport/relay/src/control.rs
+++ b/crates/transport/relay/src/control.rs
@@ -220,13 +220,7 @@
     fn take(&self, changes: Vec<Change>, source: &'static str) {
         let mut is_news = false;
         for change in changes {
-            let mut taken = TakenNews {
-                key: change.key.clone(),
-                kind: change.content.kind(),
-                revision: change.revision,
-                applied: Applied::Known,
-            };
-            taken.applied = self.dispatcher.borrow_mut().apply(change);
+            let taken = self.dispatcher.borrow_mut().apply(change);
             is_news |= taken.applied == Applied::Taken;
             events::document(&taken, source);
         }
