--- a/crates/coordination/dispatch/src/load.rs
+++ b/crates/coordination/dispatch/src/load.rs
@@ -26,9 +26,8 @@
 pub struct Footprint {
     /// Prompt tokens that have to be read.
     pub uncached_tokens: u32,
-    /// Tokens of memory at its end.
-    pub memory_tokens: u32,
-    /// Tokens of it that no other request shares, its answer included.
+    /// Tokens of memory at its end that no other request shares, its answer included.
+    /// What requests share stands there once, and gives way where nobody uses it.
     pub single_tokens: u32,
     /// Chance that a long prompt read beside it makes it late.
     pub exposure: f64,
@@ -54,8 +53,8 @@
     pub exposed: f64,
     /// Requests whose own prompts take long to read.
     pub long_readings: u32,
-    /// Tokens of memory at their ends.
-    pub memory_tokens: u64,
+    /// Tokens of memory at their ends that only one request has.
+    pub single_tokens: u64,
     /// Prompt tokens that are still to be read.
     pub pending_tokens: u64,
 }
@@ -66,7 +65,7 @@
             running: self.running + other.running,
             exposed: self.exposed + other.exposed,
             long_readings: self.long_readings + other.long_readings,
-            memory_tokens: self.memory_tokens + other.memory_tokens,
+            single_tokens: self.single_tokens + other.single_tokens,
             pending_tokens: self.pending_tokens + other.pending_tokens,
         }
     }
@@ -90,7 +89,7 @@
             running: saturate(u64::from(self.occupancy.running)),
             exposed_hundredths: saturate((self.occupancy.exposed * HUNDRED as f64) as u64),
             long_readings: saturate(u64::from(self.occupancy.long_readings)),
-            memory_hundreds: saturate(self.occupancy.memory_tokens / HUNDRED),
+            single_hundreds: saturate(self.occupancy.single_tokens / HUNDRED),
             pending_hundreds: saturate(self.occupancy.pending_tokens / HUNDRED),
             placed_hundreds: placed / HUNDRED,
             completed: saturate(u64::from(self.outcomes.completed)),
@@ -164,7 +163,7 @@
         for footprint in footprints {
             own.exposed += footprint.exposure;
             own.long_readings += u32::from(footprint.is_long_reading);
-            own.memory_tokens += u64::from(footprint.memory_tokens);
+            own.single_tokens += u64::from(footprint.single_tokens);
         }
         own
     }
@@ -194,7 +193,7 @@
                 running: u32::from(report.running),
                 exposed: f64::from(report.exposed_hundredths) / HUNDRED as f64,
                 long_readings: u32::from(report.long_readings),
-                memory_tokens: u64::from(report.memory_hundreds) * HUNDRED,
+                single_tokens: u64::from(report.single_hundreds) * HUNDRED,
                 pending_tokens: u64::from(report.pending_hundreds) * HUNDRED,
             },
             outcomes: OutcomeCounts {
--- a/crates/coordination/dispatch/src/message.rs
+++ b/crates/coordination/dispatch/src/message.rs
@@ -17,8 +17,9 @@
     pub exposed_hundredths: u16,
     /// Those of them whose own prompts take long to read.
     pub long_readings: u16,
-    /// Tokens of memory that they take at their end, in hundreds.
-    pub memory_hundreds: u16,
+    /// Tokens of memory that they take at their end and that only one of them has, in
+    /// hundreds.
+    pub single_hundreds: u16,
     /// Prompt tokens of these that it has still to read, in hundreds.
     pub pending_hundreds: u16,
     /// Tokens that only single requests have, of all that the sender ever placed there,
--- a/crates/coordination/dispatch/src/planning.rs
+++ b/crates/coordination/dispatch/src/planning.rs
@@ -237,7 +237,6 @@
     let exposure = setting.model.zip(demand.pause_target);
     Footprint {
         uncached_tokens: uncached,
-        memory_tokens: demand.prompt_tokens.saturating_add(demand.output_tokens),
         single_tokens: demand.single_tokens(),
         exposure: exposure.map_or(0.0, |(model, target)| {
             model.chance_beside_long_prompts(speed, target)
@@ -248,13 +247,13 @@
     }
 }
 
-/// Part of an engine's memory that its requests take with one more.
+/// Part of an engine's memory that single requests take, with one more.
 fn memory_part(state: &BackEndState, there: &Occupancy, footprint: &Footprint) -> f64 {
     let capacity = state.load.cache.engine_tokens();
     if capacity == 0 {
         return 0.0;
     }
-    let taken = there.memory_tokens + u64::from(footprint.memory_tokens);
+    let taken = there.single_tokens + u64::from(footprint.single_tokens);
     taken as f64 / capacity as f64
 }
 
