--- a/crates/coordination/dispatch/src/placement.rs
+++ b/crates/coordination/dispatch/src/placement.rs
@@ -12,10 +12,10 @@
 /// Time that a request in another zone is held to cost more, for its bytes.
 const OTHER_ZONE: Span = Span::from_milliseconds(20);
 /// Time that a full batch costs. A place in a batch costs next to nothing until the
-/// batch is nearly full (a step of 64 streams takes half as long again as one of a single
-/// stream), so the cost rises with the fifth power of its fullness: streams gather, and leave
-/// other engines to long prompts. Near the end it makes up for choices that other nodes
-/// make at the same moment.
+/// batch is nearly full (a step of 64 streams takes half as long again as one of a
+/// single stream), so the cost rises with the fifth power of its fullness: streams
+/// gather, and leave other engines to long prompts. Near the end it makes up for
+/// choices that other nodes make at the same moment.
 const FULL_BATCH: Span = Span::from_milliseconds(256);
 /// Time that a request costs beyond a full batch at least: it waits for an end.
 const WAITING: Span = Span::from_milliseconds(1_000);
@@ -26,7 +26,7 @@
 const COPY_PER_TOKEN: u64 = 30;
 /// Part of an engine's memory beyond which requests begin to push each other out:
 /// what is known of the others is some hundred milliseconds old.
-const COMFORTABLE_MEMORY: f64 = 0.75;
+const MEMORY_PRESSURE_FROM: f64 = 0.75;
 /// What a request costs that fills the memory to the end: it, or another, is put back
 /// and read anew.
 const FULL_MEMORY: Span = Span::from_milliseconds(2_000);
@@ -111,7 +111,7 @@
     }
 
     fn memory_cost(&self) -> Span {
-        let excess = (self.memory - COMFORTABLE_MEMORY) / (1.0 - COMFORTABLE_MEMORY);
+        let excess = (self.memory - MEMORY_PRESSURE_FROM) / (1.0 - MEMORY_PRESSURE_FROM);
         part_of(FULL_MEMORY, excess.max(0.0))
     }
 
