--- a/crates/coordination/dispatch/src/cache.rs
+++ b/crates/coordination/dispatch/src/cache.rs
@@ -18,8 +18,8 @@
 enum Entry {
     /// A part that requests share.
     Shared(PartId),
-    /// So many tokens that nobody asks for again.
-    Untold(u64),
+    /// So many tokens that only one request has.
+    Single(u64),
 }
 
 fn usable(engine_tokens: u64) -> u64 {
@@ -83,11 +83,11 @@
     }
 
     /// Notes tokens that take room and that no other request shares.
-    pub fn insert_untold(&mut self, tokens: u64) {
+    pub fn insert_single(&mut self, tokens: u64) {
         if tokens == 0 {
             return;
         }
-        self.by_age.insert(self.next_order, Entry::Untold(tokens));
+        self.by_age.insert(self.next_order, Entry::Single(tokens));
         self.next_order += 1;
         self.used += tokens;
         self.evict();
@@ -99,7 +99,7 @@
                 return;
             };
             self.used -= match oldest {
-                Entry::Untold(tokens) => tokens,
+                Entry::Single(tokens) => tokens,
                 Entry::Shared(part) => {
                     let kept = self.parts.remove(&part);
                     kept.map_or(0, |kept| u64::from(kept.tokens))
--- a/crates/coordination/dispatch/src/demand.rs
+++ b/crates/coordination/dispatch/src/demand.rs
@@ -1,5 +1,6 @@
 //! What a request asks for, and what becomes of it.
 
+use crate::Candidate;
 use eiderferry_routing::{InstanceId, PartId, PoolName};
 use eiderferry_types::{Reason, Span};
 use std::net::SocketAddr;
@@ -44,21 +45,6 @@
     pub is_repeat: bool,
 }
 
-/// What was expected of a back end when it was chosen, for logs.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Expectation {
-    /// What the choice cost, as a time.
-    pub cost: Span,
-    /// Requests there, as far as known.
-    pub running: u32,
-    /// Chance that the request's own events come late there, 0 to 1.
-    pub own_late_event: f64,
-    /// Streams there that its prompt makes late, in expectation.
-    pub others_late: f64,
-    /// Part of the memory that is taken with it; 0 where there is none.
-    pub memory: f64,
-}
-
 /// A place on a back end.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Grant {
@@ -74,10 +60,8 @@
     pub uncached_tokens: u32,
     /// Engine from which it is to copy what it lacks of the prompt.
     pub copy_from: Option<SocketAddr>,
-    /// Expected time to the first event.
-    pub expected: Span,
-    /// What else spoke for and against the back end.
-    pub expectation: Expectation,
+    /// What was expected of the back end when it was chosen.
+    pub candidate: Candidate,
     /// Revision of the list of back ends that the choice rests on.
     pub revision: u64,
     /// Age of the youngest confirmation of that list.
--- a/crates/coordination/dispatch/src/dispatcher/granting.rs
+++ b/crates/coordination/dispatch/src/dispatcher/granting.rs
@@ -100,7 +100,7 @@
         state.load.begin(lease, plan.footprint, now);
         state.load.cache.insert(&demand.parts);
         let answer = u64::from(demand.output_tokens);
-        state.load.cache.insert_untold(answer);
+        state.load.cache.insert_single(answer);
         let address = state.back_end.address;
         let known = self.placements.len();
         note_placements(&mut self.placements, state.digest, demand.shared_parts());
@@ -117,8 +117,7 @@
             connections,
             uncached_tokens: plan.footprint.uncached_tokens,
             copy_from: plan.copy_from,
-            expected: plan.candidate.first_event,
-            expectation: plan.candidate.expectation(),
+            candidate: plan.candidate,
             revision,
             list_age,
         })
--- a/crates/coordination/dispatch/src/engine_model.rs
+++ b/crates/coordination/dispatch/src/engine_model.rs
@@ -74,7 +74,7 @@
 pub struct PoolModel {
     reading_pause_ms: Quantile,
     spacing_ms: Quantile,
-    streams: u64,
+    has_seen_streams: bool,
 }
 
 /// How fast one engine is against its pool.
@@ -91,13 +91,13 @@
         Self {
             reading_pause_ms: Quantile::new(tokens * ASSUMED_READING_STEP_MS, PAUSE_QUANTILE),
             spacing_ms: Quantile::new(tokens * ASSUMED_STEP_MS, SPACING_QUANTILE),
-            streams: 0,
+            has_seen_streams: false,
         }
     }
 
     /// Whether anything was learned yet.
     pub fn has_seen_streams(&self) -> bool {
-        self.streams > 0
+        self.has_seen_streams
     }
 
     /// Learns from a stream that has ended.
@@ -105,7 +105,7 @@
         let Some(spacing) = pacing.spacing().filter(|_| tells_enough(pacing)) else {
             return;
         };
-        self.streams += 1;
+        self.has_seen_streams = true;
         self.spacing_ms.learn(milliseconds(spacing));
         self.reading_pause_ms
             .learn(milliseconds(pacing.longest_pause()));
@@ -151,7 +151,7 @@
     /// length makes late, 0 to 1. Their targets are taken to lie at the longest pause:
     /// of those far above none is late, and far below there are few.
     pub fn share_made_late(&self, speed: &EngineSpeed, reading: Span) -> f64 {
-        let target = part_of(self.reading_pause(speed), MIDDLE_OF_PAUSES);
+        let target = self.reading_pause(speed).scaled(MIDDLE_OF_PAUSES);
         let longest = self.chance_beside_long_prompts(speed, target);
         self.chance_of_late_event(speed, target, reading) / longest
     }
@@ -172,10 +172,6 @@
     }
 }
 
-fn part_of(span: Span, part: f64) -> Span {
-    Span((span.0 as f64 * part) as u64)
-}
-
 fn tells_enough(pacing: &StreamPacing) -> bool {
     pacing.events() >= MINIMUM_EVENTS
 }
--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -24,7 +24,7 @@
 mod retry_budget;
 
 pub use cache::PrefixCache;
-pub use demand::{Decision, Demand, Expectation, Grant, LeaseId, Outcome, PromptPart};
+pub use demand::{Decision, Demand, Grant, LeaseId, Outcome, PromptPart};
 pub use dispatcher::{
     Dispatcher, DispatcherSettings, ReadingDuty, Received, Snapshot, TICK, TakenNews, TickOutput,
 };
--- a/crates/coordination/dispatch/src/load.rs
+++ b/crates/coordination/dispatch/src/load.rs
@@ -210,7 +210,7 @@
     fn note_placed(&mut self, node: u64, placed: u64) {
         let known = self.placed_by.insert(node, placed);
         let since = known.map_or(0, |known| placed.saturating_sub(known));
-        self.cache.insert_untold(since);
+        self.cache.insert_single(since);
     }
 
     /// What this node and some others have there, as one report.
--- a/crates/coordination/dispatch/src/peers.rs
+++ b/crates/coordination/dispatch/src/peers.rs
@@ -155,8 +155,8 @@
         (near, far)
     }
 
-    /// Other zones of which nothing was heard for some turns, while their peers were not
-    /// known to stop: the way there is probably cut, for requests as well.
+    /// Other zones none of whose peers was heard for some turns: the way there is probably
+    /// cut, for requests as well. Their nodes may also all have stopped or ended.
     pub fn silent_zones(&self, now: Timestamp) -> BTreeSet<ZoneName> {
         let turns = self.far_count().div_ceil(FAR_FANOUT) as u64;
         let mut zones: BTreeMap<&ZoneName, Vec<Timestamp>> = BTreeMap::new();
--- a/crates/coordination/dispatch/src/placement.rs
+++ b/crates/coordination/dispatch/src/placement.rs
@@ -3,7 +3,6 @@
 //! All costs are times. A request that misses its target costs [`LATE_REQUEST`]; prices
 //! of other things are set against that.
 
-use crate::Expectation;
 use eiderferry_types::Span;
 
 /// What a request that misses its target costs: about the target of a first event, so
@@ -73,8 +72,8 @@
             + self.batch_cost()
             + self.memory_cost()
             + self.reading_cost()
-            + part_of(LATE_REQUEST, self.late_first_event())
-            + part_of(LATE_REQUEST, self.own_late_event + self.others_late)
+            + LATE_REQUEST.scaled(self.late_first_event())
+            + LATE_REQUEST.scaled(self.own_late_event + self.others_late)
             + self.failure_cost()
     }
 
@@ -88,31 +87,20 @@
         part.min(1.0).powi(2)
     }
 
-    /// What the choice rests on, for logs.
-    pub(crate) fn expectation(&self) -> Expectation {
-        Expectation {
-            cost: self.cost(),
-            running: self.running,
-            own_late_event: self.own_late_event,
-            others_late: self.others_late,
-            memory: self.memory,
-        }
-    }
-
     fn batch_cost(&self) -> Span {
         let slots = f64::from(self.slots.max(1));
         let fullness = f64::from(self.running) / slots;
         let waiting = if self.running >= self.slots {
-            part_of(WAITING, fullness)
+            WAITING.scaled(fullness)
         } else {
             Span::ZERO
         };
-        part_of(FULL_BATCH, fullness.powi(5)) + waiting
+        FULL_BATCH.scaled(fullness.powi(5)) + waiting
     }
 
     fn memory_cost(&self) -> Span {
         let excess = (self.memory - MEMORY_PRESSURE_FROM) / (1.0 - MEMORY_PRESSURE_FROM);
-        part_of(FULL_MEMORY, excess.max(0.0))
+        FULL_MEMORY.scaled(excess.max(0.0))
     }
 
     fn reading_cost(&self) -> Span {
@@ -127,14 +115,10 @@
         } else {
             FAILURE_FOR_GOOD
         };
-        part_of(failure, self.excess_failures)
+        failure.scaled(self.excess_failures)
     }
 }
 
-fn part_of(span: Span, part: f64) -> Span {
-    Span((span.0 as f64 * part.max(0.0)) as u64)
-}
-
 /// Index of the cheapest candidate.
 pub fn choose(candidates: &[Candidate]) -> Option<usize> {
     let costs = candidates.iter().enumerate();
--- a/crates/coordination/dispatch/tests/cache.rs
+++ b/crates/coordination/dispatch/tests/cache.rs
@@ -53,9 +53,9 @@
 fn tokens_of_single_requests_take_room_from_shared_parts() {
     let mut cache = PrefixCache::new(1_000);
     cache.insert(&[part(1, 400)]);
-    cache.insert_untold(300);
+    cache.insert_single(300);
     assert!(cache.keeps(PartId(1)));
-    cache.insert_untold(300);
+    cache.insert_single(300);
     assert!(
         !cache.keeps(PartId(1)),
         "700 of 850 usable tokens came after it"
--- a/crates/state/types/src/time.rs
+++ b/crates/state/types/src/time.rs
@@ -49,6 +49,11 @@
         Self((seconds.max(0.0) * MICROSECONDS_PER_SECOND as f64) as u64)
     }
 
+    /// The span times a factor; a negative factor counts as zero.
+    pub fn scaled(self, factor: f64) -> Self {
+        Self((self.0 as f64 * factor.max(0.0)) as u64)
+    }
+
     /// Whole milliseconds, rounded down.
     pub const fn milliseconds(self) -> u64 {
         self.0 / MICROSECONDS_PER_MILLISECOND
--- a/crates/transport/relay/src/events.rs
+++ b/crates/transport/relay/src/events.rs
@@ -104,14 +104,15 @@
 
 /// A request got a place on a back end.
 pub(crate) fn granted(id: &str, route: &str, rank: u8, attempt: u32, grant: &Grant) {
+    let candidate = &grant.candidate;
     log::info!(
         event = "granted", request = id, route = route, rank = rank, attempt = attempt,
-        back_end = grant.instance.as_str(), expected_ms = grant.expected.milliseconds(),
-        uncached = grant.uncached_tokens, cost_ms = grant.expectation.cost.milliseconds(),
-        running = grant.expectation.running,
-        own_late_percent = percent(grant.expectation.own_late_event),
-        others_late_percent = percent(grant.expectation.others_late),
-        memory_percent = percent(grant.expectation.memory), revision = grant.revision,
+        back_end = grant.instance.as_str(), expected_ms = candidate.first_event.milliseconds(),
+        uncached = grant.uncached_tokens, cost_ms = candidate.cost().milliseconds(),
+        running = candidate.running,
+        own_late_percent = percent(candidate.own_late_event),
+        others_late_percent = percent(candidate.others_late),
+        memory_percent = percent(candidate.memory), revision = grant.revision,
         list_age_ms = grant.list_age.milliseconds();
         "granted"
     );
--- a/crates/transport/relay/src/exchange.rs
+++ b/crates/transport/relay/src/exchange.rs
@@ -36,9 +36,11 @@
 const MAXIMUM_UNREACHABLE: u32 = 3;
 /// Attempt's time for an answer that may be asked for again, in targets.
 const ATTEMPT_TARGETS: u64 = 2;
-/// Patience for the first event of a stream: so many targets, and so many times what was
-/// expected. With one target a loaded pool read 88 prompts twice in 40 s.
+/// Patience for the first event of a stream, in targets. With one target 88 attempts were
+/// given up as silent in a loaded day of 57 s; what that cost is within the noise of
+/// measurements (docs/design/placement.md).
 const FIRST_EVENT_TARGETS: u64 = 2;
+/// The same besides, in expected times to the first event.
 const EXPECTED_TIMES: u64 = 2;
 
 /// What all requests of a traffic thread share.
@@ -376,7 +378,7 @@
             return left;
         }
         let patience = match route.kind {
-            RouteKind::Streaming => self.first_event_patience(lease.grant.expected),
+            RouteKind::Streaming => self.first_event_patience(lease.grant.candidate.first_event),
             _ => Span(route.target.0 * ATTEMPT_TARGETS),
         };
         left.min(patience)
--- a/crates/transport/relay/src/lease.rs
+++ b/crates/transport/relay/src/lease.rs
@@ -26,7 +26,7 @@
 
     /// The first event of a stream came.
     pub fn first_event_of_stream(&self, now: Timestamp) {
-        metrics::first_event_error(self.grant.expected, now.since(self.granted));
+        metrics::first_event_error(self.grant.candidate.first_event, now.since(self.granted));
         self.first_event();
     }
 
--- a/crates/transport/relay/src/stream.rs
+++ b/crates/transport/relay/src/stream.rs
@@ -184,10 +184,9 @@
         if !self.exchange.may_try_again() {
             return Span(u64::MAX);
         }
-        let expected = self
-            .source
-            .as_ref()
-            .map_or(Span::ZERO, |source| source.lease.grant.expected);
+        let expected = self.source.as_ref().map_or(Span::ZERO, |source| {
+            source.lease.grant.candidate.first_event
+        });
         if is_first {
             return self.exchange.first_event_patience(expected);
         }
