--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -50,6 +50,8 @@
     pub incarnation: u32,
     /// Bound of repeats over all nodes.
     pub budget: BudgetSettings,
+    /// Time within which a change that the platform has confirmed has to be in force.
+    pub apply_within: Span,
 }
 
 /// What a tick asks for.
--- a/crates/coordination/dispatch/src/dispatcher/reading.rs
+++ b/crates/coordination/dispatch/src/dispatcher/reading.rs
@@ -4,8 +4,18 @@
 use crate::peers::duty_score;
 use eiderferry_types::{Span, Timestamp};
 
-/// Age of the youngest confirmation at which a node reads the platform itself.
+/// Age of the youngest confirmation at which a node reads the platform itself, at the
+/// least: a reader's call waits for up to 1.5 s.
 const CONFIRMATION_LIMIT: Span = Span::from_milliseconds(1_900);
+/// The same as a part of the time within which a change has to be in force: the rest is
+/// for the nodes that read one after the other, and for the way to the others.
+const CONFIRMATION_PART: f64 = 0.65;
+/// Time within which a change has to be in force from which on not every zone reads: two
+/// zones then do, and a node of a third hears of their confirmations 0.6 s later.
+const FEW_READERS_FROM: Span = Span::from_milliseconds(3_500);
+/// Zones that read then: one may be lost while the other goes on. 18 nodes in five zones
+/// made 98 calls on a quiet day of 57 s, where a reader in each zone made 258.
+const READING_ZONES: usize = 2;
 /// Time after a start within which a node comes to know the others of its zone.
 const SETTLING_TIME: Span = Span::from_milliseconds(1_500);
 /// Time after a start in which the seeds may tell what they know before a node that is
@@ -34,7 +44,7 @@
         let rank = self.reader_rank();
         let is_due = match self.knowledge.confirmed_age(now) {
             Some(_) if self.is_appointed_reader(rank, now) => true,
-            Some(age) => age > CONFIRMATION_LIMIT + PATIENCE_PER_READER * rank,
+            Some(age) => age > self.confirmation_limit() + PATIENCE_PER_READER * rank,
             None => self.uptime(now) >= self.start_patience(rank),
         };
         if is_due {
@@ -59,10 +69,27 @@
         if self.uptime(now) < SETTLING_TIME {
             self.peers.is_seed()
         } else {
-            rank == 0
+            rank == 0 && self.is_zone_reading()
         }
     }
 
+    fn confirmation_limit(&self) -> Span {
+        let part = self.settings.apply_within.scaled(CONFIRMATION_PART);
+        part.max(CONFIRMATION_LIMIT)
+    }
+
+    /// Whether this node's zone is one of those that read, among the zones that it hears.
+    fn is_zone_reading(&self) -> bool {
+        if self.settings.apply_within < FEW_READERS_FROM {
+            return true;
+        }
+        let own = self.settings.zone.digest();
+        let others = self.peers.other_zones();
+        let heard = others.filter(|zone| !self.silent_zones.contains(*zone));
+        let before = heard.filter(|zone| zone.digest() > own).count();
+        before < READING_ZONES
+    }
+
     /// At a start the seeds read first: all nodes ask them, whoever else is known yet.
     fn start_patience(&self, rank: u64) -> Span {
         if self.peers.is_seed() {
--- a/crates/coordination/dispatch/src/peers.rs
+++ b/crates/coordination/dispatch/src/peers.rs
@@ -345,9 +345,12 @@
         peer.is_some_and(|peer| !peer.is_lost)
     }
 
-    /// Zone of a peer.
-    pub fn zone_of(&self, address: SocketAddr) -> Option<&ZoneName> {
-        self.peers.get(&address).map(|peer| &peer.zone)
+    /// The other zones that have peers that are there.
+    pub fn other_zones(&self) -> impl Iterator<Item = &ZoneName> {
+        let living = self.peers.values().filter(|peer| !peer.is_lost);
+        let zones = living.map(|peer| &peer.zone);
+        let others: BTreeSet<&ZoneName> = zones.filter(|zone| **zone != self.zone).collect();
+        others.into_iter()
     }
 
     /// A peer that is there of each other zone.
--- a/crates/coordination/dispatch/tests/support/mod.rs
+++ b/crates/coordination/dispatch/tests/support/mod.rs
@@ -23,6 +23,9 @@
     window: Span::from_milliseconds(10_000),
 };
 
+/// Time within which a change has to be in force.
+pub const APPLY_WITHIN: Span = Span::from_milliseconds(2_000);
+
 pub fn node_address(number: usize) -> SocketAddr {
     let (high, low) = (number / 250, number % 250 + 1);
     format!("10.1.{high}.{low}:7340")
@@ -95,7 +98,17 @@
 }
 
 pub fn dispatcher(number: usize, zone_number: usize, seeds: Vec<SocketAddr>) -> Dispatcher {
+    dispatcher_with(number, zone_number, seeds, APPLY_WITHIN)
+}
+
+fn dispatcher_with(
+    number: usize,
+    zone_number: usize,
+    seeds: Vec<SocketAddr>,
+    apply_within: Span,
+) -> Dispatcher {
     Dispatcher::new(DispatcherSettings {
+        apply_within,
         node: NodeName::from(format!("node-{number}")),
         zone: zone(zone_number),
         address: node_address(number),
@@ -177,10 +190,15 @@
 
 impl Fleet {
     pub fn new(count: usize, zone_count: usize) -> Self {
+        Self::with_apply_within(count, zone_count, APPLY_WITHIN)
+    }
+
+    /// A fleet in which changes have to be in force within so long.
+    pub fn with_apply_within(count: usize, zone_count: usize, apply_within: Span) -> Self {
         let seeds: Vec<SocketAddr> = (0..3.min(count)).map(node_address).collect();
         let zones: Vec<usize> = (0..count).map(|number| number % zone_count).collect();
         let nodes = (0..count)
-            .map(|number| dispatcher(number, zones[number], seeds.clone()))
+            .map(|number| dispatcher_with(number, zones[number], seeds.clone(), apply_within))
             .collect();
         Self {
             now: START,
--- a/crates/transport/relay/src/node.rs
+++ b/crates/transport/relay/src/node.rs
@@ -75,6 +75,7 @@
             seeds: settings.seeds.clone(),
             incarnation: rand::random(),
             budget: settings.budget,
+            apply_within: settings.apply_within,
         });
         let shared = Arc::clone(&table);
         let thread = std::thread::Builder::new().name("control".to_owned());
--- a/crates/transport/relay/tests/support/mod.rs
+++ b/crates/transport/relay/tests/support/mod.rs
@@ -353,6 +353,7 @@
                 allowance: 400.0,
                 window: Span::from_milliseconds(10_000),
             },
+            apply_within: Span::from_milliseconds(2_000),
             stop: StopSettings {
                 refuse_after: Span::from_milliseconds(300),
                 end_after: Span::from_milliseconds(1_500),
