--- a/crates/coordination/dispatch/tests/aggregation.rs
+++ b/crates/coordination/dispatch/tests/aggregation.rs
@@ -62,6 +62,30 @@
     );
 }
 
+/// Summaries to a whole zone at once, by nodes chosen without regard to their links, took 1.4
+/// times what a weak link carries in a tick.
+#[test]
+fn no_link_is_filled_by_messages() {
+    let fleet = loaded_fleet(295, 5, 20);
+    assert!(
+        fleet.busiest_link <= 0.4,
+        "{} of a link",
+        fleet.busiest_link
+    );
+}
+
+#[test]
+fn lost_messages_cost_no_aggregator_its_place() {
+    let mut fleet = fleet_with_one_engine(71, 3);
+    fleet.lost_each = Some(13);
+    fleet.lost.clear();
+    fleet.run_with_platform(20_000, 2);
+    assert_eq!(fleet.lost, Vec::new());
+    place(&mut fleet, 7, 30);
+    fleet.run_with_platform(1_500, 2);
+    assert_all_count(&mut fleet, 30, &[]);
+}
+
 /// Requests that each node still places on the only engine, which holds so many already.
 fn assert_all_count(fleet: &mut Fleet, running: usize, besides: &[usize]) {
     let now = fleet.now;
--- a/crates/coordination/dispatch/tests/support/mod.rs
+++ b/crates/coordination/dispatch/tests/support/mod.rs
@@ -28,6 +28,13 @@
 /// Time within which a change has to be in force.
 pub const APPLY_WITHIN: Span = Span::from_milliseconds(2_000);
 
+/// Bytes that a link of 1 Mbit/s carries between two ticks.
+const BYTES_A_TICK: usize = 12_500;
+
+fn link_mbps(number: usize) -> u16 {
+    if number % STRONG_EACH == 7 { 200 } else { 20 }
+}
+
 pub fn node_address(number: usize) -> SocketAddr {
     let (high, low) = (number / 250, number % 250 + 1);
     format!("10.1.{high}.{low}:7340")
@@ -111,7 +118,7 @@
 ) -> Dispatcher {
     Dispatcher::new(DispatcherSettings {
         apply_within,
-        link_mbps: if number % STRONG_EACH == 7 { 200 } else { 20 },
+        link_mbps: link_mbps(number),
         node: NodeName::from(format!("node-{number}")),
         zone: zone(zone_number),
         address: node_address(number),
@@ -185,6 +192,10 @@
     /// Bytes of messages, once they are measured, and the largest one.
     pub bytes: usize,
     pub largest_message: usize,
+    /// Largest part of its link that a node's messages of one tick took.
+    pub busiest_link: f64,
+    /// Each of so many messages is lost, if any is.
+    pub lost_each: Option<u64>,
     measures_bytes: bool,
     /// Nodes that have read the platform.
     pub read_by: BTreeSet<usize>,
@@ -215,6 +226,8 @@
             fetches: 0,
             bytes: 0,
             largest_message: 0,
+            busiest_link: 0.0,
+            lost_each: None,
             measures_bytes: false,
             read_by: BTreeSet::new(),
             in_flight: Vec::new(),
@@ -271,6 +284,14 @@
     }
 
     fn post(&mut self, from: usize, messages: Vec<Envelope>) {
+        let before = self.bytes;
+        self.encode_and_post(from, messages);
+        let link = usize::from(link_mbps(from)) * BYTES_A_TICK;
+        let part = (self.bytes - before) as f64 / link as f64;
+        self.busiest_link = self.busiest_link.max(part);
+    }
+
+    fn encode_and_post(&mut self, from: usize, messages: Vec<Envelope>) {
         for envelope in messages {
             if self.measures_bytes {
                 let bytes = postcard::to_stdvec(&envelope.message).expect("a message");
@@ -280,7 +301,10 @@
             let message = Rc::new(envelope.message);
             for to in envelope.to {
                 self.messages += 1;
-                self.in_flight.push((from, to, Rc::clone(&message)));
+                let is_lost = self.lost_each.is_some_and(|each| self.messages % each == 0);
+                if !is_lost {
+                    self.in_flight.push((from, to, Rc::clone(&message)));
+                }
             }
         }
     }
