--- a/crates/coordination/admission/src/cell.rs
+++ b/crates/coordination/admission/src/cell.rs
@@ -1,9 +1,12 @@
 //! The admission queue itself.
 
+mod refusal;
+mod serving;
+
 use crate::back_end::{BackEndState, LoadReport};
-use crate::estimate::{AnswerLengths, Average, Rate, span_of};
-use crate::selection::{ClassState, Selected, select_back_end, select_class};
-use crate::tenant_use::{Exhausted, TenantUse};
+use crate::estimate::{AnswerLengths, Average, Rate};
+use crate::selection::ClassState;
+use crate::tenant_use::TenantUse;
 use crate::{Ask, CellPolicy, Observation, Outcome, Ticket};
 use eiderferry_config::Configuration;
 use eiderferry_types::{
@@ -13,6 +16,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 pub use crate::tenant_use::Allowance;
+use refusal::SHORTEST_RETRY;
 
 /// Weight of one lease in the learned holding time.
 const HOLDING_WEIGHT: f64 = 0.05;
@@ -20,16 +24,6 @@
 const ASSUMED_HOLDING: f64 = 4_000_000.0;
 /// Time to first token assumed before any was seen, in microseconds.
 const ASSUMED_FIRST_TOKEN: f64 = 200_000.0;
-/// The learned first-token delay never takes more than this part of a budget:
-/// otherwise one slow spell would refuse everything and never be unlearned.
-const FIRST_TOKEN_BUDGET_PART: f64 = 0.5;
-/// While a lower tier got slots outside its share this recently, a higher tier
-/// waits instead of being refused early: there is room.
-const ROOM_MEMORY: Span = Span::from_milliseconds(200);
-/// Shortest time a refused caller is told to wait.
-const SHORTEST_RETRY: Span = Span::from_milliseconds(500);
-/// Longest time a refused caller is told to wait.
-const LONGEST_RETRY: Span = Span::from_milliseconds(30_000);
 
 /// A slot handed out.
 #[derive(Clone, Debug)]
@@ -458,280 +452,6 @@
             .sum()
     }
 
-    /// Estimated time a new request of `class` would wait for a slot.
-    pub fn estimated_wait(&self, now: Timestamp, class: ClassId) -> Span {
-        let Some(state) = self.classes.get(&class) else {
-            return Span::ZERO;
-        };
-        let total = self.total_slots(now);
-        let free = i64::from(total) - self.leases.len() as i64;
-        let ahead = self.waiting_ahead(state.tier) as f64;
-        if free > 0 && ahead < free as f64 {
-            return Span::ZERO;
-        }
-        let turnover = f64::from(total.max(1)) / (self.holding.mean() / 1e6).max(0.001);
-        let higher: f64 = self
-            .classes
-            .values()
-            .filter(|other| other.tier < state.tier)
-            .map(|other| other.arrivals.per_second(now))
-            .sum();
-        let open = ahead / (turnover - higher).max(turnover * 0.01);
-        if state.minimum_share <= 0.0 {
-            return Span::from_seconds(open);
-        }
-        let guaranteed = state.queue.len() as f64 / (turnover * state.minimum_share);
-        Span::from_seconds(open.min(guaranteed))
-    }
-
-    fn waiting_ahead(&self, tier: Tier) -> usize {
-        self.classes
-            .values()
-            .filter(|state| state.tier <= tier || !self.policy.tier_order)
-            .map(|state| state.queue.len())
-            .sum()
-    }
-
-    fn first_token_delay(&self, target: Span) -> Span {
-        let learned = span_of(self.first_token.mean());
-        let cap = span_of(target.0 as f64 * FIRST_TOKEN_BUDGET_PART);
-        learned.min(cap)
-    }
-
-    /// Time a request may still wait for its slot.
-    fn wait_budget(&self, now: Timestamp, ask: &Ask) -> Span {
-        let target = ask.arrived.until(ask.first_token_due);
-        let left = now.until(ask.first_token_due);
-        Span(left.0.saturating_sub(self.first_token_delay(target).0))
-    }
-
-    fn early_refusal(&self, now: Timestamp, ask: &Ask) -> Option<Refusal> {
-        if self.back_ends.is_empty() {
-            return Some(Refusal::not_run(Reason::NoBackEnd, Some(SHORTEST_RETRY)));
-        }
-        if !self.policy.early_refusal || self.lower_tier_has_room(now, ask.class) {
-            return None;
-        }
-        let wait = self.estimated_wait(now, ask.class);
-        let budget = self.wait_budget(now, ask).0 as f64 * self.policy.wait_safety_factor;
-        if wait.0 as f64 <= budget {
-            return None;
-        }
-        let retry = self.retry_after(now, ask.class);
-        Some(Refusal::not_run(Reason::DeadlineUnreachable, Some(retry)))
-    }
-
-    /// Whether a lower tier lately got slots that the class could have had.
-    fn lower_tier_has_room(&self, now: Timestamp, class: ClassId) -> bool {
-        let Some(state) = self.classes.get(&class) else {
-            return false;
-        };
-        self.last_open_grant
-            .range(Tier(state.tier.0 + 1)..)
-            .any(|(_, granted)| now.since(*granted) < ROOM_MEMORY)
-    }
-
-    fn retry_after(&self, now: Timestamp, class: ClassId) -> Span {
-        self.estimated_wait(now, class)
-            .clamp(SHORTEST_RETRY, LONGEST_RETRY)
-    }
-
-    /// Makes room in a full queue by refusing a request of a lower tier.
-    fn displace(&mut self, ask: &Ask) -> bool {
-        let Some(tier) = self.classes.get(&ask.class).map(|state| state.tier) else {
-            return false;
-        };
-        let lowest = self
-            .classes
-            .iter()
-            .filter(|(_, state)| state.tier > tier && !state.queue.is_empty())
-            .max_by_key(|(class, state)| (state.tier, **class))
-            .map(|(class, _)| *class);
-        let Some(class) = lowest else {
-            return false;
-        };
-        let victim = self
-            .classes
-            .get_mut(&class)
-            .and_then(|state| state.queue.pop_newest());
-        if let Some(victim) = &victim {
-            self.refuse(
-                victim,
-                Refusal::not_run(Reason::Displaced, Some(LONGEST_RETRY)),
-            );
-        }
-        victim.is_some()
-    }
-
-    fn refuse(&mut self, ask: &Ask, refusal: Refusal) {
-        self.events.push(CellEvent::Refused {
-            ticket: ask.ticket,
-            class: ask.class,
-            arrived: ask.arrived,
-            refusal,
-        });
-    }
-
-    fn refuse_expired(&mut self, now: Timestamp) {
-        let classes: Vec<ClassId> = self.classes.keys().copied().collect();
-        for class in classes {
-            let delay_known = self.first_token_delay(Span(u64::MAX));
-            let Some(state) = self.classes.get_mut(&class) else {
-                continue;
-            };
-            let expired = state
-                .queue
-                .remove_where(|ask| is_too_late(now, ask, delay_known));
-            for ask in expired {
-                let limit = self.tenants.exhausted_since(ask.tenant, ask.arrived, now);
-                let reason = match limit {
-                    Some(Exhausted::Concurrency) => Reason::TenantConcurrency,
-                    Some(Exhausted::TokenRate) => Reason::TenantTokenRate,
-                    None => Reason::DeadlinePassed,
-                };
-                let retry = self.retry_after(now, class);
-                self.refuse(&ask, Refusal::not_run(reason, Some(retry)));
-            }
-        }
-    }
-
-    fn judge_speeds(&mut self) {
-        if !self.policy.slow_detection {
-            return;
-        }
-        let mut speeds: Vec<f64> = self
-            .back_ends
-            .values()
-            .filter_map(BackEndState::time_per_token)
-            .collect();
-        if speeds.len() < 2 {
-            return;
-        }
-        speeds.sort_by(f64::total_cmp);
-        let median = speeds[(speeds.len() - 1) / 2];
-        for back_end in self.back_ends.values_mut() {
-            back_end.judge_speed(median);
-        }
-    }
-
-    /// Adapts batch sizes to the tightest target among the classes that run here.
-    fn adapt_slots(&mut self) {
-        if !self.policy.slow_detection {
-            return;
-        }
-        let running = self.classes.values().filter(|state| state.running > 0);
-        let tightest = running.map(|state| state.per_token_target).min();
-        let any = self
-            .classes
-            .values()
-            .map(|state| state.per_token_target)
-            .min();
-        let Some(target) = tightest.or(any) else {
-            return;
-        };
-        for back_end in self.back_ends.values_mut() {
-            back_end.adapt_slots(target);
-        }
-    }
-
-    /// Hands out free slots until none is left or nothing that waits fits.
-    fn serve(&mut self, now: Timestamp) {
-        if self.is_learning(now) {
-            return;
-        }
-        let total = self.total_slots(now);
-        while self.serve_one(now, total) {}
-    }
-
-    fn serve_one(&mut self, now: Timestamp, total_slots: u32) -> bool {
-        let has_room = self
-            .back_ends
-            .values()
-            .any(|back_end| back_end.has_room(now, 0));
-        if !has_room {
-            return false;
-        }
-        let tenants = &self.tenants;
-        let is_eligible = |tenant: TenantId| tenants.exhausted(tenant, now).is_none();
-        let fair = self.policy.tenant_fairness;
-        // Until the owners of running requests have registered, every class seems to
-        // run less than its share: then tiers alone decide.
-        let mut policy = self.policy.clone();
-        policy.minimum_shares &= now >= self.learning_until;
-        let selected = select_class(&self.classes, &policy, total_slots, |state| {
-            !state.queue.is_empty() && state.queue.next_tenant(fair, is_eligible).is_some()
-        });
-        let Some(selected) = selected else {
-            return false;
-        };
-        let next = self.classes.get(&selected.class).and_then(|state| {
-            let tenant = state.queue.next_tenant(fair, is_eligible)?;
-            state.queue.front(tenant)
-        });
-        let Some(ask) = next.cloned() else {
-            return false;
-        };
-        let kv_tokens = self.reservation(&ask);
-        let back_end = select_back_end(&self.back_ends, &self.policy, now, &ask, kv_tokens);
-        let Some(back_end) = back_end else {
-            return false;
-        };
-        self.grant(now, selected, ask, back_end);
-        true
-    }
-
-    fn grant(&mut self, now: Timestamp, selected: Selected, ask: Ask, back_end: BackEndId) {
-        let work = f64::from(ask.prompt_tokens) / 10.0 + f64::from(self.expected_tokens(&ask));
-        if let Some(state) = self.classes.get_mut(&selected.class) {
-            state.queue.pop(ask.tenant, work);
-            if !selected.by_share {
-                self.last_open_grant.insert(state.tier, now);
-            }
-        }
-        self.lease(now, &ask, back_end);
-        self.events.push(CellEvent::Granted {
-            ticket: ask.ticket,
-            back_end,
-            class: ask.class,
-            by_share: selected.by_share,
-            waited: now.since(ask.arrived),
-        });
-    }
-
-    fn lease(&mut self, now: Timestamp, ask: &Ask, back_end: BackEndId) {
-        let kv_tokens = self.reservation(ask);
-        let expected_tokens = self.expected_tokens(ask);
-        if let Some(state) = self.classes.get_mut(&ask.class) {
-            state.running += 1;
-        }
-        if let Some(state) = self.back_ends.get_mut(&back_end) {
-            state.occupy(now, kv_tokens);
-            state.prefixes.touch(&ask.prefixes);
-        }
-        self.tenants.start(ask.tenant, now, expected_tokens);
-        let lease = Lease {
-            class: ask.class,
-            tenant: ask.tenant,
-            back_end,
-            kv_tokens,
-            expected_tokens,
-            granted: now,
-        };
-        self.leases.insert(ask.ticket, lease);
-    }
-
-    fn expected_tokens(&self, ask: &Ask) -> u32 {
-        let assumed = self
-            .classes
-            .get(&ask.class)
-            .map_or(0, |state| state.assumed_answer_tokens);
-        self.lengths.high(&(ask.class, ask.tenant), assumed)
-    }
-
-    fn reservation(&self, ask: &Ask) -> u64 {
-        u64::from(ask.prompt_tokens) + u64::from(self.expected_tokens(ask))
-    }
-
     /// Figures for operators and experiments.
     pub fn snapshot(&self, now: Timestamp) -> CellSnapshot {
         let classes = self.classes.iter().map(|(class, state)| ClassSnapshot {
@@ -755,10 +475,3 @@
         }
     }
 }
-
-/// Whether a request could not get its first token in time even with a slot now.
-fn is_too_late(now: Timestamp, ask: &Ask, first_token_delay: Span) -> bool {
-    let target = ask.arrived.until(ask.first_token_due);
-    let cap = span_of(target.0 as f64 * FIRST_TOKEN_BUDGET_PART);
-    now + first_token_delay.min(cap) >= ask.first_token_due
-}
--- /dev/null
+++ b/crates/coordination/admission/src/cell/refusal.rs
@@ -0,0 +1,164 @@
+//! How long a request would wait, and which requests are refused for that.
+
+use super::{Cell, CellEvent};
+use crate::Ask;
+use crate::estimate::span_of;
+use crate::tenant_use::Exhausted;
+use eiderferry_types::{ClassId, Reason, Refusal, Span, Tier, Timestamp};
+
+/// The learned first-token delay never takes more than this part of a budget:
+/// otherwise one slow spell would refuse everything and never be unlearned.
+const FIRST_TOKEN_BUDGET_PART: f64 = 0.5;
+/// While a lower tier got slots outside its share this recently, a higher tier
+/// waits instead of being refused early: there is room.
+const ROOM_MEMORY: Span = Span::from_milliseconds(200);
+/// Shortest time a refused caller is told to wait.
+pub(super) const SHORTEST_RETRY: Span = Span::from_milliseconds(500);
+/// Longest time a refused caller is told to wait.
+const LONGEST_RETRY: Span = Span::from_milliseconds(30_000);
+
+impl Cell {
+    /// Estimated time a new request of `class` would wait for a slot.
+    pub fn estimated_wait(&self, now: Timestamp, class: ClassId) -> Span {
+        let Some(state) = self.classes.get(&class) else {
+            return Span::ZERO;
+        };
+        let total = self.total_slots(now);
+        let free = i64::from(total) - self.leases.len() as i64;
+        let ahead = self.waiting_ahead(state.tier) as f64;
+        if free > 0 && ahead < free as f64 {
+            return Span::ZERO;
+        }
+        let turnover = f64::from(total.max(1)) / (self.holding.mean() / 1e6).max(0.001);
+        let higher: f64 = self
+            .classes
+            .values()
+            .filter(|other| other.tier < state.tier)
+            .map(|other| other.arrivals.per_second(now))
+            .sum();
+        let open = ahead / (turnover - higher).max(turnover * 0.01);
+        if state.minimum_share <= 0.0 {
+            return Span::from_seconds(open);
+        }
+        let guaranteed = state.queue.len() as f64 / (turnover * state.minimum_share);
+        Span::from_seconds(open.min(guaranteed))
+    }
+
+    fn waiting_ahead(&self, tier: Tier) -> usize {
+        self.classes
+            .values()
+            .filter(|state| state.tier <= tier || !self.policy.tier_order)
+            .map(|state| state.queue.len())
+            .sum()
+    }
+
+    fn first_token_delay(&self, target: Span) -> Span {
+        let learned = span_of(self.first_token.mean());
+        let cap = span_of(target.0 as f64 * FIRST_TOKEN_BUDGET_PART);
+        learned.min(cap)
+    }
+
+    /// Time a request may still wait for its slot.
+    fn wait_budget(&self, now: Timestamp, ask: &Ask) -> Span {
+        let target = ask.arrived.until(ask.first_token_due);
+        let left = now.until(ask.first_token_due);
+        Span(left.0.saturating_sub(self.first_token_delay(target).0))
+    }
+
+    pub(super) fn early_refusal(&self, now: Timestamp, ask: &Ask) -> Option<Refusal> {
+        if self.back_ends.is_empty() {
+            return Some(Refusal::not_run(Reason::NoBackEnd, Some(SHORTEST_RETRY)));
+        }
+        if !self.policy.early_refusal || self.lower_tier_has_room(now, ask.class) {
+            return None;
+        }
+        let wait = self.estimated_wait(now, ask.class);
+        let budget = self.wait_budget(now, ask).0 as f64 * self.policy.wait_safety_factor;
+        if wait.0 as f64 <= budget {
+            return None;
+        }
+        let retry = self.retry_after(now, ask.class);
+        Some(Refusal::not_run(Reason::DeadlineUnreachable, Some(retry)))
+    }
+
+    /// Whether a lower tier lately got slots that the class could have had.
+    fn lower_tier_has_room(&self, now: Timestamp, class: ClassId) -> bool {
+        let Some(state) = self.classes.get(&class) else {
+            return false;
+        };
+        self.last_open_grant
+            .range(Tier(state.tier.0 + 1)..)
+            .any(|(_, granted)| now.since(*granted) < ROOM_MEMORY)
+    }
+
+    pub(super) fn retry_after(&self, now: Timestamp, class: ClassId) -> Span {
+        self.estimated_wait(now, class)
+            .clamp(SHORTEST_RETRY, LONGEST_RETRY)
+    }
+
+    /// Makes room in a full queue by refusing a request of a lower tier.
+    pub(super) fn displace(&mut self, ask: &Ask) -> bool {
+        let Some(tier) = self.classes.get(&ask.class).map(|state| state.tier) else {
+            return false;
+        };
+        let lowest = self
+            .classes
+            .iter()
+            .filter(|(_, state)| state.tier > tier && !state.queue.is_empty())
+            .max_by_key(|(class, state)| (state.tier, **class))
+            .map(|(class, _)| *class);
+        let Some(class) = lowest else {
+            return false;
+        };
+        let victim = self
+            .classes
+            .get_mut(&class)
+            .and_then(|state| state.queue.pop_newest());
+        if let Some(victim) = &victim {
+            self.refuse(
+                victim,
+                Refusal::not_run(Reason::Displaced, Some(LONGEST_RETRY)),
+            );
+        }
+        victim.is_some()
+    }
+
+    pub(super) fn refuse(&mut self, ask: &Ask, refusal: Refusal) {
+        self.events.push(CellEvent::Refused {
+            ticket: ask.ticket,
+            class: ask.class,
+            arrived: ask.arrived,
+            refusal,
+        });
+    }
+
+    pub(super) fn refuse_expired(&mut self, now: Timestamp) {
+        let classes: Vec<ClassId> = self.classes.keys().copied().collect();
+        for class in classes {
+            let delay_known = self.first_token_delay(Span(u64::MAX));
+            let Some(state) = self.classes.get_mut(&class) else {
+                continue;
+            };
+            let expired = state
+                .queue
+                .remove_where(|ask| is_too_late(now, ask, delay_known));
+            for ask in expired {
+                let limit = self.tenants.exhausted_since(ask.tenant, ask.arrived, now);
+                let reason = match limit {
+                    Some(Exhausted::Concurrency) => Reason::TenantConcurrency,
+                    Some(Exhausted::TokenRate) => Reason::TenantTokenRate,
+                    None => Reason::DeadlinePassed,
+                };
+                let retry = self.retry_after(now, class);
+                self.refuse(&ask, Refusal::not_run(reason, Some(retry)));
+            }
+        }
+    }
+}
+
+/// Whether a request could not get its first token in time even with a slot now.
+fn is_too_late(now: Timestamp, ask: &Ask, first_token_delay: Span) -> bool {
+    let target = ask.arrived.until(ask.first_token_due);
+    let cap = span_of(target.0 as f64 * FIRST_TOKEN_BUDGET_PART);
+    now + first_token_delay.min(cap) >= ask.first_token_due
+}
--- /dev/null
+++ b/crates/coordination/admission/src/cell/serving.rs
@@ -0,0 +1,152 @@
+//! Slots: adapted to the speeds of back ends, and handed out.
+
+use super::{Cell, CellEvent, Lease};
+use crate::Ask;
+use crate::back_end::BackEndState;
+use crate::selection::{Selected, select_back_end, select_class};
+use eiderferry_types::{BackEndId, TenantId, Timestamp};
+
+impl Cell {
+    pub(super) fn judge_speeds(&mut self) {
+        if !self.policy.slow_detection {
+            return;
+        }
+        let mut speeds: Vec<f64> = self
+            .back_ends
+            .values()
+            .filter_map(BackEndState::time_per_token)
+            .collect();
+        if speeds.len() < 2 {
+            return;
+        }
+        speeds.sort_by(f64::total_cmp);
+        let median = speeds[(speeds.len() - 1) / 2];
+        for back_end in self.back_ends.values_mut() {
+            back_end.judge_speed(median);
+        }
+    }
+
+    /// Adapts batch sizes to the tightest target among the classes that run here.
+    pub(super) fn adapt_slots(&mut self) {
+        if !self.policy.slow_detection {
+            return;
+        }
+        let running = self.classes.values().filter(|state| state.running > 0);
+        let tightest = running.map(|state| state.per_token_target).min();
+        let any = self
+            .classes
+            .values()
+            .map(|state| state.per_token_target)
+            .min();
+        let Some(target) = tightest.or(any) else {
+            return;
+        };
+        for back_end in self.back_ends.values_mut() {
+            back_end.adapt_slots(target);
+        }
+    }
+
+    /// Hands out free slots until none is left or nothing that waits fits.
+    pub(super) fn serve(&mut self, now: Timestamp) {
+        if self.is_learning(now) {
+            return;
+        }
+        let total = self.total_slots(now);
+        while self.serve_one(now, total) {}
+    }
+
+    fn serve_one(&mut self, now: Timestamp, total_slots: u32) -> bool {
+        let has_room = self
+            .back_ends
+            .values()
+            .any(|back_end| back_end.has_room(now, 0));
+        if !has_room {
+            return false;
+        }
+        let tenants = &self.tenants;
+        let is_eligible = |tenant: TenantId| tenants.exhausted(tenant, now).is_none();
+        let fair = self.policy.tenant_fairness;
+        // Until the owners of running requests have registered, every class seems to
+        // run less than its share: then tiers alone decide.
+        let mut policy = self.policy.clone();
+        policy.minimum_shares &= now >= self.learning_until;
+        let selected = select_class(&self.classes, &policy, total_slots, |state| {
+            !state.queue.is_empty() && state.queue.next_tenant(fair, is_eligible).is_some()
+        });
+        let Some(selected) = selected else {
+            return false;
+        };
+        let next = self.classes.get(&selected.class).and_then(|state| {
+            let tenant = state.queue.next_tenant(fair, is_eligible)?;
+            state.queue.front(tenant)
+        });
+        let Some(ask) = next.cloned() else {
+            return false;
+        };
+        let kv_tokens = self.reservation(&ask);
+        let back_end = select_back_end(&self.back_ends, &self.policy, now, &ask, kv_tokens);
+        let Some(back_end) = back_end else {
+            return false;
+        };
+        self.grant(now, selected, ask, back_end);
+        true
+    }
+
+    fn grant(
+        &mut self,
+        now: Timestamp,
+        selected: Selected,
+        ask: Ask,
+        back_end: BackEndId,
+    ) {
+        let work = f64::from(ask.prompt_tokens) / 10.0 + f64::from(self.expected_tokens(&ask));
+        if let Some(state) = self.classes.get_mut(&selected.class) {
+            state.queue.pop(ask.tenant, work);
+            if !selected.by_share {
+                self.last_open_grant.insert(state.tier, now);
+            }
+        }
+        self.lease(now, &ask, back_end);
+        self.events.push(CellEvent::Granted {
+            ticket: ask.ticket,
+            back_end,
+            class: ask.class,
+            by_share: selected.by_share,
+            waited: now.since(ask.arrived),
+        });
+    }
+
+    pub(super) fn lease(&mut self, now: Timestamp, ask: &Ask, back_end: BackEndId) {
+        let kv_tokens = self.reservation(ask);
+        let expected_tokens = self.expected_tokens(ask);
+        if let Some(state) = self.classes.get_mut(&ask.class) {
+            state.running += 1;
+        }
+        if let Some(state) = self.back_ends.get_mut(&back_end) {
+            state.occupy(now, kv_tokens);
+            state.prefixes.touch(&ask.prefixes);
+        }
+        self.tenants.start(ask.tenant, now, expected_tokens);
+        let lease = Lease {
+            class: ask.class,
+            tenant: ask.tenant,
+            back_end,
+            kv_tokens,
+            expected_tokens,
+            granted: now,
+        };
+        self.leases.insert(ask.ticket, lease);
+    }
+
+    fn expected_tokens(&self, ask: &Ask) -> u32 {
+        let assumed = self
+            .classes
+            .get(&ask.class)
+            .map_or(0, |state| state.assumed_answer_tokens);
+        self.lengths.high(&(ask.class, ask.tenant), assumed)
+    }
+
+    fn reservation(&self, ask: &Ask) -> u64 {
+        u64::from(ask.prompt_tokens) + u64::from(self.expected_tokens(ask))
+    }
+}
