--- a/crates/coordination/dispatch/src/dispatcher/zone_digest.rs
+++ b/crates/coordination/dispatch/src/dispatcher/zone_digest.rs
@@ -1,6 +1,6 @@
-//! Loads and placements of whole zones: in a large fleet no node hears each node of
-//! other zones often enough, so a few nodes of each zone tell one node of each other zone what all nodes
-//! of theirs have at the back ends, and that node passes it on in its own zone.
+//! Loads and placements of whole zones: in a large fleet no node hears each node of other
+//! zones often enough, so two nodes of each zone tell one node of each other zone what all
+//! nodes of theirs have at the back ends, and that node passes it on in its own zone.
 
 use super::Dispatcher;
 use super::aggregation::busiest;
--- a/crates/coordination/dispatch/src/load.rs
+++ b/crates/coordination/dispatch/src/load.rs
@@ -9,7 +9,7 @@
 /// Time for which another node's report counts.
 pub const REPORT_LIFETIME: Span = Span::from_milliseconds(2_500);
 /// Time for which the sums of an aggregator count: one with a weak link tells them each
-/// 1.2 seach of two tells them every 0.4 s.
+/// 1.2 s.
 const SUMMARY_LIFETIME: Span = Span::from_milliseconds(1_500);
 /// Time after which a request is held in the sums of an aggregator: its node reports at the
 /// next tick.
@@ -274,6 +274,7 @@
     pub fn own_occupancy(&self, now: Timestamp) -> Occupancy {
         let mut own = Occupancy::default();
         for running in self.running.values() {
+            // What waits is reckoned with what has been read since, below.
             own.add(&running.footprint, true);
         }
         own.pending_tokens = self.own_pending_tokens(now);
