Zone digests: one condition for who collects placements

Cause: on rereading, granting.rs and zone_digest.rs each spelled out when a node notes its zone's placements for a digest (an aggregator, or any node of a zone without aggregators). Change: collects_placements() serves both. No decision changes.

--- a/crates/coordination/dispatch/src/dispatcher/granting.rs
+++ b/crates/coordination/dispatch/src/dispatcher/granting.rs
@@ -105,7 +105,7 @@
         let address = state.back_end.address;
         let known = self.placements.len();
         note_placements(&mut self.placements, state.digest, demand.shared_parts());
-        if self.aggregation.is_acting() || !self.peers.is_zone_large() {
+        if self.collects_placements() {
             self.zone_digests.note_placements(&self.placements[known..]);
         }
         let record = Lease {
--- a/crates/coordination/dispatch/src/dispatcher/zone_digest.rs
+++ b/crates/coordination/dispatch/src/dispatcher/zone_digest.rs
@@ -119,6 +119,12 @@
         (!to.is_empty()).then_some(Envelope { to, message })
     }
 
+    /// Whether this node collects its zone's placements for a digest: in a large zone only
+    /// aggregators do.
+    pub(super) fn collects_placements(&self) -> bool {
+        self.aggregation.is_acting() || !self.peers.is_zone_large()
+    }
+
     /// Whose turn a digest is at: that of aggregators in a large zone, otherwise that of the
     /// first nodes in the order of duties.
     fn digest_turn(&self) -> Option<u64> {
@@ -159,7 +165,7 @@
         now: Timestamp,
     ) {
         let is_first_hand = message.zone != self.settings.zone;
-        if !is_first_hand && (self.aggregation.is_acting() || !self.peers.is_zone_large()) {
+        if !is_first_hand && self.collects_placements() {
             self.zone_digests.note_placements(&message.placements);
         }
         for zone_digest in &message.zone_digests {
