Cold back ends: a few senders each, so that all nodes together stay within what one bears

Cause: a back end that has just started is without load and thus the cheapest for all 87 nodes at once. Cold ones bear 12.8 requests a second from all nodes; they got 14 to 18, fell over, returned, and got them again. Nothing in the code stood for a cold start.

Change: the adapter reads how long a worker stays cold and what a cold one bears; the first six nodes of its zone (half of the bound), in an order that all compute alike, send it one request in 1.3 s each. No node that has just started, or still finds nodes of its zone, sends any. What doesn't tell counts as just started.

--- /dev/null
+++ b/crates/coordination/dispatch/src/cold_start.rs
@@ -0,0 +1,133 @@
+//! Requests to cold back ends.
+//!
+//! A cold back end bears a few requests a second from all nodes together; more make it
+//! fail. A few nodes of its zone, the first in an order that all compute alike by hashing,
+//! send it one request each in a little more than a second, and all others send it none.
+//! Nothing is asked and nothing is handed over, so that a lost, paused or restarted node
+//! holds nobody up, and two sets of senders for a moment stay within the bound.
+
+use eiderferry_routing::{ColdStart, InstanceId};
+use eiderferry_types::{Span, Timestamp};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Time between two requests of a sender to one cold back end: the second over which the
+/// bound is counted, and the 300 ms that a connection may take to come up.
+const SENDING_INTERVAL: Span = Span::from_milliseconds(1_300);
+/// Sets of senders for which the bound has room: the nodes on both sides of a cut, or before
+/// and after a node was lost, choose different ones.
+const SETS_OF_SENDERS: f64 = 2.0;
+/// What a message may take on its way: a back end is warm no sooner than it said.
+const ON_THE_WAY: Span = Span::from_milliseconds(100);
+/// Time after a start in which a node comes to know the others of its zone: one that knows
+/// few of them would hold itself to be among the first.
+pub(crate) const SENDER_SETTLING_TIME: Span = Span::from_milliseconds(2_000);
+/// The same after it came to know more nodes of its zone than ever. In a fleet of 295 nodes
+/// that started together each knew a third of its zone after 2 s, and without this 18 nodes
+/// sent to one cold back end in a second, of 12 that the bound has room for
+/// (`tests/cold_start.rs`).
+pub(crate) const GROWTH_SETTLING_TIME: Span = Span::from_milliseconds(1_000);
+/// Longest time for which a back end is believed to be cold: a longer one is a mistake.
+pub const LONGEST_COLD: Span = Span::from_milliseconds(60_000);
+
+/// What all nodes together may send to a cold back end in a second.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdBound {
+    /// Multiple of what the back end bears.
+    pub overage: f64,
+    /// Requests besides.
+    pub slack: f64,
+}
+
+impl ColdBound {
+    /// Nodes that send to one cold back end.
+    pub fn senders(&self, start: &ColdStart) -> usize {
+        let most = start.requests_per_second * self.overage + self.slack;
+        // Saturates: a negative figure leaves one sender.
+        ((most / SETS_OF_SENDERS) as usize).max(1)
+    }
+}
+
+/// What is known of a back end's warmth, and what this node sends it while it is cold.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Warmth {
+    listed_at: Timestamp,
+    cold_for: Option<Span>,
+    last_sent: Option<Timestamp>,
+    duty: ColdDuty,
+}
+
+/// Whether a back end is cold, and whether this node sends to it all the same.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ColdDuty {
+    /// It is warm.
+    #[default]
+    Warm,
+    /// It is cold, and other nodes send to it.
+    Others,
+    /// It is cold, and this node is one of its senders.
+    Sender,
+}
+
+/// A back end that turned cold or warm, or got other senders.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WarmthChange {
+    /// The back end.
+    pub instance: InstanceId,
+    /// How it stands now.
+    pub duty: ColdDuty,
+    /// Time until it is warm.
+    pub warm_in: Span,
+}
+
+impl Warmth {
+    /// Takes over what the back end's entry tells.
+    pub fn list(&mut self, cold_for: Option<Span>, now: Timestamp) {
+        self.listed_at = now;
+        self.cold_for = cold_for;
+    }
+
+    /// When it is warm. A back end that doesn't tell counts as just started.
+    pub fn cold_until(&self, start: &ColdStart) -> Timestamp {
+        let told = self.cold_for.unwrap_or(start.lasts).min(LONGEST_COLD);
+        if told == Span::ZERO {
+            self.listed_at
+        } else {
+            self.listed_at + told + ON_THE_WAY
+        }
+    }
+
+    /// Whether it is cold.
+    pub fn is_cold(&self, start: &ColdStart, now: Timestamp) -> bool {
+        now < self.cold_until(start)
+    }
+
+    /// Whether this node may send it a request now.
+    pub fn takes_request(&self, start: &ColdStart, now: Timestamp) -> bool {
+        if !self.is_cold(start, now) {
+            return true;
+        }
+        let last = self.last_sent;
+        self.duty == ColdDuty::Sender && last.is_none_or(|last| now.since(last) >= SENDING_INTERVAL)
+    }
+
+    /// Notes a request of this node.
+    pub fn note_sent(&mut self, now: Timestamp) {
+        self.last_sent = Some(now);
+    }
+
+    /// How this node stands to it.
+    pub fn duty(&self) -> ColdDuty {
+        self.duty
+    }
+
+    /// Renews how this node stands to it; true if that changed.
+    pub fn renew_duty(&mut self, duty: ColdDuty) -> bool {
+        std::mem::replace(&mut self.duty, duty) != duty
+    }
+}
+
+/// Place of a node in the order of senders to a back end, greatest first; `node` is a hash of
+/// the node's address.
+pub(crate) fn sender_rank(node: u64, back_end: u32) -> u64 {
+    xxh3_64_with_seed(&node.to_le_bytes(), u64::from(back_end))
+}
--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -1,6 +1,7 @@
 //! The state machine of a relay's decisions.
 
 mod aggregation;
+mod cold_senders;
 mod granting;
 mod messages;
 mod reading;
@@ -14,8 +15,8 @@
 
 use crate::registry::Registry;
 use crate::{
-    Applied, BudgetSettings, Change, Content, DocumentKey, Envelope, Gossip, Knowledge, LeaseId,
-    PeerChange, Peers, Placement, RetryBudget,
+    Applied, BudgetSettings, Change, ColdBound, ColdDuty, Content, DocumentKey, Envelope, Gossip,
+    Knowledge, LeaseId, PeerChange, Peers, Placement, RetryBudget, WarmthChange,
 };
 use eiderferry_routing::{InstanceId, NodeName, PoolName, ZoneName};
 use eiderferry_types::{Span, Timestamp};
@@ -54,6 +55,8 @@
     pub link_mbps: u16,
     /// Time within which a change that the platform has confirmed has to be in force.
     pub apply_within: Span,
+    /// Bound of requests to a cold back end over all nodes.
+    pub cold_bound: ColdBound,
 }
 
 /// What a tick asks for.
@@ -63,6 +66,8 @@
     pub messages: Vec<Envelope>,
     /// What changed with peers.
     pub peer_changes: Vec<PeerChange>,
+    /// Back ends that turned cold or warm, or got other senders.
+    pub warmth_changes: Vec<WarmthChange>,
 }
 
 /// What a message asks for.
@@ -100,6 +105,10 @@
     pub back_ends: usize,
     /// Back ends that get no work for now.
     pub ejected: usize,
+    /// Back ends that are cold.
+    pub cold: usize,
+    /// Cold back ends to which this node may send.
+    pub cold_sender_for: usize,
     /// Whether this node aggregates for its zone.
     pub is_aggregator: bool,
     /// Other zones held to be cut off.
@@ -200,12 +209,12 @@
         self.aggregation.pardon(now);
     }
 
-    /// Takes a document over.
-    pub fn apply(&mut self, change: Change) -> TakenNews {
+    /// Takes a document over that is heard now.
+    pub fn apply(&mut self, change: Change, now: Timestamp) -> TakenNews {
         let (key, kind, revision) = (change.key.clone(), change.content.kind(), change.revision);
         let applied = self.knowledge.apply(change.clone());
         if applied == Applied::Taken {
-            self.take(change);
+            self.take(change, now);
         }
         TakenNews {
             key,
@@ -215,16 +224,16 @@
         }
     }
 
-    fn take(&mut self, change: Change) {
+    fn take(&mut self, change: Change, now: Timestamp) {
         let table = self.knowledge.table().cloned();
         match (change.key, change.content) {
             (DocumentKey::BackEnd(instance), Content::BackEnd(back_end)) => {
                 self.lapsed.remove(&instance);
                 let table = table.as_deref();
-                self.back_ends.list(back_end, change.revision, table);
+                self.back_ends.list(back_end, change.revision, table, now);
             }
             (DocumentKey::BackEnd(instance), Content::Lapsed) => {
-                self.lapsed.insert(instance, self.ticked_at);
+                self.lapsed.insert(instance, now);
             }
             (DocumentKey::BackEnd(instance), _) => self.forget_back_end(&instance),
             (DocumentKey::Table, _) => {
@@ -262,7 +271,7 @@
         self.take_aggregation(address, message, now);
         self.take_zone_digests(address, message, now);
         self.back_ends.take_placements(&message.placements, now);
-        let taken = self.take_news(message);
+        let taken = self.take_news(message, now);
         let knows_all = message.complete_to <= self.knowledge.complete_to()
             || (self.has_taken_all(message) && message.news.is_some());
         if let Some(age) = message.confirmed_ms
@@ -285,12 +294,12 @@
         news.is_some_and(|news| news.after <= self.knowledge.complete_to())
     }
 
-    fn take_news(&mut self, message: &Gossip) -> Vec<TakenNews> {
+    fn take_news(&mut self, message: &Gossip, now: Timestamp) -> Vec<TakenNews> {
         let Some(news) = message.news.as_ref() else {
             return Vec::new();
         };
         let changes = news.changes.iter().cloned();
-        changes.map(|change| self.apply(change)).collect()
+        changes.map(|change| self.apply(change, now)).collect()
     }
 
     /// Whether this node aggregates for its zone.
@@ -312,6 +321,11 @@
     pub fn snapshot(&self, now: Timestamp) -> Snapshot {
         let table = self.knowledge.table();
         let age = self.knowledge.confirmed_age(now);
+        let count = |duty| {
+            let states = self.back_ends.all();
+            states.filter(|state| state.warmth.duty() == duty).count()
+        };
+        let cold_sender_for = count(ColdDuty::Sender);
         Snapshot {
             living_peers: self.peers.living_count(),
             back_ends: self.back_ends.all().count(),
@@ -320,6 +334,8 @@
                 .all()
                 .filter(|state| state.health.is_ejected(now))
                 .count(),
+            cold: cold_sender_for + count(ColdDuty::Others),
+            cold_sender_for,
             is_aggregator: self.is_aggregator(),
             silent_zones: self.silent_zones.len(),
             leases: self.leases.len(),
--- /dev/null
+++ b/crates/coordination/dispatch/src/dispatcher/cold_senders.rs
@@ -0,0 +1,69 @@
+//! Which cold back ends this node may send requests to.
+
+use super::Dispatcher;
+use crate::cold_start::{
+    ColdDuty, GROWTH_SETTLING_TIME, SENDER_SETTLING_TIME, Warmth, WarmthChange,
+};
+use crate::peers::Peers;
+use crate::registry::BackEndState;
+use eiderferry_routing::{ColdStart, PoolName};
+use eiderferry_types::{Span, Timestamp};
+use std::collections::BTreeMap;
+
+impl Dispatcher {
+    /// How the back ends of a pool start, if they start cold.
+    pub(super) fn cold_start(&self, pool: &PoolName) -> Option<ColdStart> {
+        self.knowledge.table()?.pool(pool)?.cold_start
+    }
+
+    /// Renews which back ends are cold, and to which of its zone this node may send.
+    pub(super) fn renew_cold_senders(&mut self, now: Timestamp) -> Vec<WarmthChange> {
+        let starts = self.cold_starts();
+        let may_send = self.may_send_to_cold(now);
+        let mut changes = Vec::new();
+        for state in self.back_ends.all_mut() {
+            let start = starts.get(&state.back_end.pool);
+            let cold = start.filter(|start| state.warmth.is_cold(start, now));
+            let duty = cold.map_or(ColdDuty::Warm, |start| {
+                let is_near = state.back_end.zone == self.settings.zone;
+                let senders = self.settings.cold_bound.senders(start);
+                duty(may_send && is_near, &self.peers, state, senders)
+            });
+            if state.warmth.renew_duty(duty) {
+                changes.push(WarmthChange {
+                    instance: state.back_end.instance.clone(),
+                    duty,
+                    warm_in: warm_in(&state.warmth, cold, now),
+                });
+            }
+        }
+        changes
+    }
+
+    /// Whether this node knows the others of its zone well enough to tell who sends.
+    fn may_send_to_cold(&self, now: Timestamp) -> bool {
+        let is_settled = self.uptime(now) >= SENDER_SETTLING_TIME
+            && self.peers.time_since_zone_grew(now) >= GROWTH_SETTLING_TIME;
+        is_settled && !self.is_stopping
+    }
+
+    fn cold_starts(&self) -> BTreeMap<PoolName, ColdStart> {
+        let table = self.knowledge.table();
+        let pools = table.into_iter().flat_map(|table| &table.document().pools);
+        pools
+            .filter_map(|(name, pool)| Some((name.clone(), pool.cold_start?)))
+            .collect()
+    }
+}
+
+fn duty(may_send: bool, peers: &Peers, state: &BackEndState, senders: usize) -> ColdDuty {
+    if may_send && peers.sender_place(state.digest) < senders {
+        ColdDuty::Sender
+    } else {
+        ColdDuty::Others
+    }
+}
+
+fn warm_in(warmth: &Warmth, cold: Option<&ColdStart>, now: Timestamp) -> Span {
+    cold.map_or(Span::ZERO, |start| now.until(warmth.cold_until(start)))
+}
--- a/crates/coordination/dispatch/src/dispatcher/granting.rs
+++ b/crates/coordination/dispatch/src/dispatcher/granting.rs
@@ -1,6 +1,7 @@
 //! Places at back ends: granted, refused and given back.
 
 use super::{Dispatcher, PLACEMENTS_PER_MESSAGE};
+use crate::eligibility::refusal;
 use crate::health::HealthChange;
 use crate::planning::{Plan, View, plans};
 use crate::registry::BackEndState;
@@ -52,15 +53,18 @@
 
     /// Chooses a back end for a request, or refuses it.
     pub fn ask(&mut self, demand: &Demand, now: Timestamp) -> Decision {
+        let cold_start = self.cold_start(&demand.pool);
         let view = View {
             zone: &self.settings.zone,
             silent_zones: &self.silent_zones,
+            cold_start,
             now,
         };
         let mut plans = plans(&self.back_ends, &view, demand, &mut self.random);
         let candidates: Vec<Candidate> = plans.iter().map(|plan| plan.candidate).collect();
         let Some(index) = choose(&candidates) else {
-            return Decision::Refuse(Reason::NoBackEnd, NO_BACK_END_RETRY);
+            let reason = refusal(&self.back_ends, &view, demand);
+            return Decision::Refuse(reason, NO_BACK_END_RETRY);
         };
         let candidate = candidates[index];
         if candidate.running >= self.most_running(demand, candidate.slots) {
@@ -98,6 +102,7 @@
         let list_age = self.knowledge.confirmed_age(now).unwrap_or(Span::ZERO);
         let state = self.back_ends.get_mut(&plan.instance)?;
         state.load.begin(lease, plan.footprint, now);
+        state.warmth.note_sent(now);
         let read_at = now + plan.candidate.first_event;
         state.load.cache.insert(&demand.parts, read_at);
         let answer = u64::from(demand.output_tokens);
--- a/crates/coordination/dispatch/src/dispatcher/messages.rs
+++ b/crates/coordination/dispatch/src/dispatcher/messages.rs
@@ -48,6 +48,7 @@
         self.ticked_at = now;
         self.forget_lapsed(now);
         let mut peer_changes = self.peers.tick(now);
+        let warmth_changes = self.renew_cold_senders(now);
         peer_changes.extend(self.watch_aggregators(now));
         self.silent_zones = self
             .aggregation
@@ -76,6 +77,7 @@
         TickOutput {
             messages,
             peer_changes,
+            warmth_changes,
         }
     }
 
--- /dev/null
+++ b/crates/coordination/dispatch/src/eligibility.rs
@@ -0,0 +1,45 @@
+//! Whether a back end may get a request at all, before what it would cost is looked at.
+
+use crate::Demand;
+use crate::planning::View;
+use crate::registry::{BackEndState, Registry};
+use eiderferry_types::Reason;
+
+/// Why a back end may not get a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Obstacle {
+    /// It is leaving, or another run has its address.
+    Leaving,
+    /// It is cold, and this node may send it nothing now.
+    Cold,
+}
+
+fn obstacle(state: &BackEndState, view: &View<'_>) -> Option<Obstacle> {
+    let cold_start = view.cold_start.as_ref();
+    if !state.takes_work() {
+        Some(Obstacle::Leaving)
+    } else if cold_start.is_some_and(|start| !state.warmth.takes_request(start, view.now)) {
+        Some(Obstacle::Cold)
+    } else {
+        None
+    }
+}
+
+/// Whether a back end may get a request.
+pub(crate) fn is_eligible(state: &BackEndState, view: &View<'_>) -> bool {
+    obstacle(state, view).is_none()
+}
+
+/// Why no back end of a pool gets a request: what stands in the way of most of those that
+/// have not failed it.
+pub(crate) fn refusal(registry: &Registry, view: &View<'_>, demand: &Demand) -> Reason {
+    let open = registry
+        .pool(&demand.pool)
+        .filter(|state| !demand.excluded.contains(&state.back_end.instance));
+    let mut obstacles = open.filter_map(|state| obstacle(state, view));
+    if obstacles.any(|obstacle| obstacle == Obstacle::Cold) {
+        Reason::ColdBackEnds
+    } else {
+        Reason::NoBackEnd
+    }
+}
--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -8,8 +8,10 @@
 #![forbid(unsafe_code)]
 
 mod cache;
+mod cold_start;
 mod demand;
 mod dispatcher;
+mod eligibility;
 mod engine_model;
 mod health;
 mod knowledge;
@@ -24,6 +26,7 @@
 mod retry_budget;
 
 pub use cache::PrefixCache;
+pub use cold_start::{ColdBound, ColdDuty, LONGEST_COLD, WarmthChange};
 pub use demand::{Decision, Demand, Grant, LeaseId, Outcome, PromptPart};
 pub use dispatcher::{
     Dispatcher, DispatcherSettings, ReadingDuty, Received, Snapshot, TICK, TakenNews, TickOutput,
--- a/crates/coordination/dispatch/src/peers.rs
+++ b/crates/coordination/dispatch/src/peers.rs
@@ -1,5 +1,6 @@
 //! The other nodes: known from a few seeds and from what nodes tell each other.
 
+use crate::cold_start::sender_rank;
 use crate::dispatcher::{FAR_FANOUT, FAR_TICKS, NEAR_FANOUT, SPARSE_FAR_FANOUT};
 use crate::{Gossip, Member, TICK};
 use eiderferry_routing::{NodeName, ZoneName};
@@ -62,6 +63,9 @@
     most_known: u32,
     near_living: usize,
     far_living: usize,
+    /// Most nodes of the own zone ever there at once, and since when.
+    most_near: usize,
+    most_near_since: Timestamp,
 }
 
 /// Place of a node in the order in which the nodes of a zone take duties over, greatest
@@ -92,6 +96,8 @@
             most_known: 1,
             near_living: 0,
             far_living: 0,
+            most_near: 0,
+            most_near_since: Timestamp::default(),
         }
     }
 
@@ -146,6 +152,10 @@
         let previous = self.peers.insert(address, peer);
         self.most_known = self.most_known.max(self.peers.len() as u32 + 1);
         self.recount();
+        if self.near_living > self.most_near {
+            self.most_near = self.near_living;
+            self.most_near_since = now;
+        }
         let name = message.from.clone();
         Some(match previous {
             None => PeerChange::Found(name),
@@ -273,6 +283,11 @@
         self.near_living
     }
 
+    /// Time since more peers of the own zone than ever were there.
+    pub fn time_since_zone_grew(&self, now: Timestamp) -> Span {
+        now.since(self.most_near_since)
+    }
+
     /// Number of peers of other zones that are there.
     pub fn far_count(&self) -> usize {
         self.far_living
@@ -347,6 +362,19 @@
         ranked
     }
 
+    /// Place of a node of the own zone among those that send to a cold back end: the number
+    /// of living nodes before it that are not stopping.
+    pub(crate) fn sender_place(&self, back_end: u32) -> usize {
+        let own = DutyRank::new(self.own, 0);
+        let own = sender_rank(own.hash, back_end);
+        let near = self.peers.values();
+        let near = near.filter(|peer| !peer.is_lost && peer.zone == self.zone);
+        let staying = near.filter(|peer| !peer.is_stopping);
+        staying
+            .filter(|peer| sender_rank(peer.rank.hash, back_end) > own)
+            .count()
+    }
+
     /// Whether a peer is there.
     pub fn is_living(&self, address: SocketAddr) -> bool {
         let peer = self.peers.get(&address);
--- a/crates/coordination/dispatch/src/planning.rs
+++ b/crates/coordination/dispatch/src/planning.rs
@@ -1,8 +1,9 @@
 //! What sending a request to each of some back ends would mean.
 
+use crate::eligibility::is_eligible;
 use crate::registry::{BackEndState, Registry};
 use crate::{Candidate, Demand, Footprint, Occupancy, PoolModel};
-use eiderferry_routing::{InstanceId, ZoneName};
+use eiderferry_routing::{ColdStart, InstanceId, ZoneName};
 use eiderferry_types::{Span, Timestamp};
 use rand::Rng;
 use rand::seq::IteratorRandom;
@@ -71,6 +72,8 @@
     pub zone: &'a ZoneName,
     /// Zones that it hears nothing of.
     pub silent_zones: &'a BTreeSet<ZoneName>,
+    /// How the back ends of the request's pool start, if they start cold.
+    pub cold_start: Option<ColdStart>,
     /// The time.
     pub now: Timestamp,
 }
@@ -85,7 +88,7 @@
     let now = view.now;
     let staying: Vec<&BackEndState> = registry
         .pool(&demand.pool)
-        .filter(|state| state.takes_work())
+        .filter(|state| is_eligible(state, view))
         .collect();
     let has_shared = !demand.shared_parts().is_empty();
     let split = Split::of(registry, demand, staying.len());
--- a/crates/coordination/dispatch/src/registry.rs
+++ b/crates/coordination/dispatch/src/registry.rs
@@ -1,5 +1,6 @@
 //! The back ends that may get work, with what this node knows of each.
 
+use crate::cold_start::Warmth;
 use crate::health::Health;
 use crate::load::Counted;
 use crate::planning::keeps_streams_apart;
@@ -19,6 +20,7 @@
     pub digest: u32,
     pub load: BackEndLoad,
     pub health: Health,
+    pub warmth: Warmth,
 }
 
 impl BackEndState {
@@ -76,9 +78,16 @@
         self.states.values_mut()
     }
 
-    /// Adds or changes a back end that was listed at a revision.
-    pub fn list(&mut self, back_end: BackEnd, revision: u64, table: Option<&RoutingTable>) {
+    /// Adds or changes a back end that was listed at a revision and is heard of now.
+    pub fn list(
+        &mut self,
+        back_end: BackEnd,
+        revision: u64,
+        table: Option<&RoutingTable>,
+        now: Timestamp,
+    ) {
         let instance = back_end.instance.clone();
+        let cold_for = back_end.cold_for;
         if let Some((newest, holder)) = self.by_address.get(&back_end.address) {
             let is_other = *holder != instance;
             if is_other && *newest > revision {
@@ -102,6 +111,9 @@
             Some(state) => state.back_end = back_end,
             None => self.add(back_end, table),
         }
+        if let Some(state) = self.states.get_mut(&instance) {
+            state.warmth.list(cold_for, now);
+        }
     }
 
     fn add(&mut self, back_end: BackEnd, table: Option<&RoutingTable>) {
@@ -121,6 +133,7 @@
             digest,
             load: BackEndLoad::new(tokens, speed),
             health: Health::default(),
+            warmth: Warmth::default(),
         };
         self.states.insert(instance, state);
     }
--- a/crates/coordination/dispatch/tests/aggregation.rs
+++ b/crates/coordination/dispatch/tests/aggregation.rs
@@ -20,7 +20,7 @@
     for node in &mut fleet.nodes {
         for number in 0..ENGINES {
             let engine = back_end(&format!("engine-{number}"), number, number % zones);
-            node.apply(back_end_change(engine, 1));
+            node.apply(back_end_change(engine, 1), support::START);
         }
     }
     fleet.run_with_platform(20_000, 1);
--- a/crates/coordination/dispatch/tests/fleet.rs
+++ b/crates/coordination/dispatch/tests/fleet.rs
@@ -70,7 +70,7 @@
 fn a_change_read_by_one_node_reaches_all_others() {
     let mut fleet = Fleet::new(71, 3);
     fleet.run_with_platform(20_000, 1);
-    fleet.nodes[5].apply(table_change(2));
+    fleet.nodes[5].apply(table_change(2), support::START);
     fleet.nodes[5].confirm(2, fleet.now);
     fleet.run(2_000);
     let behind = fleet
@@ -119,7 +119,7 @@
     fleet.cut.extend([(0, 1), (0, 2)]);
     fleet.run(5_000);
     for number in (0..9).filter(|number| fleet.zones[*number] != 0) {
-        fleet.nodes[number].apply(table_change(2));
+        fleet.nodes[number].apply(table_change(2), support::START);
         fleet.nodes[number].confirm(2, fleet.now);
     }
     fleet.run(1_000);
@@ -278,7 +278,7 @@
     let mut two = support::dispatcher(1, 0, Vec::new());
     let mut now = support::START;
     for node in [&mut one, &mut two] {
-        node.apply(table_change(1));
+        node.apply(table_change(1), support::START);
         node.confirm(1, now);
     }
     for _ in 0..500 {
@@ -338,7 +338,7 @@
     for node in &mut fleet.nodes {
         for number in 0..9 {
             let engine = back_end(&format!("engine-{number}"), number, number % 3);
-            node.apply(back_end_change(engine, 1));
+            node.apply(back_end_change(engine, 1), support::START);
         }
     }
     fleet.run_with_platform(20_000, 1);
--- a/crates/coordination/dispatch/tests/knowledge.rs
+++ b/crates/coordination/dispatch/tests/knowledge.rs
@@ -40,6 +40,7 @@
             zone: ZoneName::from("a"),
             slots: 6,
             draining,
+            cold_for: None,
         }),
     }
 }
--- a/crates/coordination/dispatch/tests/placement.rs
+++ b/crates/coordination/dispatch/tests/placement.rs
@@ -75,7 +75,7 @@
 fn a_back_end_whose_entry_lapsed_serves_until_it_is_overdue() {
     let mut subject = with_engines(1);
     subject.tick(START);
-    subject.apply(lapsed_change("engine-0", 3));
+    subject.apply(lapsed_change("engine-0", 3), START);
     granted(subject.ask(&demand(1, 13_000, 400), START));
     subject.tick(START + Span::from_milliseconds(1_900));
     granted(subject.ask(&demand(1, 13_000, 500), START));
@@ -90,8 +90,8 @@
     let mut subject = with_engines(1);
     subject.tick(START);
     granted(subject.ask(&demand(1, 13_000, 400), START));
-    subject.apply(lapsed_change("engine-0", 3));
-    subject.apply(back_end_change(back_end("engine-0", 0, 0), 4));
+    subject.apply(lapsed_change("engine-0", 3), START);
+    subject.apply(back_end_change(back_end("engine-0", 0, 0), 4), START);
     let later = START + Span::from_milliseconds(5_000);
     subject.tick(later);
     let grant = granted(subject.ask(&demand(1, 13_000, 500), later));
@@ -101,7 +101,10 @@
 #[test]
 fn of_two_runs_at_one_address_only_the_newer_gets_work() {
     let mut subject = with_engines(1);
-    subject.apply(back_end_change(back_end("engine-0-restarted", 0, 0), 9));
+    subject.apply(
+        back_end_change(back_end("engine-0-restarted", 0, 0), 9),
+        START,
+    );
     for thing in 0..30 {
         let grant = granted(subject.ask(&demand(thing, 1_000, 100), START));
         assert_eq!(grant.instance, InstanceId::from("engine-0-restarted"));
@@ -113,7 +116,7 @@
     let mut subject = with_engines(2);
     let mut other = back_end("app-1", 0, 0);
     other.pool = eiderferry_routing::PoolName::from("app");
-    subject.apply(back_end_change(other, 9));
+    subject.apply(back_end_change(other, 9), START);
     for thing in 0..30 {
         let grant = granted(subject.ask(&demand(thing, 1_000, 100), START));
         assert_eq!(grant.address, back_end_address(1));
@@ -142,7 +145,7 @@
     let mut subject = with_engines(2);
     let mut leaving = back_end("engine-0", 0, 0);
     leaving.draining = true;
-    subject.apply(back_end_change(leaving, 9));
+    subject.apply(back_end_change(leaving, 9), START);
     for thing in 0..30 {
         let grant = granted(subject.ask(&demand(thing, 1_000, 100), START));
         assert_eq!(grant.instance, InstanceId::from("engine-1"));
@@ -154,7 +157,7 @@
     let mut subject = with_engines(1);
     let mut leaving = back_end("engine-0", 0, 0);
     leaving.draining = true;
-    subject.apply(back_end_change(leaving, 9));
+    subject.apply(back_end_change(leaving, 9), START);
     match subject.ask(&demand(1, 1_000, 100), START) {
         Decision::Refuse(reason, retry_after) => {
             assert_eq!(reason, Reason::NoBackEnd);
@@ -209,7 +212,7 @@
 #[test]
 fn a_table_without_the_pool_gives_no_back_end() {
     let mut subject = support::dispatcher(0, 0, Vec::new());
-    subject.apply(table_change(1));
+    subject.apply(table_change(1), START);
     let decision = subject.ask(&demand(1, 1_000, 100), START);
     assert!(matches!(decision, Decision::Refuse(Reason::NoBackEnd, _)));
 }
@@ -349,7 +352,7 @@
 #[test]
 fn while_a_tier_is_refused_no_less_urgent_one_begins() {
     let mut subject = with_engines(2);
-    subject.apply(table_of_two_tiers());
+    subject.apply(table_of_two_tiers(), START);
     let of_rank = |rank| Demand {
         rank,
         ..demand(1, 100, 50)
@@ -375,9 +378,9 @@
     let mut subject = support::dispatcher(0, 0, Vec::new());
     for number in 0..3 {
         let name = format!("engine-{number}");
-        subject.apply(back_end_change(back_end(&name, number, 0), 2));
+        subject.apply(back_end_change(back_end(&name, number, 0), 2), START);
     }
-    subject.apply(table_change(3));
+    subject.apply(table_change(3), START);
     let first = granted(subject.ask(&demand(1, 13_000, 400), START));
     assert_eq!(first.uncached_tokens, 13_400);
     subject.first_event(first.lease, START);
@@ -445,10 +448,13 @@
 #[test]
 fn two_unreachable_back_ends_make_their_whole_zone_suspect() {
     let mut subject = support::dispatcher(0, 0, Vec::new());
-    subject.apply(table_change(1));
+    subject.apply(table_change(1), START);
     for number in 0..9 {
         let name = format!("engine-{number}");
-        subject.apply(back_end_change(back_end(&name, number, number % 3), 2));
+        subject.apply(
+            back_end_change(back_end(&name, number, number % 3), 2),
+            START,
+        );
     }
     let mut lost = BTreeSet::new();
     let mut thing = 0;
--- a/crates/coordination/dispatch/tests/support/mod.rs
+++ b/crates/coordination/dispatch/tests/support/mod.rs
@@ -3,8 +3,8 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 use eiderferry_dispatch::{
-    BudgetSettings, Change, Content, Decision, Demand, Dispatcher, DispatcherSettings, DocumentKey,
-    Envelope, Gossip, Grant, Knowledge, PeerChange, PromptPart, ReadingDuty, TICK,
+    BudgetSettings, Change, ColdBound, Content, Decision, Demand, Dispatcher, DispatcherSettings,
+    DocumentKey, Envelope, Gossip, Grant, Knowledge, PeerChange, PromptPart, ReadingDuty, TICK,
 };
 use eiderferry_routing::{
     BackEnd, EngineSpecification, InstanceId, Limits, NodeName, PartId, Pool, PoolName,
@@ -23,6 +23,11 @@
     window: Span::from_milliseconds(10_000),
 };
 
+pub const COLD_BOUND: ColdBound = ColdBound {
+    overage: 1.5,
+    slack: 5.0,
+};
+
 /// Each node of so many has a strong link, the others a weak one.
 const STRONG_EACH: usize = 17;
 /// Time within which a change has to be in force.
@@ -60,6 +65,7 @@
             cache_tokens: 520_000,
             tokens_per_event: 4,
         }),
+        cold_start: None,
     };
     Change {
         key: DocumentKey::Table,
@@ -87,6 +93,7 @@
         zone: zone(zone_number),
         slots: 64,
         draining: false,
+        cold_for: Some(Span::ZERO),
     }
 }
 
@@ -116,8 +123,18 @@
     seeds: Vec<SocketAddr>,
     apply_within: Span,
 ) -> Dispatcher {
-    Dispatcher::new(DispatcherSettings {
+    Dispatcher::new(settings(number, zone_number, seeds, apply_within))
+}
+
+fn settings(
+    number: usize,
+    zone_number: usize,
+    seeds: Vec<SocketAddr>,
+    apply_within: Span,
+) -> DispatcherSettings {
+    DispatcherSettings {
         apply_within,
+        cold_bound: COLD_BOUND,
         link_mbps: link_mbps(number),
         node: NodeName::from(format!("node-{number}")),
         zone: zone(zone_number),
@@ -125,16 +142,16 @@
         seeds,
         incarnation: 1,
         budget: BUDGET,
-    })
+    }
 }
 
 /// A dispatcher that knows so many engines, all in its zone.
 pub fn with_engines(count: usize) -> Dispatcher {
     let mut subject = dispatcher(0, 0, Vec::new());
-    subject.apply(table_change(1));
+    subject.apply(table_change(1), START);
     for number in 0..count {
         let name = format!("engine-{number}");
-        subject.apply(back_end_change(back_end(&name, number, 0), 2));
+        subject.apply(back_end_change(back_end(&name, number, 0), 2), START);
     }
     subject.confirm(2, START);
     subject
@@ -200,6 +217,8 @@
     /// Nodes that have read the platform.
     pub read_by: BTreeSet<usize>,
     in_flight: Vec<(usize, SocketAddr, Rc<Gossip>)>,
+    /// Number of the latest run of any node.
+    runs: u32,
 }
 
 impl Fleet {
@@ -231,9 +250,21 @@
             measures_bytes: false,
             read_by: BTreeSet::new(),
             in_flight: Vec::new(),
+            runs: 1,
         }
     }
 
+    /// Starts a node anew: a run that knows nothing but the seeds.
+    pub fn restart(&mut self, number: usize) {
+        let seeds: Vec<SocketAddr> = (0..3).map(node_address).collect();
+        self.runs += 1;
+        let zone_number = self.zones[number];
+        self.nodes[number] = Dispatcher::new(DispatcherSettings {
+            incarnation: self.runs,
+            ..settings(number, zone_number, seeds, APPLY_WITHIN)
+        });
+    }
+
     fn number_of(&self, address: SocketAddr) -> Option<usize> {
         let SocketAddr::V4(address) = address else {
             return None;
@@ -336,7 +367,7 @@
 
     /// A node reads a change from the platform, and announces it.
     pub fn read_change(&mut self, number: usize, change: Change, revision: u64) {
-        self.nodes[number].apply(change);
+        self.nodes[number].apply(change, self.now);
         self.confirm(number, revision, self.now, true);
     }
 
@@ -345,7 +376,7 @@
         let known = self.nodes[to].knowledge().complete_to();
         let source: Knowledge = self.nodes[from].knowledge().clone();
         for change in source.changes_after(known) {
-            self.nodes[to].apply(change);
+            self.nodes[to].apply(change, self.now);
         }
         let age = source.confirmed_age(self.now).unwrap_or(Span::ZERO);
         self.confirm(to, source.complete_to(), self.now - age, false);
@@ -374,7 +405,7 @@
                 let is_dark = self.dark.contains(&number);
                 if !is_dark && self.nodes[number].reading_duty(self.now) == ReadingDuty::Read {
                     self.read_by.insert(number);
-                    self.nodes[number].apply(table_change(revision));
+                    self.nodes[number].apply(table_change(revision), self.now);
                     self.confirm(number, revision, self.now, true);
                 }
             }
--- a/crates/state/routing/src/back_end.rs
+++ b/crates/state/routing/src/back_end.rs
@@ -1,6 +1,7 @@
 //! One back end as the platform lists it.
 
 use crate::{InstanceId, PoolName, ZoneName};
+use eiderferry_types::Span;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -19,4 +20,7 @@
     pub slots: u32,
     /// Whether it is leaving and takes no new work.
     pub draining: bool,
+    /// Time for which it was still cold when its entry was written, zero for a warm one;
+    /// `None` where the entry doesn't tell.
+    pub cold_for: Option<Span>,
 }
--- a/crates/state/routing/src/lib.rs
+++ b/crates/state/routing/src/lib.rs
@@ -6,12 +6,14 @@
 #![forbid(unsafe_code)]
 
 mod back_end;
+mod cold_start;
 mod error;
 mod identity;
 mod table;
 mod urgency;
 
 pub use back_end::BackEnd;
+pub use cold_start::ColdStart;
 pub use error::TableError;
 pub use identity::{InstanceId, NodeName, PartId, PoolName, ZoneName};
 pub use table::{
--- a/crates/state/routing/src/table.rs
+++ b/crates/state/routing/src/table.rs
@@ -1,7 +1,7 @@
 //! The routing table: which request goes to which pool, and for whom.
 
 use crate::urgency::{PoolTiers, UrgencyScale};
-use crate::{PoolName, TableError};
+use crate::{ColdStart, PoolName, TableError};
 use eiderferry_types::Span;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
@@ -100,6 +100,8 @@
     pub maximum_connections: u32,
     /// For model engines, what they offer.
     pub engine: Option<EngineSpecification>,
+    /// How its back ends start; `None` where they bear everything at once.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// Limits towards callers.
--- a/crates/state/routing/tests/table.rs
+++ b/crates/state/routing/tests/table.rs
@@ -33,6 +33,7 @@
         health_path: "/health".to_owned(),
         maximum_connections: 100,
         engine: None,
+        cold_start: None,
     };
     TableDocument {
         version: 3,
--- a/crates/transport/relay/src/control.rs
+++ b/crates/transport/relay/src/control.rs
@@ -192,6 +192,9 @@
         for change in &output.peer_changes {
             events::peer(change);
         }
+        for change in &output.warmth_changes {
+            events::warmth(change);
+        }
         for envelope in &output.messages {
             self.socket.send(envelope);
         }
@@ -251,7 +254,8 @@
     fn take(&self, changes: Vec<Change>, source: &'static str) {
         let mut is_news = false;
         for change in changes {
-            let taken = self.dispatcher.borrow_mut().apply(change);
+            let now = self.clock.now();
+            let taken = self.dispatcher.borrow_mut().apply(change, now);
             is_news |= taken.applied == Applied::Taken;
             events::document(&taken, source);
         }
--- a/crates/transport/relay/src/events.rs
+++ b/crates/transport/relay/src/events.rs
@@ -7,7 +7,8 @@
 use crate::metrics;
 use crate::own_answer::OwnAnswer;
 use eiderferry_dispatch::{
-    Applied, DocumentKey, Grant, HealthChange, Outcome, PeerChange, StreamPacing, TakenNews,
+    Applied, ColdDuty, DocumentKey, Grant, HealthChange, Outcome, PeerChange, StreamPacing,
+    TakenNews, WarmthChange,
 };
 use eiderferry_routing::InstanceId;
 use eiderferry_types::{Reason, Span, Timestamp};
@@ -64,6 +65,21 @@
     }
 }
 
+/// A back end turned cold or warm, or this node became, or no longer is, one of the few that
+/// send to it.
+pub(crate) fn warmth(change: &WarmthChange) {
+    let event = match change.duty {
+        ColdDuty::Warm => "back_end_warm",
+        ColdDuty::Others | ColdDuty::Sender => "back_end_cold",
+    };
+    let is_sender = change.duty == ColdDuty::Sender;
+    log::info!(
+        event = event, back_end = change.instance.as_str(), sender = is_sender,
+        warm_in_ms = change.warm_in.milliseconds();
+        "warmth changed"
+    );
+}
+
 /// This node began to aggregate for its zone, or stopped.
 pub(crate) fn aggregating(is_aggregator: bool) {
     log::info!(event = "aggregating", on = is_aggregator; "duty as an aggregator");
--- a/crates/transport/relay/src/metrics.rs
+++ b/crates/transport/relay/src/metrics.rs
@@ -96,6 +96,8 @@
     metrics::gauge!("eiderferry_living_peers").set(snapshot.living_peers as f64);
     metrics::gauge!("eiderferry_back_ends").set(snapshot.back_ends as f64);
     metrics::gauge!("eiderferry_back_ends_ejected").set(snapshot.ejected as f64);
+    metrics::gauge!("eiderferry_back_ends_cold").set(snapshot.cold as f64);
+    metrics::gauge!("eiderferry_back_ends_cold_sender").set(snapshot.cold_sender_for as f64);
     let aggregates = f64::from(u8::from(snapshot.is_aggregator));
     metrics::gauge!("eiderferry_aggregates").set(aggregates);
     metrics::gauge!("eiderferry_silent_zones").set(snapshot.silent_zones as f64);
--- a/crates/transport/relay/src/node.rs
+++ b/crates/transport/relay/src/node.rs
@@ -76,6 +76,7 @@
             incarnation: rand::random(),
             budget: settings.budget,
             apply_within: settings.apply_within,
+            cold_bound: settings.cold_bound,
             link_mbps: settings.link_mbps,
         });
         let shared = Arc::clone(&table);
--- a/crates/transport/relay/src/settings.rs
+++ b/crates/transport/relay/src/settings.rs
@@ -1,7 +1,7 @@
 //! What a relay is told at its start.
 
 use crate::Vocabulary;
-use eiderferry_dispatch::BudgetSettings;
+use eiderferry_dispatch::{BudgetSettings, ColdBound};
 use eiderferry_routing::{NodeName, ZoneName};
 use eiderferry_types::Span;
 use std::net::SocketAddr;
@@ -40,6 +40,8 @@
     pub link_mbps: u16,
     /// Time within which a change that the platform has confirmed has to be in force.
     pub apply_within: Span,
+    /// Bound of requests to a cold back end over all nodes.
+    pub cold_bound: ColdBound,
     /// Planned stops.
     pub stop: StopSettings,
     /// Header names.
--- a/crates/transport/relay/tests/support/mod.rs
+++ b/crates/transport/relay/tests/support/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
-use eiderferry_dispatch::{BudgetSettings, Change, Content, DocumentKey};
+use eiderferry_dispatch::{BudgetSettings, Change, ColdBound, Content, DocumentKey};
 use eiderferry_relay::{Relay, RelaySettings, Source, StopSettings, Vocabulary};
 use eiderferry_routing::{
     BackEnd, InstanceId, Limits, NodeName, Pool, PoolName, Route, RouteKind, Split, TableDocument,
@@ -234,6 +234,7 @@
         health_path: "/health".to_owned(),
         maximum_connections: 400,
         engine: None,
+        cold_start: None,
     };
     TableDocument {
         version: 1,
@@ -272,6 +273,7 @@
                 zone: ZoneName::from("a"),
                 slots: 64,
                 draining: false,
+                cold_for: Some(Span::ZERO),
             }),
         }
     });
@@ -355,6 +357,10 @@
             },
             link_mbps: 100,
             apply_within: Span::from_milliseconds(2_000),
+            cold_bound: ColdBound {
+                overage: 1.5,
+                slack: 5.0,
+            },
             stop: StopSettings {
                 refuse_after: Span::from_milliseconds(300),
                 end_after: Span::from_milliseconds(1_500),
