Evacuations: the back ends of an evacuated zone get nothing new, and are cold when it is given back

Change: an evacuation is a document of its own, read, passed on, listed and recovered like the others; placement, second attempts, resumed streams and copies leave the zone's back ends out; with nothing left a request is refused with zone_evacuated.

--- a/crates/coordination/dispatch/src/cold_start.rs
+++ b/crates/coordination/dispatch/src/cold_start.rs
@@ -52,6 +52,7 @@
 pub(crate) struct Warmth {
     listed_at: Timestamp,
     cold_for: Option<Span>,
+    returned_at: Option<Timestamp>,
     last_sent: Option<Timestamp>,
     duty: ColdDuty,
 }
@@ -86,14 +87,22 @@
         self.cold_for = cold_for;
     }
 
+    /// Its zone was evacuated and gets requests again: it starts as after a restart.
+    pub fn note_return(&mut self, now: Timestamp) {
+        self.returned_at = Some(now);
+    }
+
     /// When it is warm. A back end that doesn't tell counts as just started.
     pub fn cold_until(&self, start: &ColdStart) -> Timestamp {
         let told = self.cold_for.unwrap_or(start.lasts).min(LONGEST_COLD);
-        if told == Span::ZERO {
+        let after_listing = if told == Span::ZERO {
             self.listed_at
         } else {
             self.listed_at + told + ON_THE_WAY
-        }
+        };
+        let returned = self.returned_at;
+        let after_return = returned.map(|at| at + start.lasts.min(LONGEST_COLD) + ON_THE_WAY);
+        after_return.map_or(after_listing, |at| at.max(after_listing))
     }
 
     /// Whether it is cold.
--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -113,6 +113,8 @@
     pub is_aggregator: bool,
     /// Other zones held to be cut off.
     pub silent_zones: usize,
+    /// Zones whose back ends get nothing new.
+    pub evacuated_zones: usize,
     /// Granted places.
     pub leases: usize,
     /// Revision up to which all is known.
@@ -147,6 +149,8 @@
     zone_digests: ZoneDigests,
     aggregation: Aggregation,
     silent_zones: BTreeSet<ZoneName>,
+    /// Zones whose back ends get nothing new.
+    evacuated: BTreeSet<ZoneName>,
     random: ChaCha8Rng,
 }
 
@@ -184,6 +188,7 @@
             zone_digests: ZoneDigests::default(),
             aggregation: Aggregation::default(),
             silent_zones: BTreeSet::new(),
+            evacuated: BTreeSet::new(),
             random,
         }
     }
@@ -236,6 +241,10 @@
                 self.lapsed.insert(instance, now);
             }
             (DocumentKey::BackEnd(instance), _) => self.forget_back_end(&instance),
+            (DocumentKey::Evacuation(zone), Content::Evacuated) => {
+                self.evacuated.insert(zone);
+            }
+            (DocumentKey::Evacuation(zone), _) => self.take_zone_back(&zone, now),
             (DocumentKey::Table, _) => {
                 if let Some(table) = table {
                     self.back_ends.take_table(&table);
@@ -244,6 +253,17 @@
         }
     }
 
+    /// An evacuation is over: the zone's back ends get requests again, as cold ones.
+    fn take_zone_back(&mut self, zone: &ZoneName, now: Timestamp) {
+        if !self.evacuated.remove(zone) {
+            return;
+        }
+        let states = self.back_ends.all_mut();
+        for state in states.filter(|state| state.back_end.zone == *zone) {
+            state.warmth.note_return(now);
+        }
+    }
+
     fn forget_back_end(&mut self, instance: &InstanceId) {
         self.lapsed.remove(instance);
         self.back_ends.remove(instance);
@@ -307,6 +327,11 @@
         self.aggregation.is_acting()
     }
 
+    /// Zones whose back ends get nothing new.
+    pub fn evacuated(&self) -> &BTreeSet<ZoneName> {
+        &self.evacuated
+    }
+
     /// Other zones of which nothing is heard.
     pub fn silent_zones(&self) -> &BTreeSet<ZoneName> {
         &self.silent_zones
@@ -338,6 +363,7 @@
             cold_sender_for,
             is_aggregator: self.is_aggregator(),
             silent_zones: self.silent_zones.len(),
+            evacuated_zones: self.evacuated.len(),
             leases: self.leases.len(),
             complete_to: self.knowledge.complete_to(),
             table_version: table.map_or(0, |table| table.version()),
--- a/crates/coordination/dispatch/src/dispatcher/granting.rs
+++ b/crates/coordination/dispatch/src/dispatcher/granting.rs
@@ -57,6 +57,7 @@
         let view = View {
             zone: &self.settings.zone,
             silent_zones: &self.silent_zones,
+            evacuated: &self.evacuated,
             cold_start,
             now,
         };
--- a/crates/coordination/dispatch/src/eligibility.rs
+++ b/crates/coordination/dispatch/src/eligibility.rs
@@ -10,6 +10,8 @@
 enum Obstacle {
     /// It is leaving, or another run has its address.
     Leaving,
+    /// Its zone is being evacuated.
+    Evacuated,
     /// It is cold, and this node may send it nothing now.
     Cold,
 }
@@ -18,6 +20,8 @@
     let cold_start = view.cold_start.as_ref();
     if !state.takes_work() {
         Some(Obstacle::Leaving)
+    } else if view.evacuated.contains(&state.back_end.zone) {
+        Some(Obstacle::Evacuated)
     } else if cold_start.is_some_and(|start| !state.warmth.takes_request(start, view.now)) {
         Some(Obstacle::Cold)
     } else {
@@ -31,15 +35,18 @@
 }
 
 /// Why no back end of a pool gets a request: what stands in the way of most of those that
-/// have not failed it.
+/// have not failed it and are not leaving.
 pub(crate) fn refusal(registry: &Registry, view: &View<'_>, demand: &Demand) -> Reason {
     let open = registry
         .pool(&demand.pool)
         .filter(|state| !demand.excluded.contains(&state.back_end.instance));
-    let mut obstacles = open.filter_map(|state| obstacle(state, view));
-    if obstacles.any(|obstacle| obstacle == Obstacle::Cold) {
-        Reason::ColdBackEnds
-    } else {
-        Reason::NoBackEnd
-    }
+    let obstacles: Vec<Obstacle> = open.filter_map(|state| obstacle(state, view)).collect();
+    let count = |obstacle| obstacles.iter().filter(|found| **found == obstacle).count();
+    let counted = [
+        (count(Obstacle::Evacuated), Reason::ZoneEvacuated),
+        (count(Obstacle::Cold), Reason::ColdBackEnds),
+    ];
+    let most = counted.into_iter().max_by_key(|(count, _)| *count);
+    most.filter(|(count, _)| *count > 0)
+        .map_or(Reason::NoBackEnd, |(_, reason)| reason)
 }
--- a/crates/coordination/dispatch/src/knowledge.rs
+++ b/crates/coordination/dispatch/src/knowledge.rs
@@ -3,7 +3,7 @@
 //! Each item carries the revision of the platform's change that made it. An item
 //! never yields to an older one, whether it comes from the platform or from a peer.
 
-use eiderferry_routing::{BackEnd, InstanceId, RoutingTable, TableDocument};
+use eiderferry_routing::{BackEnd, InstanceId, RoutingTable, TableDocument, ZoneName};
 use eiderferry_types::{Span, Timestamp};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -11,6 +11,8 @@
 
 /// Removed items remembered, so that an older list can't bring them back.
 const MAXIMUM_TOMBSTONES: usize = 4_096;
+/// Zones remembered for which an evacuation was ever asked.
+const MAXIMUM_EVACUATIONS: usize = 256;
 
 /// What an item is.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -19,6 +21,8 @@
     Table,
     /// A back end.
     BackEnd(InstanceId),
+    /// The evacuation of a zone.
+    Evacuation(ZoneName),
 }
 
 /// What an item says.
@@ -28,6 +32,8 @@
     Table(TableDocument),
     /// A back end.
     BackEnd(BackEnd),
+    /// The zone's back ends are to get nothing new.
+    Evacuated,
     /// The item is gone.
     Gone,
     /// The item ran out while the platform was away; it may be back soon.
@@ -39,6 +45,7 @@
     pub fn kind(&self) -> &'static str {
         match self {
             Content::Table(_) | Content::BackEnd(_) => "written",
+            Content::Evacuated => "evacuated",
             Content::Gone => "gone",
             Content::Lapsed => "lapsed",
         }
@@ -67,6 +74,13 @@
     Refused(String),
 }
 
+/// Whether a zone is evacuated, and the revision of the change that said so last.
+#[derive(Clone, Copy, Debug)]
+struct Evacuation {
+    revision: u64,
+    is_on: bool,
+}
+
 /// All documents known to a node.
 #[derive(Clone, Debug, Default)]
 pub struct Knowledge {
@@ -74,6 +88,7 @@
     refused_table: u64,
     back_ends: BTreeMap<InstanceId, (u64, BackEnd)>,
     gone: BTreeMap<InstanceId, u64>,
+    evacuations: BTreeMap<ZoneName, Evacuation>,
     complete_to: u64,
     confirmed_at: Option<Timestamp>,
 }
@@ -125,10 +140,35 @@
             (DocumentKey::BackEnd(instance), Content::Gone | Content::Lapsed) => {
                 self.remove(instance, change.revision)
             }
+            (DocumentKey::Evacuation(zone), Content::Evacuated) => {
+                self.apply_evacuation(zone, change.revision, true)
+            }
+            (DocumentKey::Evacuation(zone), Content::Gone) => {
+                self.apply_evacuation(zone, change.revision, false)
+            }
             _ => Applied::Known,
         }
     }
 
+    fn apply_evacuation(&mut self, zone: ZoneName, revision: u64, is_on: bool) -> Applied {
+        let known = self.evacuations.get(&zone);
+        let is_known = known.is_some_and(|known| known.revision >= revision);
+        let has_room = known.is_some() || self.evacuations.len() < MAXIMUM_EVACUATIONS;
+        if is_known || !has_room {
+            return Applied::Known;
+        }
+        let evacuation = Evacuation { revision, is_on };
+        self.evacuations.insert(zone, evacuation);
+        Applied::Taken
+    }
+
+    /// Zones whose back ends get nothing new, with the revision since which that is so.
+    pub fn evacuated(&self) -> impl Iterator<Item = (&ZoneName, u64)> {
+        let evacuations = self.evacuations.iter();
+        let evacuated = evacuations.filter(|(_, evacuation)| evacuation.is_on);
+        evacuated.map(|(zone, evacuation)| (zone, evacuation.revision))
+    }
+
     fn apply_table(&mut self, revision: u64, document: TableDocument) -> Applied {
         if revision <= self.table_revision().max(self.refused_table) {
             return Applied::Known;
@@ -181,17 +221,25 @@
         Applied::Taken
     }
 
-    /// Back ends missing from a whole listing that began at `revision` are gone.
+    /// Back ends and evacuations missing from a whole listing that began at `revision` are
+    /// gone.
     pub fn missing_from_listing(
         &self,
-        listed: &BTreeSet<InstanceId>,
+        listed: &BTreeSet<DocumentKey>,
         revision: u64,
     ) -> Vec<Change> {
-        let known = self.back_ends.iter();
-        known
-            .filter(|(instance, (known, _))| *known <= revision && !listed.contains(*instance))
-            .map(|(instance, _)| Change {
-                key: DocumentKey::BackEnd(instance.clone()),
+        let back_ends = self.back_ends.iter().map(|(instance, (known, _))| {
+            let key = DocumentKey::BackEnd(instance.clone());
+            (key, *known)
+        });
+        let evacuations = self
+            .evacuated()
+            .map(|(zone, known)| (DocumentKey::Evacuation(zone.clone()), known));
+        back_ends
+            .chain(evacuations)
+            .filter(|(key, known)| *known <= revision && !listed.contains(key))
+            .map(|(key, _)| Change {
+                key,
                 revision,
                 content: Content::Gone,
             })
@@ -215,7 +263,16 @@
             revision: *revision,
             content: Content::Gone,
         });
-        let all = table.chain(listed).chain(gone);
+        let evacuations = self.evacuations.iter().map(|(zone, evacuation)| Change {
+            key: DocumentKey::Evacuation(zone.clone()),
+            revision: evacuation.revision,
+            content: if evacuation.is_on {
+                Content::Evacuated
+            } else {
+                Content::Gone
+            },
+        });
+        let all = table.chain(listed).chain(gone).chain(evacuations);
         all.filter(|change| change.revision > revision).collect()
     }
 }
--- a/crates/coordination/dispatch/src/planning.rs
+++ b/crates/coordination/dispatch/src/planning.rs
@@ -72,6 +72,8 @@
     pub zone: &'a ZoneName,
     /// Zones that it hears nothing of.
     pub silent_zones: &'a BTreeSet<ZoneName>,
+    /// Zones whose back ends get nothing new.
+    pub evacuated: &'a BTreeSet<ZoneName>,
     /// How the back ends of the request's pool start, if they start cold.
     pub cold_start: Option<ColdStart>,
     /// The time.
--- /dev/null
+++ b/crates/coordination/dispatch/tests/evacuation.rs
@@ -0,0 +1,182 @@
+//! Evacuated zones: their back ends get nothing new, from any node, by any way.
+
+mod support;
+
+use eiderferry_dispatch::{
+    Change, Content, Decision, Dispatcher, DocumentKey, Outcome, PromptPart,
+};
+use eiderferry_routing::{ColdStart, PoolName, ZoneName};
+use eiderferry_types::{Reason, Span, Timestamp};
+use rstest::rstest;
+use std::ops::Range;
+use support::{
+    ENGINES, Fleet, START, back_end, back_end_change, demand, dispatcher, granted, table_change,
+    zone,
+};
+
+/// Time within which an evacuation has to be obeyed by all nodes that are in touch.
+const EVACUATED_WITHIN_MS: u64 = 5_000;
+
+fn evacuation(zone: ZoneName, revision: u64, content: Content) -> Change {
+    Change {
+        key: DocumentKey::Evacuation(zone),
+        revision,
+        content,
+    }
+}
+
+/// Six engines, two in each of three zones.
+fn engines_in_three_zones(subject: &mut Dispatcher) {
+    for number in 0..6 {
+        let name = format!("engine-{number}");
+        subject.apply(
+            back_end_change(back_end(&name, number, number % 3), 2),
+            START,
+        );
+    }
+}
+
+fn with_three_zones() -> Dispatcher {
+    let mut subject = dispatcher(0, 0, Vec::new());
+    subject.tick(START);
+    subject.apply(table_change(1), START);
+    engines_in_three_zones(&mut subject);
+    subject
+}
+
+/// Zones in which so many requests with different prompts are placed.
+fn zones_used(subject: &mut Dispatcher, now: Timestamp) -> Vec<usize> {
+    zones_used_by(0..60, subject, now)
+}
+
+fn zones_used_by(things: Range<u64>, subject: &mut Dispatcher, now: Timestamp) -> Vec<usize> {
+    let mut zones = Vec::new();
+    for thing in things {
+        let grant = granted(subject.ask(&demand(thing, 2_000, 100), now));
+        subject.end(grant.lease, Outcome::Completed, now);
+        let number: usize = grant.instance.as_str()["engine-".len()..]
+            .parse()
+            .expect("a number");
+        zones.push(number % 3);
+    }
+    zones
+}
+
+#[test]
+fn an_evacuated_zone_gets_nothing_until_it_is_taken_back() {
+    let mut subject = with_three_zones();
+    assert!(zones_used(&mut subject, START).contains(&1));
+    subject.apply(evacuation(zone(1), 7, Content::Evacuated), START);
+    assert!(!zones_used(&mut subject, START).contains(&1));
+    subject.apply(evacuation(zone(1), 9, Content::Gone), START);
+    assert!(zones_used(&mut subject, START).contains(&1));
+}
+
+#[test]
+fn an_older_word_on_an_evacuation_changes_nothing() {
+    let mut subject = with_three_zones();
+    subject.apply(evacuation(zone(1), 9, Content::Gone), START);
+    subject.apply(evacuation(zone(1), 7, Content::Evacuated), START);
+    assert!(zones_used(&mut subject, START).contains(&1));
+}
+
+#[test]
+fn with_all_zones_evacuated_requests_are_refused_with_that_reason() {
+    let mut subject = with_three_zones();
+    for number in 0..3 {
+        let change = evacuation(zone(number), 7 + number as u64, Content::Evacuated);
+        subject.apply(change, START);
+    }
+    let decision = subject.ask(&demand(1, 2_000, 100), START);
+    assert!(matches!(
+        decision,
+        Decision::Refuse(Reason::ZoneEvacuated, _)
+    ));
+}
+
+#[test]
+fn a_second_attempt_and_a_copy_stay_out_of_an_evacuated_zone() {
+    let mut subject = with_three_zones();
+    let prompt = demand(5, 13_000, 100);
+    let first = granted(subject.ask(&prompt, START));
+    subject.first_event(first.lease, START);
+    subject.end(first.lease, Outcome::Broken, START);
+    let number: usize = first.instance.as_str()["engine-".len()..]
+        .parse()
+        .expect("a number");
+    let its_zone = number % 3;
+    subject.apply(evacuation(zone(its_zone), 7, Content::Evacuated), START);
+    let later = START + Span::from_milliseconds(3_000);
+    let mut again = prompt.clone();
+    again.is_repeat = true;
+    again.excluded = vec![first.instance];
+    again.parts[1] = PromptPart {
+        id: again.parts[1].id,
+        tokens: 90,
+    };
+    for _ in 0..20 {
+        subject.count_request(&again.pool, later);
+    }
+    for _ in 0..3 {
+        let grant = granted(subject.ask(&again, later));
+        let number: usize = grant.instance.as_str()["engine-".len()..]
+            .parse()
+            .expect("a number");
+        assert_ne!(number % 3, its_zone);
+        assert_eq!(
+            grant.copy_from, None,
+            "the only engine that keeps it is there"
+        );
+        subject.end(grant.lease, Outcome::Abandoned, later);
+    }
+}
+
+#[test]
+fn engines_of_a_zone_that_is_taken_back_are_cold() {
+    let mut subject = dispatcher(0, 0, Vec::new());
+    subject.tick(START);
+    let mut table = table_change(1);
+    if let Content::Table(table) = &mut table.content {
+        let pool = table.pools.get_mut(&PoolName::from(ENGINES));
+        pool.expect("the pool").cold_start = Some(ColdStart {
+            lasts: Span::from_milliseconds(3_000),
+            requests_per_second: 5.2,
+        });
+    }
+    subject.apply(table, START);
+    engines_in_three_zones(&mut subject);
+    let back = START + Span::from_milliseconds(8_000);
+    subject.apply(evacuation(zone(1), 7, Content::Evacuated), START);
+    subject.apply(evacuation(zone(1), 9, Content::Gone), back);
+    // A node of another zone sends nothing there before they are warm.
+    assert!(!zones_used(&mut subject, back).contains(&1));
+    let warm = back + Span::from_milliseconds(3_200);
+    assert!(zones_used_by(100..160, &mut subject, warm).contains(&1));
+}
+
+#[rstest]
+#[case::grown(87, 3)]
+#[case::large(295, 5)]
+fn all_nodes_obey_in_time_those_too_that_start_or_were_cut_off(
+    #[case] count: usize,
+    #[case] zones: usize,
+) {
+    let mut fleet = Fleet::new(count, zones);
+    for node in &mut fleet.nodes {
+        engines_in_three_zones(node);
+    }
+    fleet.run_with_platform(20_000, 1);
+    let dead = 4;
+    fleet.dark.insert(dead);
+    fleet.cut.insert((0, 2));
+    let reader = *fleet.readers().first().expect("a reader");
+    fleet.read_change(reader, evacuation(zone(1), 5, Content::Evacuated), 5);
+    fleet.run_with_platform(500, 5);
+    fleet.cut.clear();
+    fleet.dark.clear();
+    fleet.restart(dead);
+    fleet.run_with_platform(EVACUATED_WITHIN_MS - 500, 5);
+    for (number, node) in fleet.nodes.iter().enumerate() {
+        assert!(node.evacuated().contains(&zone(1)), "node {number}");
+    }
+}
--- a/crates/coordination/dispatch/tests/knowledge.rs
+++ b/crates/coordination/dispatch/tests/knowledge.rs
@@ -125,9 +125,20 @@
     knowledge.apply(back_end_change("listed", 3, false));
     knowledge.apply(back_end_change("left", 4, false));
     knowledge.apply(back_end_change("new", 11, false));
-    let listed = BTreeSet::from([InstanceId::from("listed")]);
+    let evacuation = |zone, revision, content| Change {
+        key: DocumentKey::Evacuation(ZoneName::from(zone)),
+        revision,
+        content,
+    };
+    knowledge.apply(evacuation("over", 5, Content::Evacuated));
+    knowledge.apply(evacuation("listed", 6, Content::Evacuated));
+    let listed = BTreeSet::from([
+        DocumentKey::BackEnd(InstanceId::from("listed")),
+        DocumentKey::Evacuation(ZoneName::from("listed")),
+    ]);
     let missing = knowledge.missing_from_listing(&listed, 10);
-    assert_eq!(missing, vec![gone("left", 10)]);
+    let over = evacuation("over", 10, Content::Gone);
+    assert_eq!(missing, vec![gone("left", 10), over]);
 }
 
 #[test]
--- a/crates/state/types/src/verdict.rs
+++ b/crates/state/types/src/verdict.rs
@@ -54,6 +54,8 @@
     TenantTokenRate,
     /// No reachable back end serves the pool.
     NoBackEnd,
+    /// The zones of the pool's back ends are being evacuated.
+    ZoneEvacuated,
     /// The pool's back ends are cold, and have got what they bear.
     ColdBackEnds,
     /// The node that holds the queue did not answer.
@@ -89,6 +91,7 @@
             Reason::TenantConcurrency => "tenant_concurrency",
             Reason::TenantTokenRate => "tenant_token_rate",
             Reason::NoBackEnd => "no_back_end",
+            Reason::ZoneEvacuated => "zone_evacuated",
             Reason::ColdBackEnds => "cold_back_ends",
             Reason::HolderUnreachable => "holder_unreachable",
             Reason::Draining => "draining",
--- a/crates/transport/relay/src/control.rs
+++ b/crates/transport/relay/src/control.rs
@@ -6,10 +6,10 @@
 use crate::metrics;
 use arc_swap::ArcSwapOption;
 use eiderferry_dispatch::{
-    Applied, Change, Decision, Demand, Dispatcher, Envelope, LeaseId, Outcome, ReadingDuty,
-    StreamPacing, TICK, TakenNews,
+    Applied, Change, Decision, Demand, Dispatcher, DocumentKey, Envelope, LeaseId, Outcome,
+    ReadingDuty, StreamPacing, TICK, TakenNews,
 };
-use eiderferry_routing::{InstanceId, RoutingTable, ZoneName};
+use eiderferry_routing::{RoutingTable, ZoneName};
 use eiderferry_types::{Span, Timestamp};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
@@ -332,7 +332,12 @@
     }
 
     /// Hands a whole listing over that began at `revision`.
-    pub fn take_listing(&self, changes: Vec<Change>, listed: &BTreeSet<InstanceId>, revision: u64) {
+    pub fn take_listing(
+        &self,
+        changes: Vec<Change>,
+        listed: &BTreeSet<DocumentKey>,
+        revision: u64,
+    ) {
         self.control.take(changes, "store");
         let missing = {
             let dispatcher = self.control.dispatcher.borrow();
--- a/crates/transport/relay/src/events.rs
+++ b/crates/transport/relay/src/events.rs
@@ -111,6 +111,7 @@
     let item = match &news.key {
         DocumentKey::Table => "table",
         DocumentKey::BackEnd(instance) => instance.as_str(),
+        DocumentKey::Evacuation(zone) => zone.as_str(),
     };
     match &news.applied {
         Applied::Known => {}
--- a/crates/transport/relay/src/metrics.rs
+++ b/crates/transport/relay/src/metrics.rs
@@ -101,6 +101,7 @@
     let aggregates = f64::from(u8::from(snapshot.is_aggregator));
     metrics::gauge!("eiderferry_aggregates").set(aggregates);
     metrics::gauge!("eiderferry_silent_zones").set(snapshot.silent_zones as f64);
+    metrics::gauge!("eiderferry_evacuated_zones").set(snapshot.evacuated_zones as f64);
     metrics::gauge!("eiderferry_places").set(snapshot.leases as f64);
     metrics::gauge!("eiderferry_documents_revision").set(snapshot.complete_to as f64);
     metrics::gauge!("eiderferry_table_version").set(snapshot.table_version as f64);
