Regions: requests run where their route and tenant allow it; documents that make no sense are told

Cause: neither the regions of routes and tenants nor the region of a zone was read, so that a deployment with two regions would get requests anywhere.

Change: back ends outside the allowed regions are no candidates, for first and second attempts, resumed streams and copies; where both name regions, both bind; a zone whose region is not known serves only requests that may run anywhere; with nothing left the request is refused with region_not_allowed and told to wait 5 s.

--- a/crates/coordination/dispatch/src/demand.rs
+++ b/crates/coordination/dispatch/src/demand.rs
@@ -1,7 +1,7 @@
 //! What a request asks for, and what becomes of it.
 
 use crate::Candidate;
-use eiderferry_routing::{InstanceId, PartId, PoolName};
+use eiderferry_routing::{AllowedRegions, InstanceId, PartId, PoolName};
 use eiderferry_types::{Reason, Span};
 use std::net::SocketAddr;
 
@@ -37,6 +37,8 @@
     pub pause_target: Option<Span>,
     /// Time until the caller gives up.
     pub remaining: Span,
+    /// Regions in which it may run.
+    pub allowed_regions: AllowedRegions,
     /// Back ends that have failed it already.
     pub excluded: Vec<InstanceId>,
     /// Whether it may be sent again after it has reached a back end.
--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -5,10 +5,12 @@
 mod granting;
 mod messages;
 mod reading;
+mod unknown_names;
 mod zone_digest;
 
 pub(crate) use messages::{FAR_FANOUT, FAR_TICKS, NEAR_FANOUT, SPARSE_FAR_FANOUT};
 pub use reading::ReadingDuty;
+pub use unknown_names::UnknownName;
 
 use aggregation::Aggregation;
 use granting::Lease;
@@ -18,12 +20,13 @@
     Applied, BudgetSettings, Change, ColdBound, ColdDuty, Content, DocumentKey, Envelope, Gossip,
     Knowledge, LeaseId, PeerChange, Peers, Placement, RetryBudget, WarmthChange,
 };
-use eiderferry_routing::{InstanceId, NodeName, PoolName, ZoneName};
+use eiderferry_routing::{InstanceId, NodeName, PoolName, RegionOfZone, ZoneName};
 use eiderferry_types::{Span, Timestamp};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
+use unknown_names::unknown_names;
 use zone_digest::ZoneDigests;
 
 /// Time between two ticks.
@@ -57,6 +60,8 @@
     pub apply_within: Span,
     /// Bound of requests to a cold back end over all nodes.
     pub cold_bound: ColdBound,
+    /// Region of each zone.
+    pub regions: RegionOfZone,
 }
 
 /// What a tick asks for.
@@ -94,6 +99,8 @@
     pub revision: u64,
     /// What came of it.
     pub applied: Applied,
+    /// Zones and regions that it names and the settings don't know.
+    pub unknown: Vec<UnknownName>,
 }
 
 /// Figures for metrics.
@@ -218,14 +225,17 @@
     pub fn apply(&mut self, change: Change, now: Timestamp) -> TakenNews {
         let (key, kind, revision) = (change.key.clone(), change.content.kind(), change.revision);
         let applied = self.knowledge.apply(change.clone());
+        let mut unknown = Vec::new();
         if applied == Applied::Taken {
             self.take(change, now);
+            unknown = unknown_names(&key, &self.knowledge, &self.settings.regions);
         }
         TakenNews {
             key,
             kind,
             revision,
             applied,
+            unknown,
         }
     }
 
--- a/crates/coordination/dispatch/src/dispatcher/granting.rs
+++ b/crates/coordination/dispatch/src/dispatcher/granting.rs
@@ -18,6 +18,12 @@
 const MINIMUM_CONNECTIONS: u32 = 4;
 /// Time after which a request without any back end is worth sending again.
 const NO_BACK_END_RETRY: Span = Span::from_milliseconds(500);
+/// Time after which a request for which all back ends are cold, or evacuated, is worth sending
+/// again: another node may be a sender, and each sender sends again after 1.3 s.
+const UNDER_WAY_RETRY: Span = Span::from_milliseconds(1_000);
+/// The same for a request that may run in no region where there are back ends: only a change
+/// of the configuration helps.
+const REGION_RETRY: Span = Span::from_milliseconds(5_000);
 /// Time after which a request refused for load is worth sending again.
 const OVERLOAD_RETRY: Span = Span::from_milliseconds(400);
 /// Back ends of one zone that can't be reached, within a window, which show that the
@@ -57,6 +63,7 @@
         let view = View {
             zone: &self.settings.zone,
             silent_zones: &self.silent_zones,
+            regions: &self.settings.regions,
             evacuated: &self.evacuated,
             cold_start,
             now,
@@ -65,7 +72,7 @@
         let candidates: Vec<Candidate> = plans.iter().map(|plan| plan.candidate).collect();
         let Some(index) = choose(&candidates) else {
             let reason = refusal(&self.back_ends, &view, demand);
-            return Decision::Refuse(reason, NO_BACK_END_RETRY);
+            return Decision::Refuse(reason, retry_after(reason));
         };
         let candidate = candidates[index];
         if candidate.running >= self.most_running(demand, candidate.slots) {
@@ -221,6 +228,14 @@
     }
 }
 
+fn retry_after(reason: Reason) -> Span {
+    match reason {
+        Reason::RegionNotAllowed => REGION_RETRY,
+        Reason::ColdBackEnds | Reason::ZoneEvacuated => UNDER_WAY_RETRY,
+        _ => NO_BACK_END_RETRY,
+    }
+}
+
 fn note_placements(placements: &mut Vec<Placement>, back_end: u32, parts: &[PromptPart]) {
     for part in parts.iter().rev() {
         if placements.len() >= PLACEMENTS_PER_MESSAGE {
--- /dev/null
+++ b/crates/coordination/dispatch/src/dispatcher/unknown_names.rs
@@ -0,0 +1,56 @@
+//! Zones and regions that documents name and the settings don't know.
+
+use crate::{DocumentKey, Knowledge};
+use eiderferry_routing::{RegionName, RegionOfZone, ZoneName};
+use std::collections::BTreeSet;
+
+/// A name that means nothing here.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum UnknownName {
+    /// A zone that is evacuated: no back end known here stands in it.
+    Zone(ZoneName),
+    /// A region in which requests may run: none of the zones known here lies in it.
+    Region(RegionName),
+}
+
+impl UnknownName {
+    /// What it would name, as a word for logs.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Zone(_) => "zone",
+            Self::Region(_) => "region",
+        }
+    }
+
+    /// The name.
+    pub fn as_str(&self) -> &str {
+        match self {
+            Self::Zone(zone) => zone.as_str(),
+            Self::Region(region) => region.as_str(),
+        }
+    }
+}
+
+/// The names in a document just taken that are not among the settings' zones and regions.
+pub(super) fn unknown_names(
+    key: &DocumentKey,
+    knowledge: &Knowledge,
+    regions: &RegionOfZone,
+) -> Vec<UnknownName> {
+    match key {
+        DocumentKey::Evacuation(zone) if !regions.contains_key(zone) => {
+            vec![UnknownName::Zone(zone.clone())]
+        }
+        DocumentKey::Table => unknown_regions(knowledge, regions),
+        _ => Vec::new(),
+    }
+}
+
+fn unknown_regions(knowledge: &Knowledge, regions: &RegionOfZone) -> Vec<UnknownName> {
+    let known: BTreeSet<&RegionName> = regions.values().collect();
+    let table = knowledge.table();
+    let named = table.into_iter().flat_map(|table| table.named_regions());
+    let unknown: BTreeSet<&RegionName> = named.filter(|name| !known.contains(name)).collect();
+    let unknown = unknown.into_iter().cloned();
+    unknown.map(UnknownName::Region).collect()
+}
--- a/crates/coordination/dispatch/src/eligibility.rs
+++ b/crates/coordination/dispatch/src/eligibility.rs
@@ -10,17 +10,22 @@
 enum Obstacle {
     /// It is leaving, or another run has its address.
     Leaving,
+    /// The request may not run in its region.
+    Region,
     /// Its zone is being evacuated.
     Evacuated,
     /// It is cold, and this node may send it nothing now.
     Cold,
 }
 
-fn obstacle(state: &BackEndState, view: &View<'_>) -> Option<Obstacle> {
+fn obstacle(state: &BackEndState, view: &View<'_>, demand: &Demand) -> Option<Obstacle> {
+    let zone = &state.back_end.zone;
     let cold_start = view.cold_start.as_ref();
     if !state.takes_work() {
         Some(Obstacle::Leaving)
-    } else if view.evacuated.contains(&state.back_end.zone) {
+    } else if !demand.allowed_regions.allow(zone, view.regions) {
+        Some(Obstacle::Region)
+    } else if view.evacuated.contains(zone) {
         Some(Obstacle::Evacuated)
     } else if cold_start.is_some_and(|start| !state.warmth.takes_request(start, view.now)) {
         Some(Obstacle::Cold)
@@ -30,8 +35,8 @@
 }
 
 /// Whether a back end may get a request.
-pub(crate) fn is_eligible(state: &BackEndState, view: &View<'_>) -> bool {
-    obstacle(state, view).is_none()
+pub(crate) fn is_eligible(state: &BackEndState, view: &View<'_>, demand: &Demand) -> bool {
+    obstacle(state, view, demand).is_none()
 }
 
 /// Why no back end of a pool gets a request: what stands in the way of most of those that
@@ -40,9 +45,12 @@
     let open = registry
         .pool(&demand.pool)
         .filter(|state| !demand.excluded.contains(&state.back_end.instance));
-    let obstacles: Vec<Obstacle> = open.filter_map(|state| obstacle(state, view)).collect();
+    let obstacles: Vec<Obstacle> = open
+        .filter_map(|state| obstacle(state, view, demand))
+        .collect();
     let count = |obstacle| obstacles.iter().filter(|found| **found == obstacle).count();
     let counted = [
+        (count(Obstacle::Region), Reason::RegionNotAllowed),
         (count(Obstacle::Evacuated), Reason::ZoneEvacuated),
         (count(Obstacle::Cold), Reason::ColdBackEnds),
     ];
--- a/crates/coordination/dispatch/src/knowledge.rs
+++ b/crates/coordination/dispatch/src/knowledge.rs
@@ -25,6 +25,17 @@
     Evacuation(ZoneName),
 }
 
+impl DocumentKey {
+    /// What kind of item it is, as a word for logs.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            DocumentKey::Table => "table",
+            DocumentKey::BackEnd(_) => "back_end",
+            DocumentKey::Evacuation(_) => "evacuation",
+        }
+    }
+}
+
 /// What an item says.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Content {
--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -30,6 +30,7 @@
 pub use demand::{Decision, Demand, Grant, LeaseId, Outcome, PromptPart};
 pub use dispatcher::{
     Dispatcher, DispatcherSettings, ReadingDuty, Received, Snapshot, TICK, TakenNews, TickOutput,
+    UnknownName,
 };
 pub use engine_model::{EngineSpeed, PoolModel};
 pub use health::{Health, HealthChange};
--- a/crates/coordination/dispatch/src/planning.rs
+++ b/crates/coordination/dispatch/src/planning.rs
@@ -3,7 +3,7 @@
 use crate::eligibility::is_eligible;
 use crate::registry::{BackEndState, Registry};
 use crate::{Candidate, Demand, Footprint, Occupancy, PoolModel};
-use eiderferry_routing::{ColdStart, InstanceId, ZoneName};
+use eiderferry_routing::{ColdStart, InstanceId, RegionOfZone, ZoneName};
 use eiderferry_types::{Span, Timestamp};
 use rand::Rng;
 use rand::seq::IteratorRandom;
@@ -72,6 +72,8 @@
     pub zone: &'a ZoneName,
     /// Zones that it hears nothing of.
     pub silent_zones: &'a BTreeSet<ZoneName>,
+    /// Region of each zone.
+    pub regions: &'a RegionOfZone,
     /// Zones whose back ends get nothing new.
     pub evacuated: &'a BTreeSet<ZoneName>,
     /// How the back ends of the request's pool start, if they start cold.
@@ -90,7 +92,7 @@
     let now = view.now;
     let staying: Vec<&BackEndState> = registry
         .pool(&demand.pool)
-        .filter(|state| is_eligible(state, view))
+        .filter(|state| is_eligible(state, view, demand))
         .collect();
     let has_shared = !demand.shared_parts().is_empty();
     let split = Split::of(registry, demand, staying.len());
--- a/crates/coordination/dispatch/tests/knowledge.rs
+++ b/crates/coordination/dispatch/tests/knowledge.rs
@@ -75,11 +75,13 @@
             name: "one".to_owned(),
             keys: vec!["same".to_owned()],
             rank: None,
+            allowed_regions: Vec::new(),
         },
         eiderferry_routing::Tenant {
             name: "two".to_owned(),
             keys: vec!["same".to_owned()],
             rank: None,
+            allowed_regions: Vec::new(),
         },
     ];
     let change = Change {
--- a/crates/coordination/dispatch/tests/placement.rs
+++ b/crates/coordination/dispatch/tests/placement.rs
@@ -346,6 +346,7 @@
         maximum_attempts: 1,
         is_public: false,
         is_resumable: false,
+        allowed_regions: Vec::new(),
     }
 }
 
--- /dev/null
+++ b/crates/coordination/dispatch/tests/regions.rs
@@ -0,0 +1,143 @@
+//! Regions in which requests may run.
+
+mod support;
+
+use eiderferry_dispatch::{
+    Change, Content, Decision, Dispatcher, DocumentKey, Outcome, UnknownName,
+};
+use eiderferry_routing::{AllowedRegions, RegionName, ZoneName};
+use eiderferry_types::{Reason, Span};
+use rstest::rstest;
+use std::collections::BTreeSet;
+use support::{START, back_end, back_end_change, demand, dispatcher, granted, table_change};
+
+fn regions(names: &[&str]) -> Vec<RegionName> {
+    names.iter().copied().map(RegionName::from).collect()
+}
+
+/// Eight engines: two in each of zones 0 to 3, of which 0 and 1 are west, 2 is east, and of 3
+/// no region is known.
+fn subject() -> Dispatcher {
+    let mut subject = dispatcher(0, 0, Vec::new());
+    subject.tick(START);
+    subject.apply(table_change(1), START);
+    for number in 0..8 {
+        let name = format!("engine-{number}");
+        subject.apply(
+            back_end_change(back_end(&name, number, number % 4), 2),
+            START,
+        );
+    }
+    subject
+}
+
+fn zones_used(allowed: &AllowedRegions) -> BTreeSet<usize> {
+    let mut subject = subject();
+    let mut zones = BTreeSet::new();
+    for thing in 0..60 {
+        let mut request = demand(thing, 2_000, 100);
+        request.allowed_regions = allowed.clone();
+        let grant = granted(subject.ask(&request, START));
+        subject.end(grant.lease, Outcome::Completed, START);
+        let number: usize = grant.instance.as_str()["engine-".len()..]
+            .parse()
+            .expect("a number");
+        zones.insert(number % 4);
+    }
+    zones
+}
+
+#[rstest]
+#[case::none_named(&[], &[], &[0, 1, 2, 3])]
+#[case::of_the_route(&["east"], &[], &[2])]
+#[case::of_the_tenant(&[], &["west"], &[0, 1])]
+#[case::both_bind(&["east", "west"], &["west", "north"], &[0, 1])]
+fn requests_run_in_allowed_regions_only(
+    #[case] route: &[&str],
+    #[case] tenant: &[&str],
+    #[case] expected: &[usize],
+) {
+    let allowed = AllowedRegions::of(&regions(route), &regions(tenant));
+    assert_eq!(zones_used(&allowed), expected.iter().copied().collect());
+}
+
+#[test]
+fn a_prompt_is_not_copied_from_another_region() {
+    let mut subject = subject();
+    let mut request = demand(3, 13_000, 100);
+    request.allowed_regions = AllowedRegions::of(&regions(&["east"]), &[]);
+    let grant = granted(subject.ask(&request, START));
+    subject.first_event(grant.lease, START);
+    subject.end(grant.lease, Outcome::Completed, START);
+    request.allowed_regions = AllowedRegions::of(&regions(&["west"]), &[]);
+    let later = START + Span::from_milliseconds(3_000);
+    let grant = granted(subject.ask(&request, later));
+    assert_eq!(grant.copy_from, None);
+}
+
+#[rstest]
+#[case::nothing_in_common(&["east"], &["west"])]
+#[case::unknown_region(&["north"], &[])]
+fn with_no_region_left_a_request_is_refused_with_that_reason(
+    #[case] route: &[&str],
+    #[case] tenant: &[&str],
+) {
+    let mut subject = subject();
+    let mut request = demand(1, 2_000, 100);
+    request.allowed_regions = AllowedRegions::of(&regions(route), &regions(tenant));
+    let decision = subject.ask(&request, START);
+    let Decision::Refuse(reason, retry_after) = decision else {
+        panic!("expected a refusal, got {decision:?}");
+    };
+    assert_eq!(reason, Reason::RegionNotAllowed);
+    assert!(
+        retry_after >= Span::from_milliseconds(1_000),
+        "soon is too soon"
+    );
+}
+
+#[test]
+fn a_second_attempt_stays_in_the_allowed_regions() {
+    let mut subject = subject();
+    let mut request = demand(1, 2_000, 100);
+    request.allowed_regions = AllowedRegions::of(&regions(&["east"]), &[]);
+    let first = granted(subject.ask(&request, START));
+    let second = {
+        request.excluded.push(first.instance.clone());
+        granted(subject.ask(&request, START))
+    };
+    assert_ne!(first.instance, second.instance);
+    request.excluded.push(second.instance);
+    let decision = subject.ask(&request, START);
+    assert!(matches!(
+        decision,
+        Decision::Refuse(Reason::RegionNotAllowed, _)
+    ));
+}
+
+#[test]
+fn names_that_the_settings_do_not_know_are_told() {
+    let mut subject = subject();
+    let nowhere = ZoneName::from("nowhere");
+    let change = Change {
+        key: DocumentKey::Evacuation(nowhere.clone()),
+        revision: 8,
+        content: Content::Evacuated,
+    };
+    let taken = subject.apply(change, START);
+    assert_eq!(taken.unknown, [UnknownName::Zone(nowhere)]);
+    let mut change = table_change(9);
+    if let Content::Table(table) = &mut change.content {
+        table.tenants.push(eiderferry_routing::Tenant {
+            name: "t".to_owned(),
+            keys: Vec::new(),
+            rank: None,
+            allowed_regions: regions(&["north", "west"]),
+        });
+    }
+    let taken = subject.apply(change, START);
+    assert_eq!(
+        taken.unknown,
+        [UnknownName::Region(RegionName::from("north"))]
+    );
+}
--- a/crates/coordination/dispatch/tests/support/mod.rs
+++ b/crates/coordination/dispatch/tests/support/mod.rs
@@ -7,8 +7,8 @@
     DocumentKey, Envelope, Gossip, Grant, Knowledge, PeerChange, PromptPart, ReadingDuty, TICK,
 };
 use eiderferry_routing::{
-    BackEnd, EngineSpecification, InstanceId, Limits, NodeName, PartId, Pool, PoolName,
-    TableDocument, ZoneName,
+    AllowedRegions, BackEnd, EngineSpecification, InstanceId, Limits, NodeName, PartId, Pool,
+    PoolName, RegionName, RegionOfZone, TableDocument, ZoneName,
 };
 use eiderferry_types::{Span, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
@@ -142,9 +142,17 @@
         seeds,
         incarnation: 1,
         budget: BUDGET,
+        regions: regions(),
     }
 }
 
+/// Zones 0 and 1 lie in one region, zone 2 in another; of further ones it isn't known.
+fn regions() -> RegionOfZone {
+    let region = |number: usize| RegionName::from(if number < 2 { "west" } else { "east" });
+    let zones = (0..3).map(|number| (zone(number), region(number)));
+    zones.collect()
+}
+
 /// A dispatcher that knows so many engines, all in its zone.
 pub fn with_engines(count: usize) -> Dispatcher {
     let mut subject = dispatcher(0, 0, Vec::new());
@@ -177,6 +185,7 @@
         target: Span::from_milliseconds(2_500),
         pause_target: None,
         remaining: Span::from_milliseconds(12_000),
+        allowed_regions: AllowedRegions::Any,
         excluded: Vec::new(),
         may_repeat: true,
         is_repeat: false,
--- a/crates/state/routing/src/identity.rs
+++ b/crates/state/routing/src/identity.rs
@@ -66,6 +66,10 @@
     /// Name of an availability zone.
     ZoneName
 );
+text_identifier!(
+    /// Name of a region, which holds one zone or more.
+    RegionName
+);
 
 /// One part of a prompt, as named by callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/crates/state/routing/src/lib.rs
+++ b/crates/state/routing/src/lib.rs
@@ -9,13 +9,15 @@
 mod cold_start;
 mod error;
 mod identity;
+mod regions;
 mod table;
 mod urgency;
 
 pub use back_end::BackEnd;
 pub use cold_start::ColdStart;
 pub use error::TableError;
-pub use identity::{InstanceId, NodeName, PartId, PoolName, ZoneName};
+pub use identity::{InstanceId, NodeName, PartId, PoolName, RegionName, ZoneName};
+pub use regions::{AllowedRegions, RegionOfZone};
 pub use table::{
     EngineSpecification, Limits, Pool, Route, RouteKind, RouteMatch, RoutingTable, Split,
     TableDocument, Tenant,
--- a/crates/state/routing/src/table.rs
+++ b/crates/state/routing/src/table.rs
@@ -1,7 +1,7 @@
 //! The routing table: which request goes to which pool, and for whom.
 
 use crate::urgency::{PoolTiers, UrgencyScale};
-use crate::{ColdStart, PoolName, TableError};
+use crate::{AllowedRegions, ColdStart, PoolName, RegionName, TableError};
 use eiderferry_types::Span;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
@@ -53,6 +53,8 @@
     pub is_public: bool,
     /// Whether a broken stream may be taken up elsewhere.
     pub is_resumable: bool,
+    /// Regions in which its requests may run; all if there are none.
+    pub allowed_regions: Vec<RegionName>,
 }
 
 impl Route {
@@ -65,6 +67,12 @@
         }
     }
 
+    /// Regions in which a request of a tenant may run: those of both where both name some.
+    pub fn regions_for(&self, tenant: Option<&Tenant>) -> AllowedRegions {
+        let tenant = tenant.map_or(&[][..], |tenant| &tenant.allowed_regions);
+        AllowedRegions::of(&self.allowed_regions, tenant)
+    }
+
     /// The pool for a request; `point` is a number in 0..1 drawn for it.
     pub fn pool(&self, point: f64) -> Option<&PoolName> {
         let total: f64 = self.splits.iter().map(|split| split.weight.max(0.0)).sum();
@@ -126,6 +134,8 @@
     pub keys: Vec<String>,
     /// Rank that goes before the route's.
     pub rank: Option<u8>,
+    /// Regions in which its requests may run; all if there are none.
+    pub allowed_regions: Vec<RegionName>,
 }
 
 /// The table as it is published and passed on.
@@ -191,6 +201,14 @@
         self.document.version
     }
 
+    /// All regions that routes and tenants name.
+    pub fn named_regions(&self) -> impl Iterator<Item = &RegionName> {
+        let routes = self.document.routes.iter();
+        let routes = routes.flat_map(|route| &route.allowed_regions);
+        let tenants = self.document.tenants.iter();
+        routes.chain(tenants.flat_map(|tenant| &tenant.allowed_regions))
+    }
+
     /// Limits towards callers.
     pub fn limits(&self) -> &Limits {
         &self.document.limits
--- a/crates/state/routing/tests/table.rs
+++ b/crates/state/routing/tests/table.rs
@@ -25,6 +25,7 @@
         maximum_attempts: 2,
         is_public: false,
         is_resumable: false,
+        allowed_regions: Vec::new(),
     }
 }
 
@@ -49,6 +50,7 @@
             name: "radio".to_owned(),
             keys: vec!["key-one".to_owned(), "key-two".to_owned()],
             rank: Some(1),
+            allowed_regions: Vec::new(),
         }],
     }
 }
@@ -184,6 +186,7 @@
         name: "t".to_owned(),
         keys: Vec::new(),
         rank,
+        allowed_regions: Vec::new(),
     }
 }
 
--- a/crates/state/types/src/verdict.rs
+++ b/crates/state/types/src/verdict.rs
@@ -54,6 +54,8 @@
     TenantTokenRate,
     /// No reachable back end serves the pool.
     NoBackEnd,
+    /// The pool has no back end in a region in which the request may run.
+    RegionNotAllowed,
     /// The zones of the pool's back ends are being evacuated.
     ZoneEvacuated,
     /// The pool's back ends are cold, and have got what they bear.
@@ -91,6 +93,7 @@
             Reason::TenantConcurrency => "tenant_concurrency",
             Reason::TenantTokenRate => "tenant_token_rate",
             Reason::NoBackEnd => "no_back_end",
+            Reason::RegionNotAllowed => "region_not_allowed",
             Reason::ZoneEvacuated => "zone_evacuated",
             Reason::ColdBackEnds => "cold_back_ends",
             Reason::HolderUnreachable => "holder_unreachable",
--- a/crates/transport/relay/src/events.rs
+++ b/crates/transport/relay/src/events.rs
@@ -8,7 +8,7 @@
 use crate::own_answer::OwnAnswer;
 use eiderferry_dispatch::{
     Applied, ColdDuty, DocumentKey, Grant, HealthChange, Outcome, PeerChange, StreamPacing,
-    TakenNews, WarmthChange,
+    TakenNews, UnknownName, WarmthChange,
 };
 use eiderferry_routing::InstanceId;
 use eiderferry_types::{Reason, Span, Timestamp};
@@ -105,8 +105,27 @@
     log::warn!(event = "fetch_failed", peer:% = peer, error:% = error; "documents not fetched");
 }
 
+/// A document holds a value that makes no sense; the safe reading of it is in force.
+pub fn document_doubtful(key: &str, doubt: &str) {
+    metrics::document_doubtful("value");
+    log::warn!(event = "document_doubtful", item = key, doubt = doubt; "document used with doubt");
+}
+
+/// A document names a zone or region that the settings don't know.
+pub(crate) fn unknown_name(news: &TakenNews, unknown: &UnknownName) {
+    metrics::document_doubtful(unknown.kind());
+    log::warn!(
+        event = "document_doubtful", item = news.key.kind(), revision = news.revision,
+        names = unknown.kind(), name = unknown.as_str();
+        "a document names what the settings don't know"
+    );
+}
+
 /// A document was taken, or refused.
 pub(crate) fn document(news: &TakenNews, source: &'static str) {
+    for unknown in &news.unknown {
+        unknown_name(news, unknown);
+    }
     let (kind, revision) = (news.kind, news.revision);
     let item = match &news.key {
         DocumentKey::Table => "table",
--- a/crates/transport/relay/src/exchange.rs
+++ b/crates/transport/relay/src/exchange.rs
@@ -259,6 +259,7 @@
             target: self.head.route.target,
             pause_target: self.head.route.pause_target,
             remaining: now.until(self.deadline),
+            allowed_regions: self.head.allowed_regions.clone(),
             excluded: self.excluded.clone(),
             may_repeat: self.head.route.may_repeat(),
             is_repeat: self.attempts > 0,
--- a/crates/transport/relay/src/lib.rs
+++ b/crates/transport/relay/src/lib.rs
@@ -32,7 +32,7 @@
 pub use clock::Clock;
 pub use control::DocumentFeed;
 pub use event_stream::EventSplitter;
-pub use events::{reloaded, source_lost, source_regained};
+pub use events::{document_doubtful, reloaded, source_lost, source_regained};
 pub use logging::{LogBudget, LogQueue, start as start_logging};
 pub use node::{Relay, Source, StartError};
 pub use settings::{RelaySettings, StopSettings};
--- a/crates/transport/relay/src/metrics.rs
+++ b/crates/transport/relay/src/metrics.rs
@@ -78,6 +78,11 @@
     metrics::counter!("eiderferry_messages_lost_total", "step" => step).increment(1);
 }
 
+/// A document held something that makes no sense here.
+pub(crate) fn document_doubtful(what: &'static str) {
+    metrics::counter!("eiderferry_documents_doubtful_total", "what" => what).increment(1);
+}
+
 /// This node answered a request by itself.
 pub(crate) fn own_answer(reason: &'static str) {
     metrics::counter!("eiderferry_own_answers_total", "reason" => reason).increment(1);
--- a/crates/transport/relay/src/node.rs
+++ b/crates/transport/relay/src/node.rs
@@ -77,6 +77,7 @@
             budget: settings.budget,
             apply_within: settings.apply_within,
             cold_bound: settings.cold_bound,
+            regions: settings.regions.clone(),
             link_mbps: settings.link_mbps,
         });
         let shared = Arc::clone(&table);
--- a/crates/transport/relay/src/request_head.rs
+++ b/crates/transport/relay/src/request_head.rs
@@ -3,7 +3,7 @@
 use crate::Vocabulary;
 use crate::own_answer::OwnAnswer;
 use eiderferry_dispatch::PromptPart;
-use eiderferry_routing::{PartId, Route, RouteMatch, RoutingTable, Tenant};
+use eiderferry_routing::{AllowedRegions, PartId, Route, RouteMatch, RoutingTable, Tenant};
 use eiderferry_types::Span;
 use http::header::{AUTHORIZATION, HOST};
 use http::request::Parts;
@@ -25,6 +25,7 @@
     /// Level at which engines admit it; 0 is the most urgent.
     pub urgency: u8,
     pub remaining: Span,
+    pub allowed_regions: AllowedRegions,
     pub parts: Vec<PromptPart>,
     pub prompt_tokens: u32,
     pub output_tokens: u32,
@@ -55,6 +56,7 @@
             rank,
             urgency: table.urgency(route, tenant),
             remaining,
+            allowed_regions: route.regions_for(tenant),
             parts: prompt_parts(text(headers, &vocabulary.prompt_parts).unwrap_or_default()),
             prompt_tokens,
             output_tokens: hint.or(most_output).unwrap_or(ASSUMED_OUTPUT_TOKENS),
--- a/crates/transport/relay/src/settings.rs
+++ b/crates/transport/relay/src/settings.rs
@@ -2,7 +2,7 @@
 
 use crate::Vocabulary;
 use eiderferry_dispatch::{BudgetSettings, ColdBound};
-use eiderferry_routing::{NodeName, ZoneName};
+use eiderferry_routing::{NodeName, RegionOfZone, ZoneName};
 use eiderferry_types::Span;
 use std::net::SocketAddr;
 
@@ -42,6 +42,8 @@
     pub apply_within: Span,
     /// Bound of requests to a cold back end over all nodes.
     pub cold_bound: ColdBound,
+    /// Region of each zone.
+    pub regions: RegionOfZone,
     /// Planned stops.
     pub stop: StopSettings,
     /// Header names.
--- a/crates/transport/relay/tests/support/mod.rs
+++ b/crates/transport/relay/tests/support/mod.rs
@@ -222,6 +222,7 @@
         maximum_attempts: attempts,
         is_public: false,
         is_resumable: false,
+        allowed_regions: Vec::new(),
     }
 }
 
@@ -256,6 +257,7 @@
             name: "radio".to_owned(),
             keys: vec![KEY.to_owned()],
             rank: None,
+            allowed_regions: Vec::new(),
         }],
     }
 }
@@ -357,6 +359,7 @@
             },
             link_mbps: 100,
             apply_within: Span::from_milliseconds(2_000),
+            regions: BTreeMap::new(),
             cold_bound: ColdBound {
                 overage: 1.5,
                 slack: 5.0,
