Discovery: entries that lapse have until two seconds after the store's return, for every reader

Cause: removals were taken as lapses for 1 s after the return, then gave 2 s each; and only by a reader that had itself found the store away, so that another that read first after the return took every lapsed entry as gone.

Change: a removal after an absence gives its back end the time that is left until 2 s after the return; a reader also knows from the age of the youngest confirmation that others found the store away.

--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -33,9 +33,6 @@
 pub const TICK: Span = Span::from_milliseconds(100);
 /// Placements named in one message.
 const PLACEMENTS_PER_MESSAGE: usize = 40;
-/// Time within which a back end whose entry lapsed while the platform was away is
-/// listed again, if it lives.
-const LAPSE_GRACE: Span = Span::from_milliseconds(2_000);
 /// Time for which the outcomes at a back end are told.
 const OUTCOME_LIFETIME: Span = Span::from_milliseconds(4_000);
 
@@ -152,6 +149,7 @@
     is_stopping: bool,
     started: Option<Timestamp>,
     ticked_at: Timestamp,
+    /// Back ends whose entries lapsed, and when they count as gone.
     lapsed: HashMap<InstanceId, Timestamp>,
     zone_digests: ZoneDigests,
     aggregation: Aggregation,
@@ -247,8 +245,8 @@
                 let table = table.as_deref();
                 self.back_ends.list(back_end, change.revision, table, now);
             }
-            (DocumentKey::BackEnd(instance), Content::Lapsed) => {
-                self.lapsed.insert(instance, now);
+            (DocumentKey::BackEnd(instance), Content::Lapsed(within)) => {
+                self.lapsed.insert(instance, now + within);
             }
             (DocumentKey::BackEnd(instance), _) => self.forget_back_end(&instance),
             (DocumentKey::Evacuation(zone), Content::Evacuated) => {
@@ -281,8 +279,7 @@
 
     /// Back ends whose entries lapsed and that did not come back are gone.
     fn forget_lapsed(&mut self, now: Timestamp) {
-        let overdue = |at: &Timestamp| now.since(*at) >= LAPSE_GRACE;
-        let lapsed = self.lapsed.iter().filter(|(_, at)| overdue(at));
+        let lapsed = self.lapsed.iter().filter(|(_, until)| **until <= now);
         let gone: Vec<InstanceId> = lapsed.map(|(instance, _)| instance.clone()).collect();
         for instance in gone {
             self.forget_back_end(&instance);
--- a/crates/coordination/dispatch/src/dispatcher/reading.rs
+++ b/crates/coordination/dispatch/src/dispatcher/reading.rs
@@ -13,6 +13,9 @@
 /// Time within which a change has to be in force from which on not every zone reads: two
 /// zones then do, and a node of a third hears of their confirmations 0.6 s later.
 const FEW_READERS_FROM: Span = Span::from_milliseconds(3_500);
+/// Time beyond that limit after which nodes have tried to read in vain: the first of them
+/// begins at once, and an answer takes milliseconds.
+const VAIN_READING_TIME: Span = Span::from_milliseconds(1_000);
 /// Zones that read then: one may be lost while the other goes on. 18 nodes in five zones
 /// made 98 calls on a quiet day of 57 s, where a reader in each zone made 258.
 const READING_ZONES: usize = 2;
@@ -82,6 +85,12 @@
         }
     }
 
+    /// Whether the youngest confirmation is so old that nodes have tried to read in vain.
+    pub fn lacks_confirmation(&self, now: Timestamp) -> bool {
+        let age = self.knowledge.confirmed_age(now);
+        age.is_some_and(|age| age > self.confirmation_limit() + VAIN_READING_TIME)
+    }
+
     fn confirmation_limit(&self) -> Span {
         let part = self.settings.apply_within.scaled(CONFIRMATION_PART);
         part.max(CONFIRMATION_LIMIT)
--- a/crates/coordination/dispatch/src/knowledge.rs
+++ b/crates/coordination/dispatch/src/knowledge.rs
@@ -47,8 +47,9 @@
     Evacuated,
     /// The item is gone.
     Gone,
-    /// The item ran out while the platform was away; it may be back soon.
-    Lapsed,
+    /// The item ran out while the platform was away; it is gone unless it is back within
+    /// the span.
+    Lapsed(Span),
 }
 
 impl Content {
@@ -58,7 +59,7 @@
             Content::Table(_) | Content::BackEnd(_) => "written",
             Content::Evacuated => "evacuated",
             Content::Gone => "gone",
-            Content::Lapsed => "lapsed",
+            Content::Lapsed(_) => "lapsed",
         }
     }
 }
@@ -148,7 +149,7 @@
             (DocumentKey::BackEnd(instance), Content::BackEnd(back_end)) => {
                 self.apply_back_end(instance, change.revision, back_end)
             }
-            (DocumentKey::BackEnd(instance), Content::Gone | Content::Lapsed) => {
+            (DocumentKey::BackEnd(instance), Content::Gone | Content::Lapsed(_)) => {
                 self.remove(instance, change.revision)
             }
             (DocumentKey::Evacuation(zone), Content::Evacuated) => {
--- a/crates/coordination/dispatch/tests/fleet.rs
+++ b/crates/coordination/dispatch/tests/fleet.rs
@@ -308,6 +308,24 @@
     assert!((zones..=5 * zones).contains(&others), "{others} others");
 }
 
+#[test]
+fn a_node_knows_that_nobody_reads_only_after_others_tried() {
+    let mut fleet = Fleet::new(7, 3);
+    fleet.run_with_platform(10_000, 1);
+    let lacks = |fleet: &Fleet| {
+        let nodes = fleet.nodes.iter();
+        nodes
+            .filter(|node| node.lacks_confirmation(fleet.now))
+            .count()
+    };
+    fleet.run(1_900);
+    assert_eq!(lacks(&fleet), 0);
+    fleet.run(1_300);
+    assert_eq!(lacks(&fleet), 7);
+    fleet.run_with_platform(500, 1);
+    assert_eq!(lacks(&fleet), 0);
+}
+
 #[test]
 fn a_seed_sends_nothing_to_itself() {
     let own = support::node_address(0);
--- a/crates/coordination/dispatch/tests/placement.rs
+++ b/crates/coordination/dispatch/tests/placement.rs
@@ -85,6 +85,19 @@
     assert!(matches!(decision, Decision::Refuse(Reason::NoBackEnd, _)));
 }
 
+#[test]
+fn a_back_end_whose_entry_lapsed_late_is_gone_sooner() {
+    let mut subject = with_engines(1);
+    subject.tick(START);
+    let mut change = lapsed_change("engine-0", 3);
+    change.content = Content::Lapsed(Span::from_milliseconds(500));
+    subject.apply(change, START);
+    let later = START + Span::from_milliseconds(500);
+    subject.tick(later);
+    let decision = subject.ask(&demand(1, 13_000, 600), later);
+    assert!(matches!(decision, Decision::Refuse(Reason::NoBackEnd, _)));
+}
+
 #[test]
 fn a_back_end_that_is_listed_again_keeps_what_is_known_of_its_cache() {
     let mut subject = with_engines(1);
--- a/crates/coordination/dispatch/tests/support/mod.rs
+++ b/crates/coordination/dispatch/tests/support/mod.rs
@@ -109,7 +109,7 @@
     Change {
         key: DocumentKey::BackEnd(InstanceId::from(name)),
         revision,
-        content: Content::Lapsed,
+        content: Content::Lapsed(Span::from_milliseconds(2_000)),
     }
 }
 
--- a/crates/transport/relay/src/control.rs
+++ b/crates/transport/relay/src/control.rs
@@ -324,6 +324,12 @@
         self.control.dispatcher.borrow().knowledge().complete_to()
     }
 
+    /// Whether no node heard a confirmation for so long that the platform was probably away.
+    pub fn lacked_confirmation(&self) -> bool {
+        let now = self.control.clock.now();
+        self.control.dispatcher.borrow().lacks_confirmation(now)
+    }
+
     /// Hands changes over; `revision` is the one up to which all is then known.
     pub fn take(&self, changes: Vec<Change>, revision: u64) {
         self.control.take(changes, "store");
