Documents at a start: two transfers at a time, the rest is sent on to those that have theirs

Cause: after a loss of all nodes each asks the first that know anything for all documents. With 99 nodes before 1,002 engines the links of three seeds carry 2 MB each, with 300 before 3,000 18 MB; transfers are given up after 1.5 s, and on weak links 25 of 33 nodes of a zone went on to read the store themselves.

Change: a node hands all documents to two others at a time, names those that have got theirs to the rest, and ends transfers whose connections went silent.

Measured: in tests/document_service.rs (links of 10 Mbit/s) 300 nodes have the documents of 3,000 engines after 2.1 s, 14.4 s by three seeds alone; 2,200 nodes and 600 kB 11.0 and 352 s.

--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod cold_start;
 mod demand;
 mod dispatcher;
+mod document_service;
 mod eligibility;
 mod engine_model;
 mod health;
@@ -32,6 +33,7 @@
     Dispatcher, DispatcherSettings, ReadingDuty, Received, Snapshot, TICK, TakenNews, TickOutput,
     UnknownName,
 };
+pub use document_service::{Admission, DocumentService, TransferId};
 pub use engine_model::{EngineSpeed, PoolModel};
 pub use health::{Health, HealthChange};
 pub use knowledge::{Applied, Change, Content, DocumentKey, Knowledge};
--- /dev/null
+++ b/crates/coordination/dispatch/tests/document_service.rs
@@ -0,0 +1,163 @@
+//! How documents spread when all nodes of a fleet want them at once.
+
+use eiderferry_dispatch::{Admission, DocumentService, TransferId};
+use eiderferry_types::{Span, Timestamp};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (number / 250) as u8, (number % 250) as u8], 7340))
+}
+
+fn admitted(admission: Admission) -> TransferId {
+    match admission {
+        Admission::Admitted(Some(transfer)) => transfer,
+        sent_on => panic!("expected a transfer, got {sent_on:?}"),
+    }
+}
+
+#[test]
+fn a_busy_node_names_those_that_got_theirs() {
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let mut service = DocumentService::default();
+    let now = Timestamp(0);
+    let transfers: Vec<TransferId> = (1..3)
+        .map(|number| admitted(service.ask(address(number), 0, &mut random, now)))
+        .collect();
+    let nobody = service.ask(address(5), 0, &mut random, now);
+    assert_eq!(nobody, Admission::SentOn(Vec::new()));
+    service.end(transfers[0]);
+    admitted(service.ask(address(5), 0, &mut random, now));
+    let sent_on = service.ask(address(6), 0, &mut random, now);
+    assert_eq!(sent_on, Admission::SentOn(vec![address(1)]));
+}
+
+#[test]
+fn a_node_that_knows_some_documents_is_never_sent_on() {
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let mut service = DocumentService::default();
+    for number in 1..20 {
+        let admission = service.ask(address(number), 7, &mut random, Timestamp(0));
+        assert_eq!(admission, Admission::Admitted(None));
+    }
+    admitted(service.ask(address(20), 0, &mut random, Timestamp(0)));
+}
+
+#[test]
+fn a_connection_that_went_silent_holds_nobody_up_for_good() {
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let mut service = DocumentService::default();
+    for number in 1..3 {
+        admitted(service.ask(address(number), 0, &mut random, Timestamp(0)));
+    }
+    let later = Timestamp(0) + Span::from_milliseconds(2_000);
+    admitted(service.ask(address(5), 0, &mut random, later));
+}
+
+/// Link of every node, in bytes a millisecond: 10 Mbit/s.
+const LINK: f64 = 1_250.0;
+const SEEDS: usize = 3;
+
+struct Transfer {
+    from: usize,
+    to: usize,
+    id: TransferId,
+    left: f64,
+}
+
+/// Milliseconds until all nodes have documents of so many bytes, on links that the transfers
+/// of a node share. A node that is sent on asks the nodes named and then waits for 150 ms.
+fn spreading_time(nodes: usize, bytes: f64) -> u64 {
+    let mut random = ChaCha8Rng::seed_from_u64(7);
+    let mut services: BTreeMap<usize, DocumentService> = (0..SEEDS)
+        .map(|seed| (seed, DocumentService::default()))
+        .collect();
+    let numbers: BTreeMap<SocketAddr, usize> =
+        (0..nodes).map(|number| (address(number), number)).collect();
+    let mut waiting: BTreeMap<usize, u64> = (SEEDS..nodes).map(|node| (node, 0)).collect();
+    let mut transfers: Vec<Transfer> = Vec::new();
+    for millisecond in 0..60_000 {
+        let now = Timestamp(0) + Span::from_milliseconds(millisecond);
+        let due: Vec<usize> = waiting
+            .iter()
+            .filter(|(_, at)| **at <= millisecond)
+            .map(|(node, _)| *node)
+            .collect();
+        for node in due {
+            let mut source = node % SEEDS;
+            let mut begun = None;
+            for _ in 0..4 {
+                let Some(service) = services.get_mut(&source) else {
+                    break;
+                };
+                match service.ask(address(node), 0, &mut random, now) {
+                    Admission::Admitted(id) => {
+                        let id = id.expect("a transfer that counts");
+                        begun = Some(Transfer {
+                            from: source,
+                            to: node,
+                            id,
+                            left: bytes,
+                        });
+                        break;
+                    }
+                    Admission::SentOn(others) => match others.first() {
+                        Some(other) => source = numbers[other],
+                        None => break,
+                    },
+                }
+            }
+            match begun {
+                Some(transfer) => {
+                    waiting.remove(&node);
+                    transfers.push(transfer);
+                }
+                None => {
+                    waiting.insert(node, millisecond + 150);
+                }
+            }
+        }
+        let mut open: BTreeMap<usize, f64> = BTreeMap::new();
+        for transfer in &transfers {
+            *open.entry(transfer.from).or_default() += 1.0;
+        }
+        for transfer in &mut transfers {
+            transfer.left -= LINK / open[&transfer.from];
+        }
+        let (ended, running) = transfers
+            .into_iter()
+            .partition(|one: &Transfer| one.left <= 0.0);
+        transfers = running;
+        for transfer in ended {
+            services.entry(transfer.from).or_default().end(transfer.id);
+            services.insert(transfer.to, DocumentService::default());
+        }
+        if services.len() == nodes {
+            return millisecond;
+        }
+    }
+    60_000
+}
+
+/// With all asking the seeds at once a seed's link carries the documents of a third of the
+/// fleet: 4.8 s for 300 nodes and 60 kB, 14 s for 180 kB, 352 s for 2,200 nodes and 600 kB.
+/// Now: under 1.0 s, 2.1 s and 11.0 s.
+#[rstest]
+#[case::engines_1000(300, 60_000.0, 1_000)]
+#[case::engines_3000(300, 180_000.0, 2_200)]
+#[case::in_two_years(2_200, 600_000.0, 11_500)]
+fn documents_spread_faster_than_a_few_sources_could_send_them(
+    #[case] nodes: usize,
+    #[case] bytes: f64,
+    #[case] within: u64,
+) {
+    let milliseconds = spreading_time(nodes, bytes);
+    let by_seeds = nodes as f64 / SEEDS as f64 * bytes / LINK;
+    assert!(
+        milliseconds <= within,
+        "{milliseconds} ms, {by_seeds} ms by the seeds alone"
+    );
+}
--- a/crates/transport/relay/src/control.rs
+++ b/crates/transport/relay/src/control.rs
@@ -1,6 +1,7 @@
 //! The control thread: the one place that touches the dispatcher.
 
 use crate::clock::Clock;
+use crate::documents::FetchError;
 use crate::events;
 use crate::gossip::PeerSocket;
 use crate::metrics;
@@ -21,6 +22,9 @@
 const PAUSE: Span = Span::from_milliseconds(700);
 /// Ticks between two updates of the gauges.
 const GAUGE_TICKS: u64 = 10;
+/// Pause after nodes that were busy with others, at the least; up to as much is added, so that
+/// nodes which started together don't ask together.
+const FETCH_PAUSE: Span = Span::from_milliseconds(100);
 /// Time between two looks at whether this node has to read documents.
 const DUTY_CHECK: Span = Span::from_milliseconds(150);
 /// The same while nothing is known yet.
@@ -92,6 +96,8 @@
     pub clock: Clock,
     table: SharedTable,
     socket: PeerSocket,
+    /// Where this node answers other nodes.
+    address: SocketAddr,
     fetching: Cell<bool>,
 }
 
@@ -121,12 +127,14 @@
         clock: Clock,
         table: SharedTable,
         socket: PeerSocket,
+        address: SocketAddr,
     ) -> Self {
         Self {
             dispatcher: RefCell::new(dispatcher),
             clock,
             table,
             socket,
+            address,
             fetching: Cell::new(false),
         }
     }
@@ -236,7 +244,12 @@
 
     async fn fetch(&self, from: SocketAddr) {
         let known = self.dispatcher.borrow().knowledge().complete_to();
-        let result = crate::documents::fetch(from, known).await;
+        let result = crate::documents::fetch(from, known, self.address).await;
+        if let Err(FetchError::Busy(_)) = &result {
+            let part = rand::random::<f64>();
+            let pause = FETCH_PAUSE + FETCH_PAUSE.scaled(part);
+            smol::Timer::after(crate::clock::duration(pause)).await;
+        }
         self.fetching.set(false);
         match result {
             Ok(package) => {
@@ -246,6 +259,7 @@
                 let at = age.map(|age| heard - age);
                 self.confirm(package.complete_to, at.unwrap_or_default(), false);
             }
+            Err(FetchError::Busy(peer)) => log::debug!("documents: {peer} is busy"),
             Err(error) => events::fetch_failed(from, &error),
         }
     }
--- a/crates/transport/relay/src/documents.rs
+++ b/crates/transport/relay/src/documents.rs
@@ -2,13 +2,16 @@
 
 use crate::clock::Clock;
 use crate::control::Control;
+use crate::metrics;
 use async_compat::Compat;
-use eiderferry_dispatch::Change;
+use eiderferry_dispatch::{Admission, Change, DocumentService, TransferId};
 use eiderferry_peer::{Documents, DocumentsClient};
+use eiderferry_types::Timestamp;
 use futures_lite::{FutureExt, StreamExt};
 use quick_error::quick_error;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tarpc::server::Channel;
 use tarpc::tokio_serde::formats::Bincode;
@@ -18,6 +21,9 @@
 const MAXIMUM_FRAME_BYTES: usize = 16 * 1024 * 1024;
 /// Longest time to fetch a package.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Nodes asked for one package: the sources grow about fivefold with each transfer, and the
+/// later ones that are named are the less busy ones.
+const MOST_ASKED: usize = 4;
 
 quick_error! {
     /// Why documents could not be fetched. They are asked for again later.
@@ -38,6 +44,10 @@
             from()
             display("the package can't be read: {cause}")
         }
+        /// It and those that it named hand out as many packages as they can.
+        Busy(peer: SocketAddr) {
+            display("{peer} and those that it named are busy")
+        }
         /// No answer came in time.
         TimedOut {
             display("no answer in {} ms", FETCH_TIMEOUT.as_millis())
@@ -53,43 +63,115 @@
     pub confirmed_ms: Option<u64>,
 }
 
-/// Fetches all changes after a revision from a peer.
-pub(crate) async fn fetch(peer: SocketAddr, revision: u64) -> Result<Package, FetchError> {
+/// What a node that is asked for documents answers.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+enum Reply {
+    /// The documents.
+    Package(Package),
+    /// It hands out as many as it can; these have got theirs.
+    SentOn(Vec<SocketAddr>),
+}
+
+/// Fetches all changes after a revision from a peer, or from others that it names. `own` is
+/// where this node answers such calls.
+pub(crate) async fn fetch(
+    peer: SocketAddr,
+    revision: u64,
+    own: SocketAddr,
+) -> Result<Package, FetchError> {
+    let mut asked = vec![peer];
+    while let Some(source) = asked.last().copied() {
+        match ask(source, revision, own).await? {
+            Reply::Package(package) => return Ok(package),
+            Reply::SentOn(others) => {
+                let mut others = others.into_iter().filter(|other| !asked.contains(other));
+                let next = others.next().filter(|_| asked.len() < MOST_ASKED);
+                asked.push(next.ok_or(FetchError::Busy(peer))?);
+            }
+        }
+    }
+    Err(FetchError::Busy(peer))
+}
+
+async fn ask(peer: SocketAddr, revision: u64, own: SocketAddr) -> Result<Reply, FetchError> {
     let timeout = async {
         smol::Timer::after(FETCH_TIMEOUT).await;
         Err(FetchError::TimedOut)
     };
-    let bytes = Compat::new(call(peer, revision)).or(timeout).await?;
+    let bytes = Compat::new(call(peer, revision, own)).or(timeout).await?;
     Ok(postcard::from_bytes(&bytes)?)
 }
 
-async fn call(peer: SocketAddr, revision: u64) -> Result<Vec<u8>, FetchError> {
+async fn call(peer: SocketAddr, revision: u64, own: SocketAddr) -> Result<Vec<u8>, FetchError> {
     let mut connect = tarpc::serde_transport::tcp::connect(peer, Bincode::default);
     connect.config_mut().max_frame_length(MAXIMUM_FRAME_BYTES);
     let transport = connect.await?;
     let client = DocumentsClient::new(client::Config::default(), transport).spawn();
-    Ok(client.changes_after(context::current(), revision).await?)
+    let documents = client.changes_after(context::current(), revision, own);
+    Ok(documents.await?)
 }
 
-/// A request for documents, answered by the control thread.
-pub(crate) struct PackageRequest {
-    revision: u64,
-    reply: async_channel::Sender<Vec<u8>>,
+/// What the control thread is told of a node that wants documents.
+pub(crate) enum DocumentRequest {
+    /// It asks for the changes after a revision.
+    Ask {
+        revision: u64,
+        caller: SocketAddr,
+        reply: async_channel::Sender<(Vec<u8>, Option<TransferId>)>,
+    },
+    /// Its connection has ended.
+    Ended(TransferId),
+}
+
+type Requests = async_channel::Sender<DocumentRequest>;
+
+/// Tells the control thread, when it is dropped with its connection, that a transfer is over.
+struct OpenTransfer {
+    id: TransferId,
+    requests: Requests,
+}
+
+impl Drop for OpenTransfer {
+    fn drop(&mut self) {
+        // The channel is unbounded; it only fails when the control thread is gone.
+        let _ = self.requests.try_send(DocumentRequest::Ended(self.id));
+    }
 }
 
 #[derive(Clone)]
 struct Server {
-    requests: async_channel::Sender<PackageRequest>,
+    requests: Requests,
+    /// Transfers of the connection that this serves.
+    transfers: Arc<Mutex<Vec<OpenTransfer>>>,
 }
 
 impl Documents for Server {
-    async fn changes_after(self, _: context::Context, revision: u64) -> Vec<u8> {
+    async fn changes_after(
+        self,
+        _: context::Context,
+        revision: u64,
+        caller: SocketAddr,
+    ) -> Vec<u8> {
         let (reply, answer) = async_channel::bounded(1);
-        let request = PackageRequest { revision, reply };
+        let request = DocumentRequest::Ask {
+            revision,
+            caller,
+            reply,
+        };
         if self.requests.send(request).await.is_err() {
             return Vec::new();
         }
-        answer.recv().await.unwrap_or_default()
+        let Ok((bytes, transfer)) = answer.recv().await else {
+            return Vec::new();
+        };
+        let open = transfer.map(|id| OpenTransfer {
+            id,
+            requests: self.requests.clone(),
+        });
+        if let Ok(mut transfers) = self.transfers.lock() {
+            transfers.extend(open);
+        }
+        bytes
     }
 }
 
@@ -97,48 +179,81 @@
 pub(crate) async fn answer(
     control: Rc<Control>,
     clock: Clock,
-    requests: async_channel::Receiver<PackageRequest>,
+    requests: async_channel::Receiver<DocumentRequest>,
 ) {
+    let mut service = DocumentService::default();
     while let Ok(request) = requests.recv().await {
-        let package = {
-            let dispatcher = control.dispatcher.borrow();
-            let knowledge = dispatcher.knowledge();
-            let age = knowledge.confirmed_age(clock.now());
-            Package {
-                changes: knowledge.changes_after(request.revision),
-                complete_to: knowledge.complete_to(),
-                confirmed_ms: age.map(|age| age.milliseconds()),
+        let now = clock.now();
+        match request {
+            DocumentRequest::Ended(transfer) => service.end(transfer),
+            DocumentRequest::Ask {
+                revision,
+                caller,
+                reply,
+            } => {
+                let admission = service.ask(caller, revision, &mut rand::rng(), now);
+                let (answer, transfer) = match admission {
+                    Admission::Admitted(transfer) => {
+                        let package = package(&control, revision, now);
+                        (Reply::Package(package), transfer)
+                    }
+                    Admission::SentOn(others) => {
+                        metrics::documents_sent_on();
+                        (Reply::SentOn(others), None)
+                    }
+                };
+                // A caller that has left needs no answer; its connection ends the transfer.
+                let _ = reply.try_send((encode(&answer), transfer));
             }
-        };
-        let bytes = postcard::to_stdvec(&package).unwrap_or_default();
-        let _ = request.reply.try_send(bytes);
+        }
+    }
+}
+
+fn package(control: &Control, revision: u64, now: Timestamp) -> Package {
+    let dispatcher = control.dispatcher.borrow();
+    let knowledge = dispatcher.knowledge();
+    let age = knowledge.confirmed_age(now);
+    Package {
+        changes: knowledge.changes_after(revision),
+        complete_to: knowledge.complete_to(),
+        confirmed_ms: age.map(|age| age.milliseconds()),
+    }
+}
+
+fn encode(reply: &Reply) -> Vec<u8> {
+    match postcard::to_stdvec(reply) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            // Empty bytes are no reply: the caller asks another node.
+            log::error!(event = "documents_not_encoded", error:% = error; "documents not encoded");
+            Vec::new()
+        }
     }
 }
 
 /// Accepts peers' calls for ever.
-pub(crate) async fn serve(
-    listener: std::net::TcpListener,
-    requests: async_channel::Sender<PackageRequest>,
-) {
+pub(crate) async fn serve(listener: std::net::TcpListener, requests: Requests) {
     if let Err(error) = Compat::new(accept(listener, requests)).await {
         log::error!("documents can't be passed on: {error}");
     }
 }
 
-async fn accept(
-    listener: std::net::TcpListener,
-    requests: async_channel::Sender<PackageRequest>,
-) -> std::io::Result<()> {
+async fn accept(listener: std::net::TcpListener, requests: Requests) -> std::io::Result<()> {
     listener.set_nonblocking(true)?;
     let listener = tokio::net::TcpListener::from_std(listener)?;
     let mut incoming = tarpc::serde_transport::tcp::listen_on(listener, Bincode::default).await?;
     incoming.config_mut().max_frame_length(MAXIMUM_FRAME_BYTES);
     while let Some(connection) = incoming.next().await {
-        let Ok(transport) = connection else {
-            continue;
+        let transport = match connection {
+            Ok(transport) => transport,
+            Err(error) => {
+                log::debug!("a peer's connection was not accepted: {error}");
+                continue;
+            }
         };
         let server = Server {
             requests: requests.clone(),
+            transfers: Arc::default(),
         };
         let channel = server::BaseChannel::with_defaults(transport);
         let serve = channel.execute(server.serve()).for_each(|response| {
--- a/crates/transport/relay/src/metrics.rs
+++ b/crates/transport/relay/src/metrics.rs
@@ -78,6 +78,11 @@
     metrics::counter!("eiderferry_messages_lost_total", "step" => step).increment(1);
 }
 
+/// A node that asked for documents was sent on to others.
+pub(crate) fn documents_sent_on() {
+    metrics::counter!("eiderferry_documents_sent_on_total").increment(1);
+}
+
 /// A document held something that makes no sense here.
 pub(crate) fn document_doubtful(what: &'static str) {
     metrics::counter!("eiderferry_documents_doubtful_total", "what" => what).increment(1);
--- a/crates/transport/relay/src/node.rs
+++ b/crates/transport/relay/src/node.rs
@@ -81,10 +81,11 @@
             link_mbps: settings.link_mbps,
         });
         let shared = Arc::clone(&table);
+        let peer = settings.peer;
         let thread = std::thread::Builder::new().name("control".to_owned());
         thread
             .spawn(move || {
-                let control = Control::new(dispatcher, clock, shared, socket);
+                let control = Control::new(dispatcher, clock, shared, socket, peer);
                 run_control(Rc::new(control), commands, listener, source);
             })
             .map_err(StartError::Thread)?;
