--- a/crates/coordination/dispatch/src/document_service.rs
+++ b/crates/coordination/dispatch/src/document_service.rs
@@ -12,9 +12,9 @@
 use std::net::SocketAddr;
 
 /// Nodes that get documents from one node at once. 300 nodes on links of 10 Mbit/s have the
-/// documents of 3,000 back ends (180 kB) after 2.1 s; with one at once after 1.9 s at most, but
-/// then a slow receiver holds all others up, with four after 2.4 s, and without any limit the
-/// links of three seeds alone need 14 s (`tests/document_service.rs`).
+/// documents of 3,000 back ends (180 kB) after 2.1 s; with four at once after 2.4 s, and without
+/// any limit the links of three seeds alone need 14 s (`tests/document_service.rs`). With one
+/// at once a single slow receiver would hold all others up.
 const MOST_AT_ONCE: usize = 2;
 /// Time after which a transfer is given up: its connection may have gone silent for good.
 const LONGEST_TRANSFER: Span = Span::from_milliseconds(2_000);
