--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -5,6 +5,7 @@
 mod granting;
 mod messages;
 mod reading;
+mod turns;
 mod unknown_names;
 mod zone_digest;
 
--- a/crates/coordination/dispatch/src/dispatcher/aggregation.rs
+++ b/crates/coordination/dispatch/src/dispatcher/aggregation.rs
@@ -5,7 +5,7 @@
 //! first, then by hashing. They keep nothing that is not reported again within half a second,
 //! so that any of them may be lost at any time.
 
-use super::messages::in_turn;
+use super::turns::in_turn;
 use super::{Dispatcher, TICK};
 use crate::message::{Envelope, FleetSummary, Gossip, HeardZone, LoadReport, Member, Placement};
 use crate::{LoadSource, PeerChange};
--- a/crates/coordination/dispatch/src/dispatcher/granting.rs
+++ b/crates/coordination/dispatch/src/dispatcher/granting.rs
@@ -3,8 +3,9 @@
 use super::{Dispatcher, PLACEMENTS_PER_MESSAGE};
 use crate::eligibility::refusal;
 use crate::health::HealthChange;
-use crate::planning::{Plan, View, plans};
+use crate::planning::{Plan, plans};
 use crate::registry::BackEndState;
+use crate::view::View;
 use crate::{
     Candidate, Decision, Demand, Grant, LeaseId, Outcome, Placement, PromptPart, RetryBudget,
     StreamPacing, choose,
--- a/crates/coordination/dispatch/src/dispatcher/messages.rs
+++ b/crates/coordination/dispatch/src/dispatcher/messages.rs
@@ -1,6 +1,7 @@
 //! What a dispatcher tells the other nodes, and when.
 
 use super::aggregation::PEER_TICKS;
+use super::turns::in_turn;
 use super::{Dispatcher, OUTCOME_LIFETIME, PLACEMENTS_PER_MESSAGE, TickOutput};
 use crate::DocumentKey;
 use crate::message::{Envelope, Gossip, LoadReport, News};
@@ -218,13 +219,3 @@
 fn envelope(to: Vec<SocketAddr>, message: Gossip) -> Option<Envelope> {
     (!to.is_empty()).then_some(Envelope { to, message })
 }
-
-/// The next peers in turn, so that each is told at a steady pace.
-pub(super) fn in_turn(peers: &[SocketAddr], most: usize, turn: &mut usize) -> Vec<SocketAddr> {
-    let count = most.min(peers.len());
-    let start = *turn;
-    *turn = turn.wrapping_add(count);
-    (0..count)
-        .map(|offset| peers[start.wrapping_add(offset) % peers.len()])
-        .collect()
-}
--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -25,6 +25,8 @@
 mod planning;
 mod registry;
 mod retry_budget;
+mod streams_apart;
+mod view;
 
 pub use cache::PrefixCache;
 pub use cold_start::{ColdBound, ColdDuty, LONGEST_COLD, WarmthChange};
--- a/crates/coordination/dispatch/src/planning.rs
+++ b/crates/coordination/dispatch/src/planning.rs
@@ -2,12 +2,12 @@
 
 use crate::eligibility::is_eligible;
 use crate::registry::{BackEndState, Registry};
+use crate::view::View;
 use crate::{Candidate, Demand, Footprint, Occupancy, PoolModel};
-use eiderferry_routing::{ColdStart, InstanceId, RegionOfZone, ZoneName};
+use eiderferry_routing::InstanceId;
 use eiderferry_types::{Span, Timestamp};
 use rand::Rng;
 use rand::seq::IteratorRandom;
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -38,10 +38,6 @@
 const STREAMING_PART: f64 = 0.125;
 /// Seed of the hash that chooses them.
 const STREAMING_SEED: u64 = 0x5354_5245_414d;
-/// Exposed streams for each slot of a pool from which on, and down to which, engines are kept
-/// for them: apart, so that homes do not move to and fro.
-const STREAMS_APART_FROM: f64 = 0.01;
-const STREAMS_APART_TO: f64 = 0.003;
 /// Chance to come late beside long prompts from which on a stream is placed apart.
 const SENSITIVE_CHANCE: f64 = 0.15;
 /// Requests with long prompts that are expected at an engine with homes besides those there.
@@ -65,23 +61,6 @@
     )
 }
 
-/// Where and when a node decides.
-#[derive(Clone, Copy)]
-pub(crate) struct View<'a> {
-    /// Its zone.
-    pub zone: &'a ZoneName,
-    /// Zones that it hears nothing of.
-    pub silent_zones: &'a BTreeSet<ZoneName>,
-    /// Region of each zone.
-    pub regions: &'a RegionOfZone,
-    /// Zones whose back ends get nothing new.
-    pub evacuated: &'a BTreeSet<ZoneName>,
-    /// How the back ends of the request's pool start, if they start cold.
-    pub cold_start: Option<ColdStart>,
-    /// The time.
-    pub now: Timestamp,
-}
-
 /// Plans for the back ends worth comparing.
 pub(crate) fn plans(
     registry: &Registry,
@@ -197,17 +176,6 @@
     }
 }
 
-/// Whether the streams of a pool, so many of them exposed to long prompts over so many slots,
-/// are kept apart from now on.
-pub(crate) fn keeps_streams_apart(exposed: f64, slots: u32, before: bool) -> bool {
-    let limit = if before {
-        STREAMS_APART_TO
-    } else {
-        STREAMS_APART_FROM
-    };
-    exposed > limit * f64::from(slots)
-}
-
 /// The two engines that keep most of a prompt's beginning.
 struct Keepers<'a> {
     best: Vec<(u32, &'a BackEndState)>,
--- a/crates/coordination/dispatch/src/registry.rs
+++ b/crates/coordination/dispatch/src/registry.rs
@@ -3,7 +3,7 @@
 use crate::cold_start::Warmth;
 use crate::health::Health;
 use crate::load::Counted;
-use crate::planning::keeps_streams_apart;
+use crate::streams_apart::keeps_streams_apart;
 use crate::{BackEndLoad, LoadReport, LoadSource, Placement, PoolModel, PromptPart, StreamPacing};
 use eiderferry_routing::{BackEnd, EngineSpecification, InstanceId, PoolName, RoutingTable};
 use eiderferry_types::Timestamp;
