Dispatch: one filter for a zone's staying nodes, own address hashed once, a dead field gone

The dispatcher noted the time of its last tick for lapses, which nobody reads any more; the order of senders filtered a zone's nodes in the same way as the order of duties, and hashed the node's own address as text for each cold back end in each tick; three tests took the number out of an engine's name each in its own way; a comment still told the growth of an earlier limit.

No decision, bound or assertion changed.

--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -149,7 +149,6 @@
     announced_to: u64,
     is_stopping: bool,
     started: Option<Timestamp>,
-    ticked_at: Timestamp,
     /// Back ends whose entries lapsed, and when they count as gone.
     lapsed: HashMap<InstanceId, Timestamp>,
     zone_digests: ZoneDigests,
@@ -189,7 +188,6 @@
             announced_to: 0,
             is_stopping: false,
             started: None,
-            ticked_at: Timestamp::default(),
             lapsed: HashMap::new(),
             zone_digests: ZoneDigests::default(),
             aggregation: Aggregation::default(),
--- a/crates/coordination/dispatch/src/dispatcher/messages.rs
+++ b/crates/coordination/dispatch/src/dispatcher/messages.rs
@@ -46,7 +46,6 @@
     pub fn tick(&mut self, now: Timestamp) -> TickOutput {
         self.ticks += 1;
         self.started.get_or_insert(now);
-        self.ticked_at = now;
         self.forget_lapsed(now);
         let mut peer_changes = self.peers.tick(now);
         let warmth_changes = self.renew_cold_senders(now);
--- a/crates/coordination/dispatch/src/dispatcher/unknown_names.rs
+++ b/crates/coordination/dispatch/src/dispatcher/unknown_names.rs
@@ -7,9 +7,9 @@
 /// A name that means nothing here.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum UnknownName {
-    /// A zone that is evacuated: no back end known here stands in it.
+    /// A zone that is evacuated or given back.
     Zone(ZoneName),
-    /// A region in which requests may run: none of the zones known here lies in it.
+    /// A region in which requests may run: none of the settings' zones lies in it.
     Region(RegionName),
 }
 
--- a/crates/coordination/dispatch/src/peers.rs
+++ b/crates/coordination/dispatch/src/peers.rs
@@ -56,6 +56,7 @@
 #[derive(Clone, Debug)]
 pub struct Peers {
     own: SocketAddr,
+    own_hash: u64,
     zone: ZoneName,
     peers: BTreeMap<SocketAddr, Peer>,
     hearsay: BTreeMap<SocketAddr, (ZoneName, Timestamp)>,
@@ -79,16 +80,21 @@
 
 impl DutyRank {
     pub fn new(address: SocketAddr, link_mbps: u16) -> Self {
-        let hash = xxh3_64_with_seed(address.to_string().as_bytes(), 0);
+        let hash = address_hash(address);
         Self { link_mbps, hash }
     }
 }
 
+fn address_hash(address: SocketAddr) -> u64 {
+    xxh3_64_with_seed(address.to_string().as_bytes(), 0)
+}
+
 impl Peers {
     /// Nothing but the seeds is known.
     pub fn new(own: SocketAddr, zone: ZoneName, seeds: Vec<SocketAddr>) -> Self {
         Self {
             own,
+            own_hash: address_hash(own),
             zone,
             peers: BTreeMap::new(),
             hearsay: BTreeMap::new(),
@@ -352,10 +358,8 @@
     /// Nodes of the own zone that may take duties over for the others, with their places in
     /// the order, first ones first.
     pub(crate) fn ranked_for_duties(&self) -> Vec<(DutyRank, SocketAddr)> {
-        let near = self.peers.iter();
-        let near = near.filter(|(_, peer)| !peer.is_lost && peer.zone == self.zone);
-        let staying = near.filter(|(_, peer)| !peer.is_stopping);
-        let mut ranked: Vec<(DutyRank, SocketAddr)> = staying
+        let mut ranked: Vec<(DutyRank, SocketAddr)> = self
+            .staying_near()
             .map(|(address, peer)| (peer.rank, *address))
             .collect();
         ranked.sort_unstable_by_key(|(rank, _)| std::cmp::Reverse(*rank));
@@ -365,16 +369,19 @@
     /// Place of a node of the own zone among those that send to a cold back end: the number
     /// of living nodes before it that are not stopping.
     pub(crate) fn sender_place(&self, back_end: u32) -> usize {
-        let own = DutyRank::new(self.own, 0);
-        let own = sender_rank(own.hash, back_end);
-        let near = self.peers.values();
-        let near = near.filter(|peer| !peer.is_lost && peer.zone == self.zone);
-        let staying = near.filter(|peer| !peer.is_stopping);
-        staying
-            .filter(|peer| sender_rank(peer.rank.hash, back_end) > own)
+        let own = sender_rank(self.own_hash, back_end);
+        self.staying_near()
+            .filter(|(_, peer)| sender_rank(peer.rank.hash, back_end) > own)
             .count()
     }
 
+    /// Peers of the own zone that are there and not stopping.
+    fn staying_near(&self) -> impl Iterator<Item = (&SocketAddr, &Peer)> {
+        let near = self.peers.iter();
+        let near = near.filter(|(_, peer)| !peer.is_lost && peer.zone == self.zone);
+        near.filter(|(_, peer)| !peer.is_stopping)
+    }
+
     /// Whether a peer is there.
     pub fn is_living(&self, address: SocketAddr) -> bool {
         let peer = self.peers.get(&address);
--- a/crates/coordination/dispatch/tests/evacuation.rs
+++ b/crates/coordination/dispatch/tests/evacuation.rs
@@ -10,8 +10,8 @@
 use rstest::rstest;
 use std::ops::Range;
 use support::{
-    ENGINES, Fleet, START, back_end, back_end_change, demand, dispatcher, granted, table_change,
-    zone,
+    ENGINES, Fleet, START, back_end, back_end_change, demand, dispatcher, engine_number, granted,
+    table_change, zone,
 };
 
 /// Time within which an evacuation has to be obeyed by all nodes that are in touch.
@@ -54,9 +54,7 @@
     for thing in things {
         let grant = granted(subject.ask(&demand(thing, 2_000, 100), now));
         subject.end(grant.lease, Outcome::Completed, now);
-        let number: usize = grant.instance.as_str()["engine-".len()..]
-            .parse()
-            .expect("a number");
+        let number = engine_number(&grant);
         zones.push(number % 3);
     }
     zones
@@ -101,9 +99,7 @@
     let first = granted(subject.ask(&prompt, START));
     subject.first_event(first.lease, START);
     subject.end(first.lease, Outcome::Broken, START);
-    let number: usize = first.instance.as_str()["engine-".len()..]
-        .parse()
-        .expect("a number");
+    let number = engine_number(&first);
     let its_zone = number % 3;
     subject.apply(evacuation(zone(its_zone), 7, Content::Evacuated), START);
     let later = START + Span::from_milliseconds(3_000);
@@ -119,9 +115,7 @@
     }
     for _ in 0..3 {
         let grant = granted(subject.ask(&again, later));
-        let number: usize = grant.instance.as_str()["engine-".len()..]
-            .parse()
-            .expect("a number");
+        let number = engine_number(&grant);
         assert_ne!(number % 3, its_zone);
         assert_eq!(
             grant.copy_from, None,
--- a/crates/coordination/dispatch/tests/fleet.rs
+++ b/crates/coordination/dispatch/tests/fleet.rs
@@ -6,7 +6,7 @@
 use eiderferry_types::Span;
 use rstest::rstest;
 use std::collections::BTreeSet;
-use support::{Fleet, back_end, back_end_change, demand, granted, table_change};
+use support::{Fleet, back_end, back_end_change, demand, engine_number, granted, table_change};
 
 /// Time that a message of two nodes takes.
 const ON_THE_WAY: Span = Span(900);
@@ -344,8 +344,7 @@
     let now = fleet.now;
     let grant = granted(fleet.nodes[node].ask(&demand(thing, 600, 100), now));
     fleet.nodes[node].end(grant.lease, Outcome::Abandoned, now);
-    let name = grant.instance.as_str();
-    name["engine-".len()..].parse::<usize>().expect("a number") % 3
+    engine_number(&grant) % 3
 }
 
 #[rstest]
--- a/crates/coordination/dispatch/tests/regions.rs
+++ b/crates/coordination/dispatch/tests/regions.rs
@@ -9,7 +9,9 @@
 use eiderferry_types::{Reason, Span};
 use rstest::rstest;
 use std::collections::BTreeSet;
-use support::{START, back_end, back_end_change, demand, dispatcher, granted, table_change};
+use support::{
+    START, back_end, back_end_change, demand, dispatcher, engine_number, granted, table_change,
+};
 
 fn regions(names: &[&str]) -> Vec<RegionName> {
     names.iter().copied().map(RegionName::from).collect()
@@ -39,9 +41,7 @@
         request.allowed_regions = allowed.clone();
         let grant = granted(subject.ask(&request, START));
         subject.end(grant.lease, Outcome::Completed, START);
-        let number: usize = grant.instance.as_str()["engine-".len()..]
-            .parse()
-            .expect("a number");
+        let number = engine_number(&grant);
         zones.insert(number % 4);
     }
     zones
--- a/crates/coordination/dispatch/tests/support/mod.rs
+++ b/crates/coordination/dispatch/tests/support/mod.rs
@@ -199,6 +199,12 @@
     }
 }
 
+/// Number of the engine that was granted: they are named `engine-0` and so on.
+pub fn engine_number(grant: &Grant) -> usize {
+    let name = grant.instance.as_str();
+    name["engine-".len()..].parse().expect("a number")
+}
+
 /// Time that a message takes.
 const HOP: Span = Span::from_milliseconds(1);
 
--- a/crates/transport/relay/src/documents.rs
+++ b/crates/transport/relay/src/documents.rs
@@ -21,7 +21,7 @@
 const MAXIMUM_FRAME_BYTES: usize = 16 * 1024 * 1024;
 /// Longest time to fetch a package.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Nodes asked for one package: the sources grow about fivefold with each transfer, and the
+/// Nodes asked for one package: the sources grow about threefold with each transfer, and the
 /// later ones that are named are the less busy ones.
 const MOST_ASKED: usize = 4;
 
--- a/crates/transport/relay/src/events.rs
+++ b/crates/transport/relay/src/events.rs
@@ -112,7 +112,7 @@
 }
 
 /// A document names a zone or region that the settings don't know.
-pub(crate) fn unknown_name(news: &TakenNews, unknown: &UnknownName) {
+fn unknown_name(news: &TakenNews, unknown: &UnknownName) {
     metrics::document_doubtful(unknown.kind());
     log::warn!(
         event = "document_doubtful", item = news.key.kind(), revision = news.revision,
