Dispatch: folders for placement, load, fleet and documents; features that an operator may switch off

Change: files moved without a change of code (placement/, load/, fleet/, documents/); a `Features` value in the settings, read from `features` of the settings file (absent: all in use, an unknown name is refused). Nothing asks it yet. Conclusion: no behaviour changed.

--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -16,10 +16,10 @@
 use aggregation::Aggregation;
 use granting::Lease;
 
-use crate::registry::Registry;
+use crate::load::registry::Registry;
 use crate::{
-    Applied, BudgetSettings, Change, ColdBound, ColdDuty, Content, DocumentKey, Envelope, Gossip,
-    Knowledge, LeaseId, PeerChange, Peers, Placement, RetryBudget, WarmthChange,
+    Applied, BudgetSettings, Change, ColdBound, ColdDuty, Content, DocumentKey, Envelope, Features,
+    Gossip, Knowledge, LeaseId, PeerChange, Peers, Placement, RetryBudget, WarmthChange,
 };
 use eiderferry_routing::{InstanceId, NodeName, PoolName, RegionOfZone, ZoneName};
 use eiderferry_types::{Span, Timestamp};
@@ -60,6 +60,8 @@
     pub cold_bound: ColdBound,
     /// Region of each zone.
     pub regions: RegionOfZone,
+    /// Parts in use.
+    pub features: Features,
 }
 
 /// What a tick asks for.
--- a/crates/coordination/dispatch/src/dispatcher/aggregation.rs
+++ b/crates/coordination/dispatch/src/dispatcher/aggregation.rs
@@ -7,7 +7,9 @@
 
 use super::turns::in_turn;
 use super::{Dispatcher, TICK};
-use crate::message::{Envelope, FleetSummary, Gossip, HeardZone, LoadReport, Member, Placement};
+use crate::fleet::message::{
+    Envelope, FleetSummary, Gossip, HeardZone, LoadReport, Member, Placement,
+};
 use crate::{LoadSource, PeerChange};
 use eiderferry_routing::{PartId, ZoneName};
 use eiderferry_types::{Span, Timestamp};
--- a/crates/coordination/dispatch/src/dispatcher/cold_senders.rs
+++ b/crates/coordination/dispatch/src/dispatcher/cold_senders.rs
@@ -1,11 +1,11 @@
 //! Which cold back ends this node may send requests to.
 
 use super::Dispatcher;
-use crate::cold_start::{
+use crate::fleet::peers::Peers;
+use crate::load::cold_start::{
     ColdDuty, GROWTH_SETTLING_TIME, SENDER_SETTLING_TIME, Warmth, WarmthChange,
 };
-use crate::peers::Peers;
-use crate::registry::BackEndState;
+use crate::load::registry::BackEndState;
 use eiderferry_routing::{ColdStart, PoolName};
 use eiderferry_types::{Span, Timestamp};
 use std::collections::BTreeMap;
--- a/crates/coordination/dispatch/src/dispatcher/granting.rs
+++ b/crates/coordination/dispatch/src/dispatcher/granting.rs
@@ -1,11 +1,11 @@
 //! Places at back ends: granted, refused and given back.
 
 use super::{Dispatcher, PLACEMENTS_PER_MESSAGE};
-use crate::eligibility::refusal;
-use crate::health::HealthChange;
-use crate::planning::{Plan, plans};
-use crate::registry::BackEndState;
-use crate::view::View;
+use crate::load::health::HealthChange;
+use crate::load::registry::BackEndState;
+use crate::placement::eligibility::refusal;
+use crate::placement::planning::{Plan, plans};
+use crate::placement::view::View;
 use crate::{
     Candidate, Decision, Demand, Grant, LeaseId, Outcome, Placement, PromptPart, RetryBudget,
     StreamPacing, choose,
--- a/crates/coordination/dispatch/src/dispatcher/messages.rs
+++ b/crates/coordination/dispatch/src/dispatcher/messages.rs
@@ -4,7 +4,7 @@
 use super::turns::in_turn;
 use super::{Dispatcher, OUTCOME_LIFETIME, PLACEMENTS_PER_MESSAGE, TickOutput};
 use crate::DocumentKey;
-use crate::message::{Envelope, Gossip, LoadReport, News};
+use crate::fleet::message::{Envelope, Gossip, LoadReport, News};
 use eiderferry_routing::InstanceId;
 use eiderferry_types::{Span, Timestamp};
 use std::collections::BTreeSet;
--- a/crates/coordination/dispatch/src/dispatcher/reading.rs
+++ b/crates/coordination/dispatch/src/dispatcher/reading.rs
@@ -1,7 +1,7 @@
 //! Which nodes read the platform, and which hear of changes from them.
 
 use super::Dispatcher;
-use crate::peers::DutyRank;
+use crate::fleet::peers::DutyRank;
 use eiderferry_types::{Span, Timestamp};
 
 /// Age of the youngest confirmation at which a node reads the platform itself, at the
--- a/crates/coordination/dispatch/src/dispatcher/zone_digest.rs
+++ b/crates/coordination/dispatch/src/dispatcher/zone_digest.rs
@@ -6,7 +6,7 @@
 use super::aggregation::busiest;
 use super::messages::{FAR_FANOUT, NEAR_FANOUT};
 use crate::LoadSource;
-use crate::message::{Envelope, Gossip, LoadReport, Placement, ZoneDigest};
+use crate::fleet::message::{Envelope, Gossip, LoadReport, Placement, ZoneDigest};
 use eiderferry_routing::{PartId, ZoneName};
 use eiderferry_types::{Span, Timestamp};
 use std::collections::BTreeMap;
--- /dev/null
+++ b/crates/coordination/dispatch/src/documents.rs
@@ -0,0 +1,4 @@
+//! The documents in force, and handing them to nodes that lack them.
+
+pub(crate) mod document_service;
+pub(crate) mod knowledge;
--- a/crates/coordination/dispatch/src/peers.rs
+++ b/crates/coordination/dispatch/src/fleet/peers.rs
@@ -1,7 +1,7 @@
 //! The other nodes: known from a few seeds and from what nodes tell each other.
 
-use crate::cold_start::sender_rank;
 use crate::dispatcher::{FAR_FANOUT, FAR_TICKS, NEAR_FANOUT, SPARSE_FAR_FANOUT};
+use crate::load::cold_start::sender_rank;
 use crate::{Gossip, Member, TICK};
 use eiderferry_routing::{NodeName, ZoneName};
 use eiderferry_types::{Span, Timestamp};
--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -7,44 +7,31 @@
 
 #![forbid(unsafe_code)]
 
-mod cache;
-mod cold_start;
-mod demand;
 mod dispatcher;
-mod document_service;
-mod eligibility;
-mod engine_model;
-mod health;
-mod knowledge;
+mod documents;
+mod features;
+mod fleet;
 mod load;
-mod message;
-mod outcomes;
-mod pacing;
-mod peers;
 mod placement;
-mod planning;
-mod registry;
-mod retry_budget;
-mod streams_apart;
-mod view;
 
-pub use cache::PrefixCache;
-pub use cold_start::{ColdBound, ColdDuty, LONGEST_COLD, WarmthChange};
-pub use demand::{Decision, Demand, Grant, LeaseId, Outcome, PromptPart};
 pub use dispatcher::{
     Dispatcher, DispatcherSettings, ReadingDuty, Received, Snapshot, TICK, TakenNews, TickOutput,
     UnknownName,
 };
-pub use document_service::{Admission, DocumentService, TransferId};
-pub use engine_model::{EngineSpeed, PoolModel};
-pub use health::{Health, HealthChange};
-pub use knowledge::{Applied, Change, Content, DocumentKey, Knowledge};
-pub use load::{BackEndLoad, Footprint, LoadSource, Occupancy, REPORT_LIFETIME};
-pub use message::{
+pub use documents::document_service::{Admission, DocumentService, TransferId};
+pub use documents::knowledge::{Applied, Change, Content, DocumentKey, Knowledge};
+pub use features::Features;
+pub use fleet::message::{
     Envelope, FleetSummary, Gossip, HeardZone, LoadReport, Member, News, Placement, ZoneDigest,
 };
-pub use outcomes::{OutcomeCounts, RecentOutcomes};
-pub use pacing::StreamPacing;
-pub use peers::{PeerChange, Peers};
-pub use placement::{Candidate, choose};
-pub use retry_budget::{BudgetSettings, RetryBudget};
+pub use fleet::peers::{PeerChange, Peers};
+pub use fleet::retry_budget::{BudgetSettings, RetryBudget};
+pub use load::back_end_load::{BackEndLoad, Footprint, LoadSource, Occupancy, REPORT_LIFETIME};
+pub use load::cache::PrefixCache;
+pub use load::cold_start::{ColdBound, ColdDuty, LONGEST_COLD, WarmthChange};
+pub use load::engine_model::{EngineSpeed, PoolModel};
+pub use load::health::{Health, HealthChange};
+pub use load::outcomes::{OutcomeCounts, RecentOutcomes};
+pub use load::pacing::StreamPacing;
+pub use placement::candidate::{Candidate, choose};
+pub use placement::demand::{Decision, Demand, Grant, LeaseId, Outcome, PromptPart};
--- /dev/null
+++ b/crates/coordination/dispatch/src/load/back_end_load.rs
@@ -0,0 +1,455 @@
+//! How loaded a back end is, as this node knows it.
+
+use crate::{
+    EngineSpeed, LeaseId, LoadReport, Outcome, OutcomeCounts, PrefixCache, RecentOutcomes,
+};
+use eiderferry_types::{Span, Timestamp};
+use std::collections::{BTreeMap, HashMap};
+
+/// Time for which another node's report counts.
+pub const REPORT_LIFETIME: Span = Span::from_milliseconds(2_500);
+/// Time for which the sums of an aggregator count: one with a weak link tells them each
+/// 1.2 s.
+const SUMMARY_LIFETIME: Span = Span::from_milliseconds(1_500);
+/// Time after which a request is held in the sums of an aggregator: its node reports at the
+/// next tick.
+const REPORTED_AFTER: Span = Span::from_milliseconds(110);
+/// Prompt tokens that an engine reads in a millisecond, until its answers tell (measured
+/// at the first deployment, whose engines read 37).
+const ASSUMED_TOKENS_PER_MS: f64 = 38.0;
+/// Weight of the newest observation of an engine's speed.
+const SPEED_SMOOTHING: f64 = 0.15;
+/// Slowest and fastest that an engine is believed to be against the assumption.
+const SPEED_BOUNDS: (f64, f64) = (0.5, 8.0);
+/// Prompts shorter than this tell nothing of an engine's speed.
+const MINIMUM_OBSERVED_TOKENS: u32 = 1_500;
+/// Unit in which messages tell tokens, and parts of a stream.
+const HUNDRED: u64 = 100;
+
+/// What a request takes of a back end, and how it and the others there disturb each
+/// other.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Footprint {
+    /// Prompt tokens that have to be read.
+    pub uncached_tokens: u32,
+    /// Tokens of memory at its end that no other request shares, its answer included.
+    /// What requests share stands there once, and gives way where nobody uses it.
+    pub single_tokens: u32,
+    /// Chance that a long prompt read beside it makes it late.
+    pub exposure: f64,
+    /// Whether its own prompt takes long to read.
+    pub is_long_reading: bool,
+}
+
+/// A request that this node has at a back end.
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    footprint: Footprint,
+    pending_before: u64,
+    started: Timestamp,
+    begun: Option<Timestamp>,
+}
+
+impl Running {
+    /// Whether its first event had come by then.
+    fn had_begun(&self, at: Timestamp) -> bool {
+        self.begun.is_some_and(|begun| begun <= at)
+    }
+}
+
+/// What all nodes' requests take of a back end together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Occupancy {
+    /// Requests.
+    pub running: u32,
+    /// Streams that a long prompt would make late, in expectation.
+    pub exposed: f64,
+    /// Requests whose own prompts take long to read.
+    pub long_readings: u32,
+    /// Tokens of memory at their ends that only one request has.
+    pub single_tokens: u64,
+    /// Prompt tokens that are still to be read.
+    pub pending_tokens: u64,
+}
+
+impl Occupancy {
+    fn plus(self, other: Self) -> Self {
+        Self {
+            running: self.running + other.running,
+            exposed: self.exposed + other.exposed,
+            long_readings: self.long_readings + other.long_readings,
+            single_tokens: self.single_tokens + other.single_tokens,
+            pending_tokens: self.pending_tokens + other.pending_tokens,
+        }
+    }
+
+    fn minus(self, part: Self) -> Self {
+        Self {
+            running: self.running.saturating_sub(part.running),
+            exposed: (self.exposed - part.exposed).max(0.0),
+            long_readings: self.long_readings.saturating_sub(part.long_readings),
+            single_tokens: self.single_tokens.saturating_sub(part.single_tokens),
+            pending_tokens: self.pending_tokens.saturating_sub(part.pending_tokens),
+        }
+    }
+
+    fn add(&mut self, footprint: &Footprint, has_begun: bool) {
+        self.running += 1;
+        self.exposed += footprint.exposure;
+        self.long_readings += u32::from(footprint.is_long_reading);
+        self.single_tokens += u64::from(footprint.single_tokens);
+        if !has_begun {
+            self.pending_tokens += u64::from(footprint.uncached_tokens);
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    occupancy: Occupancy,
+    outcomes: OutcomeCounts,
+    at: Timestamp,
+}
+
+impl Report {
+    fn new(report: &LoadReport, at: Timestamp) -> Self {
+        Self {
+            occupancy: Occupancy {
+                running: u32::from(report.running),
+                exposed: f64::from(report.exposed_hundredths) / HUNDRED as f64,
+                long_readings: u32::from(report.long_readings),
+                single_tokens: u64::from(report.single_hundreds) * HUNDRED,
+                pending_tokens: u64::from(report.pending_hundreds) * HUNDRED,
+            },
+            outcomes: OutcomeCounts {
+                completed: u32::from(report.completed),
+                failed: u32::from(report.failed),
+            },
+            at,
+        }
+    }
+
+    fn is_fresh(&self, now: Timestamp) -> bool {
+        now.since(self.at) < REPORT_LIFETIME
+    }
+
+    fn to_message(self, back_end: u32, placed: u64) -> LoadReport {
+        LoadReport {
+            back_end,
+            running: saturate(u64::from(self.occupancy.running)),
+            exposed_hundredths: saturate((self.occupancy.exposed * HUNDRED as f64) as u64),
+            long_readings: saturate(u64::from(self.occupancy.long_readings)),
+            single_hundreds: saturate(self.occupancy.single_tokens / HUNDRED),
+            pending_hundreds: saturate(self.occupancy.pending_tokens / HUNDRED),
+            placed_hundreds: placed / HUNDRED,
+            completed: saturate(u64::from(self.outcomes.completed)),
+            failed: saturate(u64::from(self.outcomes.failed)),
+        }
+    }
+}
+
+fn saturate(value: u64) -> u16 {
+    u16::try_from(value).unwrap_or(u16::MAX)
+}
+
+/// Whose requests a report counts, and who tells of them: digests of names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum LoadSource {
+    /// A node tells of its own requests.
+    Node(u64),
+    /// A node tells of those of another zone.
+    Zone {
+        /// The zone.
+        zone: u64,
+        /// The node.
+        teller: u64,
+    },
+    /// An aggregator tells of those of all nodes.
+    AllNodes {
+        /// The aggregator.
+        teller: u64,
+    },
+}
+
+/// What a report counts, whoever tells it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Counted {
+    /// Requests of one node.
+    Node(u64),
+    /// Requests of another zone's nodes.
+    Zone(u64),
+    /// Requests of all nodes.
+    AllNodes,
+}
+
+impl LoadSource {
+    pub(crate) fn counted(self) -> Counted {
+        match self {
+            LoadSource::Node(node) => Counted::Node(node),
+            LoadSource::Zone { zone, .. } => Counted::Zone(zone),
+            LoadSource::AllNodes { .. } => Counted::AllNodes,
+        }
+    }
+
+    fn teller(self) -> u64 {
+        match self {
+            LoadSource::Node(teller)
+            | LoadSource::Zone { teller, .. }
+            | LoadSource::AllNodes { teller } => teller,
+        }
+    }
+}
+
+/// Tokens of single requests that others ever placed at a back end.
+#[derive(Clone, Copy, Debug)]
+struct Placed {
+    teller: u64,
+    placed: u64,
+    at: Timestamp,
+}
+
+/// Load of one back end.
+#[derive(Clone, Debug)]
+pub struct BackEndLoad {
+    running: BTreeMap<LeaseId, Running>,
+    reports: HashMap<Counted, Report>,
+    /// Tokens of single requests that this node ever placed there, and those that it has
+    /// heard of since its start.
+    own_placed: u64,
+    placed_by_nodes: u64,
+    placed_by_zones: u64,
+    /// What each source told last.
+    placed_by: HashMap<Counted, Placed>,
+    /// What all nodes have there, as an aggregator told it.
+    sum: Option<Report>,
+    slowness: f64,
+    outcomes: RecentOutcomes,
+    /// Its speed against its pool.
+    pub speed: EngineSpeed,
+    /// Prompts it is believed to keep.
+    pub cache: PrefixCache,
+}
+
+impl BackEndLoad {
+    /// A back end that nothing is known of, with memory for so many tokens.
+    pub fn new(engine_tokens: u64, speed: EngineSpeed) -> Self {
+        Self {
+            running: BTreeMap::new(),
+            reports: HashMap::new(),
+            own_placed: 0,
+            placed_by_nodes: 0,
+            placed_by_zones: 0,
+            placed_by: HashMap::new(),
+            sum: None,
+            slowness: 1.0,
+            outcomes: RecentOutcomes::default(),
+            speed,
+            cache: PrefixCache::new(engine_tokens),
+        }
+    }
+
+    /// Requests of this node there.
+    pub fn own_running(&self) -> u32 {
+        self.running.len() as u32
+    }
+
+    /// Prompt tokens of this node's requests that are still to be read there.
+    pub fn own_pending_tokens(&self, now: Timestamp) -> u64 {
+        let waiting = self
+            .running
+            .values()
+            .filter(|running| running.begun.is_none());
+        let rate = ASSUMED_TOKENS_PER_MS / self.slowness;
+        let total: u64 = waiting
+            .clone()
+            .map(|running| u64::from(running.footprint.uncached_tokens))
+            .sum();
+        let oldest = waiting.map(|running| running.started).min();
+        let elapsed = oldest.map_or(0, |started| now.since(started).milliseconds());
+        let read = (elapsed as f64 * rate / 2.0) as u64;
+        total.saturating_sub(read.min(total / 2))
+    }
+
+    /// What this node's requests take there.
+    pub fn own_occupancy(&self, now: Timestamp) -> Occupancy {
+        let mut own = Occupancy::default();
+        for running in self.running.values() {
+            // What waits is reckoned with what has been read since, below.
+            own.add(&running.footprint, true);
+        }
+        own.pending_tokens = self.own_pending_tokens(now);
+        own
+    }
+
+    /// What all nodes' requests take there.
+    pub fn occupancy(&self, now: Timestamp) -> Occupancy {
+        let own = self.own_occupancy(now);
+        if let Some(sum) = self.fresh_sum(now) {
+            return own.plus(sum.occupancy.minus(self.own_part_of(sum)));
+        }
+        let others = self.fresh(now).map(|report| report.occupancy);
+        others.fold(own, Occupancy::plus)
+    }
+
+    fn fresh_sum(&self, now: Timestamp) -> Option<&Report> {
+        let sum = self.sum.as_ref();
+        sum.filter(|sum| now.since(sum.at) < SUMMARY_LIFETIME)
+    }
+
+    /// What a sum holds of this node's own requests.
+    fn own_part_of(&self, sum: &Report) -> Occupancy {
+        let mut part = Occupancy::default();
+        for running in self.running.values() {
+            if sum.at.since(running.started) >= REPORTED_AFTER {
+                part.add(&running.footprint, running.had_begun(sum.at));
+            }
+        }
+        part
+    }
+
+    fn fresh(&self, now: Timestamp) -> impl Iterator<Item = &Report> {
+        let reports = self.reports.values();
+        reports.filter(move |report| report.is_fresh(now))
+    }
+
+    /// Expected time to read so many prompt tokens.
+    pub fn reading_time(&self, tokens: u64) -> Span {
+        let milliseconds = tokens as f64 / ASSUMED_TOKENS_PER_MS * self.slowness;
+        Span::from_seconds(milliseconds / 1_000.0)
+    }
+
+    /// Takes over what a source reports of requests there.
+    pub fn report(&mut self, source: LoadSource, report: &LoadReport, at: Timestamp) {
+        self.note_placed(source, report.placed_hundreds * HUNDRED, at);
+        let report = Report::new(report, at);
+        match source.counted() {
+            Counted::AllNodes => self.sum = Some(report),
+            counted => {
+                self.reports.insert(counted, report);
+            }
+        }
+    }
+
+    /// Others have ever placed so many tokens of single requests there. After a restart of
+    /// the teller the figure begins anew. The figures of two tellers differ by what one of
+    /// them has not heard, so that only one is followed for as long as it is heard.
+    fn note_placed(&mut self, source: LoadSource, placed: u64, at: Timestamp) {
+        let counted = source.counted();
+        let teller = source.teller();
+        let known = self.placed_by.get(&counted).copied();
+        let is_followed = known.is_none_or(|known| known.teller == teller);
+        let is_heard = known.is_some_and(|known| at.since(known.at) < SUMMARY_LIFETIME);
+        if !is_followed && is_heard {
+            return;
+        }
+        let before = known.filter(|_| is_followed);
+        let since = before.map_or(0, |before| placed.saturating_sub(before.placed));
+        self.cache.insert_single(since);
+        match counted {
+            Counted::Node(_) => self.placed_by_nodes += since,
+            Counted::Zone(_) => self.placed_by_zones += since,
+            Counted::AllNodes => {}
+        }
+        let placed = Placed { teller, placed, at };
+        self.placed_by.insert(counted, placed);
+    }
+
+    /// What this node has there, as one report.
+    pub(crate) fn own_report(&self, back_end: u32, now: Timestamp) -> LoadReport {
+        self.report_of(|_| false, now)
+            .to_message(back_end, self.own_placed)
+    }
+
+    /// What the nodes have there that report to this one, and it itself, as one report.
+    pub(crate) fn report_of_nodes(&self, back_end: u32, now: Timestamp) -> LoadReport {
+        self.report_of(|counted| matches!(counted, Counted::Node(_)), now)
+            .to_message(back_end, self.own_placed + self.placed_by_nodes)
+    }
+
+    /// What all nodes have there, as one report.
+    pub(crate) fn report_of_all(&self, back_end: u32, now: Timestamp) -> LoadReport {
+        let placed = self.own_placed + self.placed_by_nodes + self.placed_by_zones;
+        self.report_of(|_| true, now).to_message(back_end, placed)
+    }
+
+    fn report_of(&self, is_counted: impl Fn(Counted) -> bool, now: Timestamp) -> Report {
+        let mut total = Report {
+            occupancy: self.own_occupancy(now),
+            outcomes: self.own_outcomes(now),
+            at: now,
+        };
+        let reports = self.reports.iter();
+        for (_, report) in reports.filter(|(counted, _)| is_counted(**counted)) {
+            if report.is_fresh(now) {
+                total.occupancy = total.occupancy.plus(report.occupancy);
+                total.outcomes = total.outcomes.plus(report.outcomes);
+            }
+        }
+        total
+    }
+
+    /// Forgets what a source reported.
+    pub(crate) fn forget(&mut self, counted: Counted) {
+        match counted {
+            Counted::AllNodes => self.sum = None,
+            counted => {
+                self.reports.remove(&counted);
+            }
+        }
+    }
+
+    pub(crate) fn begin(&mut self, lease: LeaseId, footprint: Footprint, now: Timestamp) {
+        self.own_placed += u64::from(footprint.single_tokens);
+        let running = Running {
+            footprint,
+            pending_before: self.occupancy(now).pending_tokens,
+            started: now,
+            begun: None,
+        };
+        self.running.insert(lease, running);
+    }
+
+    /// The first event of a request came.
+    pub(crate) fn first_event(&mut self, lease: LeaseId, now: Timestamp) {
+        let Some(running) = self.running.get_mut(&lease) else {
+            return;
+        };
+        if running.begun.is_some() {
+            return;
+        }
+        running.begun = Some(now);
+        let running = *running;
+        if running.footprint.uncached_tokens >= MINIMUM_OBSERVED_TOKENS {
+            self.observe_speed(&running, now);
+        }
+    }
+
+    fn observe_speed(&mut self, running: &Running, now: Timestamp) {
+        let tokens = running.pending_before + u64::from(running.footprint.uncached_tokens);
+        let expected = tokens as f64 / ASSUMED_TOKENS_PER_MS;
+        let observed = now.since(running.started).milliseconds() as f64;
+        let ratio = (observed / expected).clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
+        self.slowness += SPEED_SMOOTHING * (ratio - self.slowness);
+    }
+
+    /// What this node has seen end there lately.
+    pub fn own_outcomes(&self, now: Timestamp) -> OutcomeCounts {
+        self.outcomes.counts(now)
+    }
+
+    /// Share of failures among what all nodes have seen end there lately.
+    pub fn failure_share(&self, now: Timestamp) -> f64 {
+        if let Some(sum) = self.fresh_sum(now) {
+            // Its own outcomes count twice: they are a small part, and the newest.
+            return sum.outcomes.plus(self.own_outcomes(now)).failure_share();
+        }
+        let reports = self.fresh(now).map(|report| report.outcomes);
+        let all = reports.fold(self.own_outcomes(now), OutcomeCounts::plus);
+        all.failure_share()
+    }
+
+    pub(crate) fn end(&mut self, lease: LeaseId, outcome: Outcome, now: Timestamp) {
+        self.running.remove(&lease);
+        self.outcomes.record(outcome, now);
+    }
+}
--- a/crates/coordination/dispatch/src/registry.rs
+++ b/crates/coordination/dispatch/src/load/registry.rs
@@ -1,9 +1,9 @@
 //! The back ends that may get work, with what this node knows of each.
 
-use crate::cold_start::Warmth;
-use crate::health::Health;
-use crate::load::Counted;
-use crate::streams_apart::keeps_streams_apart;
+use crate::load::back_end_load::Counted;
+use crate::load::cold_start::Warmth;
+use crate::load::health::Health;
+use crate::placement::streams_apart::keeps_streams_apart;
 use crate::{BackEndLoad, LoadReport, LoadSource, Placement, PoolModel, PromptPart, StreamPacing};
 use eiderferry_routing::{BackEnd, EngineSpecification, InstanceId, PoolName, RoutingTable};
 use eiderferry_types::Timestamp;
--- a/crates/coordination/dispatch/src/eligibility.rs
+++ b/crates/coordination/dispatch/src/placement/eligibility.rs
@@ -1,8 +1,8 @@
 //! Whether a back end may get a request at all, before what it would cost is looked at.
 
 use crate::Demand;
-use crate::registry::{BackEndState, Registry};
-use crate::view::View;
+use crate::load::registry::{BackEndState, Registry};
+use crate::placement::view::View;
 use eiderferry_types::Reason;
 
 /// Why a back end may not get a request.
--- a/crates/coordination/dispatch/src/planning.rs
+++ b/crates/coordination/dispatch/src/placement/planning.rs
@@ -1,8 +1,8 @@
 //! What sending a request to each of some back ends would mean.
 
-use crate::eligibility::is_eligible;
-use crate::registry::{BackEndState, Registry};
-use crate::view::View;
+use crate::load::registry::{BackEndState, Registry};
+use crate::placement::eligibility::is_eligible;
+use crate::placement::view::View;
 use crate::{Candidate, Demand, Footprint, Occupancy, PoolModel};
 use eiderferry_routing::InstanceId;
 use eiderferry_types::{Span, Timestamp};
--- a/crates/coordination/dispatch/tests/support/mod.rs
+++ b/crates/coordination/dispatch/tests/support/mod.rs
@@ -4,7 +4,8 @@
 
 use eiderferry_dispatch::{
     BudgetSettings, Change, ColdBound, Content, Decision, Demand, Dispatcher, DispatcherSettings,
-    DocumentKey, Envelope, Gossip, Grant, Knowledge, PeerChange, PromptPart, ReadingDuty, TICK,
+    DocumentKey, Envelope, Features, Gossip, Grant, Knowledge, PeerChange, PromptPart, ReadingDuty,
+    TICK,
 };
 use eiderferry_routing::{
     AllowedRegions, BackEnd, EngineSpecification, InstanceId, Limits, NodeName, PartId, Pool,
@@ -143,6 +144,7 @@
         incarnation: 1,
         budget: BUDGET,
         regions: regions(),
+        features: Features::ALL,
     }
 }
 
--- a/crates/transport/relay/src/node.rs
+++ b/crates/transport/relay/src/node.rs
@@ -78,6 +78,7 @@
             apply_within: settings.apply_within,
             cold_bound: settings.cold_bound,
             regions: settings.regions.clone(),
+            features: settings.features,
             link_mbps: settings.link_mbps,
         });
         let shared = Arc::clone(&table);
--- a/crates/transport/relay/src/settings.rs
+++ b/crates/transport/relay/src/settings.rs
@@ -1,7 +1,7 @@
 //! What a relay is told at its start.
 
 use crate::Vocabulary;
-use eiderferry_dispatch::{BudgetSettings, ColdBound};
+use eiderferry_dispatch::{BudgetSettings, ColdBound, Features};
 use eiderferry_routing::{NodeName, RegionOfZone, ZoneName};
 use eiderferry_types::Span;
 use std::net::SocketAddr;
@@ -44,6 +44,8 @@
     pub cold_bound: ColdBound,
     /// Region of each zone.
     pub regions: RegionOfZone,
+    /// Parts of the dispatcher in use.
+    pub features: Features,
     /// Planned stops.
     pub stop: StopSettings,
     /// Header names.
--- a/crates/transport/relay/tests/support/mod.rs
+++ b/crates/transport/relay/tests/support/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
-use eiderferry_dispatch::{BudgetSettings, Change, ColdBound, Content, DocumentKey};
+use eiderferry_dispatch::{BudgetSettings, Change, ColdBound, Content, DocumentKey, Features};
 use eiderferry_relay::{Relay, RelaySettings, Source, StopSettings, Vocabulary};
 use eiderferry_routing::{
     BackEnd, InstanceId, Limits, NodeName, Pool, PoolName, Route, RouteKind, Split, TableDocument,
@@ -360,6 +360,7 @@
             link_mbps: 100,
             apply_within: Span::from_milliseconds(2_000),
             regions: BTreeMap::new(),
+            features: Features::ALL,
             cold_bound: ColdBound {
                 overage: 1.5,
                 slack: 5.0,
