Dispatch, relay: control bytes counted by kind of message and border

Cause: nothing said which control traffic crosses borders of zones and regions. Change: messages name their kind, the border comes from the receiver's zone; counter eiderferry_control_bytes_total(kind, border); the fleet support counts the same, with document packages and answers (which it did not count before).

--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -18,8 +18,8 @@
 
 use crate::load::registry::Registry;
 use crate::{
-    Applied, BudgetSettings, Change, ColdBound, ColdDuty, Content, DocumentKey, Envelope, Features,
-    Gossip, Knowledge, LeaseId, PeerChange, Peers, Placement, RetryBudget, WarmthChange,
+    Applied, Border, BudgetSettings, Change, ColdBound, ColdDuty, Content, DocumentKey, Envelope,
+    Features, Gossip, Knowledge, LeaseId, PeerChange, Peers, Placement, RetryBudget, WarmthChange,
 };
 use eiderferry_routing::{InstanceId, NodeName, PoolName, RegionOfZone, ZoneName};
 use eiderferry_types::{Span, Timestamp};
@@ -345,6 +345,14 @@
         &self.silent_zones
     }
 
+    /// The border between this node and another.
+    pub fn border_to(&self, address: SocketAddr) -> Border {
+        let zone = self.peers.zone_of(address);
+        zone.map_or(Border::Unknown, |zone| {
+            Border::between(&self.settings.zone, zone, &self.settings.regions)
+        })
+    }
+
     fn uptime(&self, now: Timestamp) -> Span {
         self.started
             .map_or(Span::ZERO, |started| now.since(started))
--- a/crates/coordination/dispatch/src/dispatcher/aggregation.rs
+++ b/crates/coordination/dispatch/src/dispatcher/aggregation.rs
@@ -10,6 +10,7 @@
 use crate::fleet::message::{
     Envelope, FleetSummary, Gossip, HeardZone, LoadReport, Member, Placement,
 };
+use crate::fleet::traffic::MessageKind;
 use crate::{LoadSource, PeerChange};
 use eiderferry_routing::{PartId, ZoneName};
 use eiderferry_types::{Span, Timestamp};
@@ -264,6 +265,7 @@
             let mut report = message.clone();
             report.placements = told;
             reports.push(Envelope {
+                kind: MessageKind::Report,
                 to: vec![address],
                 message: report,
             });
@@ -288,7 +290,11 @@
             zones: self.heard_zones(now),
             next_ms: (TICK * period).milliseconds() as u16,
         });
-        Some(Envelope { to, message })
+        Some(Envelope {
+            kind: MessageKind::Summary,
+            to,
+            message,
+        })
     }
 
     /// Nodes of the zone that are there, as this one hears them. All summaries of a period
--- a/crates/coordination/dispatch/src/dispatcher/messages.rs
+++ b/crates/coordination/dispatch/src/dispatcher/messages.rs
@@ -5,6 +5,7 @@
 use super::{Dispatcher, OUTCOME_LIFETIME, PLACEMENTS_PER_MESSAGE, TickOutput};
 use crate::DocumentKey;
 use crate::fleet::message::{Envelope, Gossip, LoadReport, News};
+use crate::fleet::traffic::MessageKind;
 use eiderferry_routing::InstanceId;
 use eiderferry_types::{Span, Timestamp};
 use std::collections::BTreeSet;
@@ -89,14 +90,16 @@
             if self.ticks.is_multiple_of(PEER_TICKS) {
                 let peers = in_turn(&self.peers.near(), 1, &mut self.near_turn);
                 let message = self.bare_gossip(false, now);
-                messages.extend(envelope(peers, message));
+                messages.extend(envelope(MessageKind::Peer, peers, message));
             }
             return messages;
         }
         let near = in_turn(&self.peers.near(), NEAR_FANOUT, &mut self.near_turn);
         let mut message = self.gossip(false, now);
         message.zone_digests = self.zone_digests.passed_on(now);
-        envelope(near, message).into_iter().collect()
+        envelope(MessageKind::Peer, near, message)
+            .into_iter()
+            .collect()
     }
 
     fn message_to_other_zones(&mut self, now: Timestamp) -> Option<Envelope> {
@@ -107,13 +110,13 @@
         } else {
             self.gossip(false, now)
         };
-        envelope(far, message)
+        envelope(MessageKind::Peer, far, message)
     }
 
     /// A message that wants an answer.
     fn question(&mut self, to: Vec<SocketAddr>, now: Timestamp) -> Option<Envelope> {
         let message = self.gossip(true, now);
-        envelope(to, message)
+        envelope(MessageKind::Question, to, message)
     }
 
     /// Ticks between two attempts to reach doubtful nodes, and how many are tried.
@@ -198,7 +201,11 @@
         let mut message = self.bare_gossip(false, now);
         message.news = self.news();
         self.announced_to = self.knowledge.complete_to();
-        Envelope { to: peers, message }
+        Envelope {
+            kind: MessageKind::Announcement,
+            to: peers,
+            message,
+        }
     }
 
     /// The changes since the last announcement, if they fit a message.
@@ -215,6 +222,6 @@
 }
 
 /// A message to peers, if there are any.
-fn envelope(to: Vec<SocketAddr>, message: Gossip) -> Option<Envelope> {
-    (!to.is_empty()).then_some(Envelope { to, message })
+fn envelope(kind: MessageKind, to: Vec<SocketAddr>, message: Gossip) -> Option<Envelope> {
+    (!to.is_empty()).then_some(Envelope { kind, to, message })
 }
--- a/crates/coordination/dispatch/src/dispatcher/zone_digest.rs
+++ b/crates/coordination/dispatch/src/dispatcher/zone_digest.rs
@@ -7,6 +7,7 @@
 use super::messages::{FAR_FANOUT, NEAR_FANOUT};
 use crate::LoadSource;
 use crate::fleet::message::{Envelope, Gossip, LoadReport, Placement, ZoneDigest};
+use crate::fleet::traffic::MessageKind;
 use eiderferry_routing::{PartId, ZoneName};
 use eiderferry_types::{Span, Timestamp};
 use std::collections::BTreeMap;
@@ -116,7 +117,11 @@
                 .collect(),
         });
         let to = self.digest_receivers();
-        (!to.is_empty()).then_some(Envelope { to, message })
+        (!to.is_empty()).then_some(Envelope {
+            kind: MessageKind::Digest,
+            to,
+            message,
+        })
     }
 
     /// Whether this node collects its zone's placements for a digest: in a large zone only
--- a/crates/coordination/dispatch/src/fleet.rs
+++ b/crates/coordination/dispatch/src/fleet.rs
@@ -3,3 +3,4 @@
 pub(crate) mod message;
 pub(crate) mod peers;
 pub(crate) mod retry_budget;
+pub(crate) mod traffic;
--- a/crates/coordination/dispatch/src/fleet/message.rs
+++ b/crates/coordination/dispatch/src/fleet/message.rs
@@ -1,6 +1,7 @@
 //! What nodes tell each other.
 
 use crate::Change;
+use crate::fleet::traffic::MessageKind;
 use eiderferry_routing::{NodeName, PartId, ZoneName};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -94,6 +95,8 @@
 /// A message and the nodes that get it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Envelope {
+    /// What it is for.
+    pub kind: MessageKind,
     /// Addresses of the nodes.
     pub to: Vec<SocketAddr>,
     /// What they get.
--- a/crates/coordination/dispatch/src/fleet/peers.rs
+++ b/crates/coordination/dispatch/src/fleet/peers.rs
@@ -382,6 +382,12 @@
         near.filter(|(_, peer)| !peer.is_stopping)
     }
 
+    /// Zone of a node, as far as it was heard or others tell.
+    pub fn zone_of(&self, address: SocketAddr) -> Option<&ZoneName> {
+        let heard = self.peers.get(&address).map(|peer| &peer.zone);
+        heard.or_else(|| self.hearsay.get(&address).map(|(zone, _)| zone))
+    }
+
     /// Whether a peer is there.
     pub fn is_living(&self, address: SocketAddr) -> bool {
         let peer = self.peers.get(&address);
--- /dev/null
+++ b/crates/coordination/dispatch/src/fleet/traffic.rs
@@ -0,0 +1,76 @@
+//! Kinds of messages and the borders that they cross, for counting what control costs.
+
+use eiderferry_routing::{RegionOfZone, ZoneName};
+
+/// What a message is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum MessageKind {
+    /// A node's work, for the aggregators of its zone.
+    Report,
+    /// The sums of all nodes, by an aggregator to its zone.
+    Summary,
+    /// What a whole zone has at back ends, for another zone.
+    Digest,
+    /// A node tells another how it stands.
+    Peer,
+    /// A node asks for an answer.
+    Question,
+    /// The answer.
+    Answer,
+    /// Newer documents are known.
+    Announcement,
+    /// Documents handed to a node that lacks them.
+    Documents,
+}
+
+impl MessageKind {
+    /// The kind as a label of metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Report => "report",
+            Self::Summary => "summary",
+            Self::Digest => "digest",
+            Self::Peer => "peer",
+            Self::Question => "question",
+            Self::Answer => "answer",
+            Self::Announcement => "announcement",
+            Self::Documents => "documents",
+        }
+    }
+}
+
+/// What lies between two nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Border {
+    /// Both are in one zone.
+    None,
+    /// They are in two zones of one region, or of regions that aren't known.
+    Zone,
+    /// They are in two regions.
+    Region,
+    /// The zone of one isn't known: it has not been heard.
+    Unknown,
+}
+
+impl Border {
+    /// The border between two zones.
+    pub fn between(one: &ZoneName, other: &ZoneName, regions: &RegionOfZone) -> Self {
+        if one == other {
+            return Self::None;
+        }
+        match (regions.get(one), regions.get(other)) {
+            (Some(region), Some(other)) if region != other => Self::Region,
+            _ => Self::Zone,
+        }
+    }
+
+    /// The border as a label of metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::Zone => "zone",
+            Self::Region => "region",
+            Self::Unknown => "unknown",
+        }
+    }
+}
--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -26,6 +26,7 @@
 };
 pub use fleet::peers::{PeerChange, Peers};
 pub use fleet::retry_budget::{BudgetSettings, RetryBudget};
+pub use fleet::traffic::{Border, MessageKind};
 pub use load::back_end_load::{BackEndLoad, Footprint, LoadSource, Occupancy, REPORT_LIFETIME};
 pub use load::cache::PrefixCache;
 pub use load::cold_start::{ColdBound, ColdDuty, LONGEST_COLD, WarmthChange};
--- a/crates/coordination/dispatch/tests/support/mod.rs
+++ b/crates/coordination/dispatch/tests/support/mod.rs
@@ -3,9 +3,9 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 use eiderferry_dispatch::{
-    BudgetSettings, Change, ColdBound, Content, Decision, Demand, Dispatcher, DispatcherSettings,
-    DocumentKey, Envelope, Features, Gossip, Grant, Knowledge, PeerChange, PromptPart, ReadingDuty,
-    TICK,
+    Border, BudgetSettings, Change, ColdBound, Content, Decision, Demand, Dispatcher,
+    DispatcherSettings, DocumentKey, Envelope, Features, Gossip, Grant, Knowledge, MessageKind,
+    PeerChange, PromptPart, ReadingDuty, TICK,
 };
 use eiderferry_routing::{
     AllowedRegions, BackEnd, EngineSpecification, InstanceId, Limits, NodeName, PartId, Pool,
@@ -226,6 +226,8 @@
     /// Bytes of messages, once they are measured, and the largest one.
     pub bytes: usize,
     pub largest_message: usize,
+    /// The same bytes by kind of message and border, document packages included.
+    pub traffic: BTreeMap<(MessageKind, Border), usize>,
     /// Largest part of its link that a node's messages of one tick took.
     pub busiest_link: f64,
     /// Each of so many messages is lost, if any is.
@@ -234,6 +236,10 @@
     /// Nodes that have read the platform.
     pub read_by: BTreeSet<usize>,
     in_flight: Vec<(usize, SocketAddr, Rc<Gossip>)>,
+    /// Region of each zone.
+    pub regions: RegionOfZone,
+    /// Documents that the platform has besides the table.
+    pub first_documents: Vec<Change>,
     /// Number of the latest run of any node.
     runs: u32,
 }
@@ -262,11 +268,14 @@
             fetches: 0,
             bytes: 0,
             largest_message: 0,
+            traffic: BTreeMap::new(),
             busiest_link: 0.0,
             lost_each: None,
             measures_bytes: false,
             read_by: BTreeSet::new(),
             in_flight: Vec::new(),
+            regions: regions(),
+            first_documents: Vec::new(),
             runs: 1,
         }
     }
@@ -345,6 +354,9 @@
                 let bytes = postcard::to_stdvec(&envelope.message).expect("a message");
                 self.bytes += bytes.len() * envelope.to.len();
                 self.largest_message = self.largest_message.max(bytes.len());
+                for to in &envelope.to {
+                    self.count(envelope.kind, from, *to, bytes.len());
+                }
             }
             let message = Rc::new(envelope.message);
             for to in envelope.to {
@@ -359,6 +371,24 @@
         }
     }
 
+    /// Counts bytes on their way from a node.
+    fn count(&mut self, kind: MessageKind, from: usize, to: SocketAddr, bytes: usize) {
+        let Some(to) = self.number_of(to) else {
+            return;
+        };
+        let (from, to) = (zone(self.zones[from]), zone(self.zones[to]));
+        let border = Border::between(&from, &to, &self.regions);
+        *self.traffic.entry((kind, border)).or_default() += bytes;
+    }
+
+    /// Bytes that crossed a border of a zone or region, of one kind or of all.
+    pub fn border_bytes(&self, kind: Option<MessageKind>) -> usize {
+        let traffic = self.traffic.iter();
+        let crossing = traffic.filter(|((_, border), _)| *border != Border::None);
+        let counted = crossing.filter(|((of, _), _)| kind.is_none_or(|kind| *of == kind));
+        counted.map(|(_, bytes)| bytes).sum()
+    }
+
     fn deliver(&mut self, from: usize, address: SocketAddr, message: &Gossip) {
         let Some(to) = self.number_of(address).filter(|to| self.hears(from, *to)) else {
             return;
@@ -366,8 +396,13 @@
         let received = self.nodes[to].receive(node_address(from), message, self.now);
         if received.wants_answer {
             let answer = self.nodes[to].answer(self.now);
-            let answer = Rc::new(answer);
-            self.in_flight.push((to, node_address(from), answer));
+            let to_asker = vec![node_address(from)];
+            let envelope = Envelope {
+                kind: MessageKind::Answer,
+                to: to_asker,
+                message: answer,
+            };
+            self.post(to, vec![envelope]);
         }
         if received.is_newer {
             self.fetch(to, from);
@@ -392,7 +427,12 @@
         self.fetches += 1;
         let known = self.nodes[to].knowledge().complete_to();
         let source: Knowledge = self.nodes[from].knowledge().clone();
-        for change in source.changes_after(known) {
+        let changes = source.changes_after(known);
+        if self.measures_bytes {
+            let bytes = postcard::to_stdvec(&changes).expect("a package").len();
+            self.count(MessageKind::Documents, from, node_address(to), bytes);
+        }
+        for change in changes {
             self.nodes[to].apply(change, self.now);
         }
         let age = source.confirmed_age(self.now).unwrap_or(Span::ZERO);
@@ -423,6 +463,9 @@
                 if !is_dark && self.nodes[number].reading_duty(self.now) == ReadingDuty::Read {
                     self.read_by.insert(number);
                     self.nodes[number].apply(table_change(revision), self.now);
+                    for change in &self.first_documents {
+                        self.nodes[number].apply(change.clone(), self.now);
+                    }
                     self.confirm(number, revision, self.now, true);
                 }
             }
--- a/crates/transport/relay/src/control.rs
+++ b/crates/transport/relay/src/control.rs
@@ -7,8 +7,8 @@
 use crate::metrics;
 use arc_swap::ArcSwapOption;
 use eiderferry_dispatch::{
-    Applied, Change, Decision, Demand, Dispatcher, DocumentKey, Envelope, LeaseId, Outcome,
-    ReadingDuty, StreamPacing, TICK, TakenNews,
+    Applied, Change, Decision, Demand, Dispatcher, DocumentKey, Envelope, LeaseId, MessageKind,
+    Outcome, ReadingDuty, StreamPacing, TICK, TakenNews,
 };
 use eiderferry_routing::{RoutingTable, ZoneName};
 use eiderferry_types::{Span, Timestamp};
@@ -204,10 +204,16 @@
             events::warmth(change);
         }
         for envelope in &output.messages {
-            self.socket.send(envelope);
+            self.send(envelope);
         }
     }
 
+    fn send(&self, envelope: &Envelope) {
+        let dispatcher = self.dispatcher.borrow();
+        let border = |address| dispatcher.border_to(address);
+        self.socket.send(envelope, border);
+    }
+
     fn standing(&self) -> Standing {
         let dispatcher = self.dispatcher.borrow();
         Standing {
@@ -230,8 +236,11 @@
             self.follow_news(&received.taken);
             if received.wants_answer {
                 let message = self.dispatcher.borrow_mut().answer(now);
-                let to = vec![from];
-                self.socket.send(&Envelope { to, message });
+                self.send(&Envelope {
+                    kind: MessageKind::Answer,
+                    to: vec![from],
+                    message,
+                });
             }
             if received.is_newer && !self.fetching.replace(true) {
                 let control = Rc::clone(self);
@@ -301,7 +310,7 @@
     fn announce(&self, is_first_hand: bool) {
         let now = self.clock.now();
         let announcement = self.dispatcher.borrow_mut().announce(is_first_hand, now);
-        self.socket.send(&announcement);
+        self.send(&announcement);
     }
 }
 
--- a/crates/transport/relay/src/documents.rs
+++ b/crates/transport/relay/src/documents.rs
@@ -4,7 +4,7 @@
 use crate::control::Control;
 use crate::metrics;
 use async_compat::Compat;
-use eiderferry_dispatch::{Admission, Change, DocumentService, TransferId};
+use eiderferry_dispatch::{Admission, Change, DocumentService, MessageKind, TransferId};
 use eiderferry_peer::{Documents, DocumentsClient};
 use eiderferry_types::Timestamp;
 use futures_lite::{FutureExt, StreamExt};
@@ -202,8 +202,11 @@
                         (Reply::SentOn(others), None)
                     }
                 };
+                let bytes = encode(&answer);
+                let border = control.dispatcher.borrow().border_to(caller);
+                metrics::control_bytes(MessageKind::Documents, border, bytes.len());
                 // A caller that has left needs no answer; its connection ends the transfer.
-                let _ = reply.try_send((encode(&answer), transfer));
+                let _ = reply.try_send((bytes, transfer));
             }
         }
     }
--- a/crates/transport/relay/src/metrics.rs
+++ b/crates/transport/relay/src/metrics.rs
@@ -3,7 +3,7 @@
 //! Labels are kinds of route, ranks and outcomes: their number does not grow with
 //! routes, tenants or requests.
 
-use eiderferry_dispatch::Snapshot;
+use eiderferry_dispatch::{Border, MessageKind, Snapshot};
 use eiderferry_routing::{Route, RouteKind};
 use eiderferry_types::Span;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
@@ -78,6 +78,14 @@
     metrics::counter!("eiderferry_messages_lost_total", "step" => step).increment(1);
 }
 
+/// Bytes of control traffic were sent to another node, headers of the network not included.
+pub(crate) fn control_bytes(kind: MessageKind, border: Border, bytes: usize) {
+    metrics::counter!(
+        "eiderferry_control_bytes_total", "kind" => kind.label(), "border" => border.label()
+    )
+    .increment(bytes as u64);
+}
+
 /// A node that asked for documents was sent on to others.
 pub(crate) fn documents_sent_on() {
     metrics::counter!("eiderferry_documents_sent_on_total").increment(1);
