Dispatch, relay: documents from the own zone first, other zones spoken to by few nodes

Change: a node chooses its source (dispatcher/document_source.rs): its own zone, then the own region, then others; without documents it leaves the border to the first of its zone in the order of duties, the next ones follow 250 ms apart. Answers name nodes of the asker's zone first. In a large zone the senders of digests speak for it: they name its nodes to other zones, summaries pass them on, two nodes of each zone are met directly. Second-hand announcements stay in the zone, first-hand ones go to two nodes of each other zone.

--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -2,6 +2,7 @@
 
 mod aggregation;
 mod cold_senders;
+mod document_source;
 mod granting;
 mod messages;
 mod reading;
@@ -14,6 +15,7 @@
 pub use unknown_names::UnknownName;
 
 use aggregation::Aggregation;
+use document_source::WantedDocuments;
 use granting::Lease;
 
 use crate::load::registry::Registry;
@@ -151,6 +153,10 @@
     announced_to: u64,
     is_stopping: bool,
     started: Option<Timestamp>,
+    /// Time of the last tick or message.
+    now: Timestamp,
+    /// Documents wanted of other nodes.
+    wanted: WantedDocuments,
     /// Back ends whose entries lapsed, and when they count as gone.
     lapsed: HashMap<InstanceId, Timestamp>,
     zone_digests: ZoneDigests,
@@ -190,6 +196,8 @@
             announced_to: 0,
             is_stopping: false,
             started: None,
+            now: Timestamp::default(),
+            wanted: WantedDocuments::default(),
             lapsed: HashMap::new(),
             zone_digests: ZoneDigests::default(),
             aggregation: Aggregation::default(),
@@ -294,6 +302,7 @@
 
     /// Takes a peer's message in.
     pub fn receive(&mut self, address: SocketAddr, message: &Gossip, now: Timestamp) -> Received {
+        self.now = now;
         let change = self.peers.heard(address, message, now);
         self.take_own_loads(message, now);
         self.take_aggregation(address, message, now);
--- a/crates/coordination/dispatch/src/dispatcher/aggregation.rs
+++ b/crates/coordination/dispatch/src/dispatcher/aggregation.rs
@@ -50,6 +50,8 @@
 const UNCHANGED_REPORT_TICKS: u64 = 5;
 /// Ticks in which the summaries to a node name all nodes of its zone.
 const TICKS_TO_NAME_ALL: u64 = 16;
+/// The same for the nodes of other zones, whose part is smaller.
+const TICKS_TO_NAME_FAR: u64 = 40;
 /// Back ends named in one summary: those with most requests.
 const MOST_SUMMED: usize = 400;
 /// Placements named in one summary; at 13 bytes each they take 5 kB.
@@ -93,6 +95,7 @@
     last_report: Vec<LoadReport>,
     last_report_tick: u64,
     member_turn: usize,
+    far_member_turn: usize,
     summary_heard: Option<Timestamp>,
     zones_heard: BTreeMap<ZoneName, Timestamp>,
 }
@@ -297,7 +300,7 @@
         })
     }
 
-    /// Nodes of the zone that are there, as this one hears them. All summaries of a period
+    /// Nodes that are there, as this one hears them or is told by other zones. All summaries of a period
     /// name the same ones, as each goes to other nodes.
     fn members_named(&mut self, now: Timestamp) -> Vec<Member> {
         let period = self.aggregation.period;
@@ -308,7 +311,14 @@
             self.aggregation.member_turn = turn.wrapping_add(named);
         }
         let first = self.aggregation.member_turn;
-        self.peers.near_members(first, named, now)
+        let mut members = self.peers.near_members(first, named, now);
+        let far = (self.peers.far_count() as u64 * period).div_ceil(TICKS_TO_NAME_FAR);
+        let first = self.aggregation.far_member_turn;
+        if self.ticks.is_multiple_of(period) {
+            self.aggregation.far_member_turn = first.wrapping_add(far as usize);
+        }
+        members.extend(self.peers.far_members(first, far as usize, now));
+        members
     }
 
     /// Ticks in which each node of the zone is told once: a weak link takes longer for it.
--- /dev/null
+++ b/crates/coordination/dispatch/src/dispatcher/document_source.rs
@@ -0,0 +1,90 @@
+//! From whom a node fetches documents that it lacks: from its own zone first. Links between
+//! zones and regions are dear, and all documents are large: 300 nodes that each asked whoever
+//! told them first carried 28 MB across borders at a start (`tests/borders.rs`).
+
+use super::Dispatcher;
+use crate::fleet::traffic::Border;
+use eiderferry_types::{Span, Timestamp};
+use rand::seq::IndexedRandom;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+/// Time in which a starting node that is no seed comes to know its zone, and one that got
+/// documents there tells it.
+const START_PATIENCE: Span = Span::from_milliseconds(200);
+/// Additional patience for each node of the zone that is to go first: all documents take some
+/// 0.25 s on a link of 10 Mbit/s.
+const PATIENCE_PER_NODE: Span = Span::from_milliseconds(250);
+/// Longest time without documents that the own zone could serve.
+const LONGEST_PATIENCE: Span = Span::from_milliseconds(2_500);
+/// Time for which a node that could not serve documents isn't asked again.
+const AVOIDED_BUSY: Span = Span::from_milliseconds(150);
+const AVOIDED_FAILED: Span = Span::from_milliseconds(1_000);
+
+/// Documents that this node lacks.
+#[derive(Clone, Debug, Default)]
+pub(super) struct WantedDocuments {
+    /// Since when others are known to have newer ones.
+    since: Option<Timestamp>,
+    /// Nodes that could not serve them, and until when they are not asked.
+    avoided: HashMap<SocketAddr, Timestamp>,
+}
+
+impl Dispatcher {
+    /// The node from which newer documents are to be fetched now, if others have any.
+    pub fn document_source(&mut self, now: Timestamp) -> Option<SocketAddr> {
+        let known = self.knowledge.complete_to();
+        let informed = self.peers.knowing_more_than(known);
+        if informed.is_empty() {
+            self.wanted.since = None;
+            return None;
+        }
+        let since = *self.wanted.since.get_or_insert(now);
+        let avoided = &mut self.wanted.avoided;
+        avoided.retain(|_, until| *until > now);
+        let sources: Vec<(Border, SocketAddr)> = informed
+            .into_iter()
+            .map(|address| (self.border_to(address), address))
+            .collect();
+        let is_near = |(border, _): &&(Border, SocketAddr)| *border == Border::None;
+        let serves_near = sources.iter().any(|source| is_near(&source));
+        let may_go_far = now.since(since) >= self.far_patience(known, serves_near);
+        let free = sources
+            .into_iter()
+            .filter(|(_, address)| !self.wanted.avoided.contains_key(address))
+            .filter(|(border, _)| *border == Border::None || may_go_far);
+        let free: Vec<(Border, SocketAddr)> = free.collect();
+        let nearest = free.iter().map(|(border, _)| *border).min()?;
+        let nearest = free.iter().filter(|(border, _)| *border == nearest);
+        let nearest: Vec<SocketAddr> = nearest.map(|(_, address)| *address).collect();
+        nearest.choose(&mut self.random).copied()
+    }
+
+    /// How long documents of other zones are left to others of this one.
+    fn far_patience(&self, known: u64, serves_near: bool) -> Span {
+        if serves_near {
+            return LONGEST_PATIENCE;
+        }
+        // What a node lacks that knows some documents is small, and few are told of it from
+        // other zones.
+        if known > 0 {
+            return Span::ZERO;
+        }
+        let start = if self.peers.is_seed() {
+            Span::ZERO
+        } else {
+            START_PATIENCE
+        };
+        (start + PATIENCE_PER_NODE * self.reader_rank()).min(LONGEST_PATIENCE)
+    }
+
+    /// A node gave no documents: because it is busy, or for another reason.
+    pub fn note_failed_fetch(&mut self, source: SocketAddr, is_busy: bool, now: Timestamp) {
+        let pause = if is_busy {
+            AVOIDED_BUSY
+        } else {
+            AVOIDED_FAILED
+        };
+        self.wanted.avoided.insert(source, now + pause);
+    }
+}
--- a/crates/coordination/dispatch/src/dispatcher/messages.rs
+++ b/crates/coordination/dispatch/src/dispatcher/messages.rs
@@ -17,6 +17,8 @@
 const DOUBTFUL_TICKS: u64 = 10;
 /// Ticks between two messages that name other nodes unasked.
 const MEMBER_TICKS: u64 = 20;
+/// Ticks between two questions to the seeds by a node that hears others, but lacks documents.
+const SEED_TICKS: u64 = 5;
 /// Ticks after a start during which these attempts are made more often.
 const STARTING_TICKS: u64 = 50;
 /// The same, while starting or while nodes are known by hearsay only.
@@ -46,15 +48,13 @@
     /// Messages and changes that are due; to be called every [`TICK`](super::TICK).
     pub fn tick(&mut self, now: Timestamp) -> TickOutput {
         self.ticks += 1;
+        self.now = now;
         self.started.get_or_insert(now);
         self.forget_lapsed(now);
         let mut peer_changes = self.peers.tick(now);
         let warmth_changes = self.renew_cold_senders(now);
         peer_changes.extend(self.watch_aggregators(now));
-        self.silent_zones = self
-            .aggregation
-            .silent_zones(now)
-            .unwrap_or_else(|| self.peers.silent_zones(now));
+        self.renew_silent_zones(now);
         self.ended_lately
             .retain(|_, ended| now.since(*ended) < OUTCOME_LIFETIME);
         if self.ticks.is_multiple_of(SPLIT_TICKS) {
@@ -63,10 +63,13 @@
         let mut messages = self.messages_to_zone(now);
         messages.extend(self.zone_digest(now));
         if self.ticks.is_multiple_of(FAR_TICKS) {
-            messages.extend(self.message_to_other_zones(now));
+            // In a large zone the senders of digests speak for all of its nodes.
+            if !self.is_spoken_for() {
+                messages.extend(self.message_to_other_zones(now));
+            }
             self.placements.clear();
         }
-        if self.knowledge.complete_to() == 0 {
+        if self.knowledge.complete_to() == 0 && self.is_time_to_ask_seeds() {
             let seeds = self.peers.other_seeds();
             messages.extend(self.question(seeds, now));
         }
@@ -82,6 +85,25 @@
         }
     }
 
+    /// Whether other nodes speak for this one to other zones.
+    fn is_spoken_for(&self) -> bool {
+        self.peers.is_zone_large() && self.tells_zones_by_digest()
+    }
+
+    fn renew_silent_zones(&mut self, now: Timestamp) {
+        match self.aggregation.silent_zones(now) {
+            Some(zones) => self.silent_zones = zones,
+            // What aggregators told last stands until others have taken their place.
+            None if self.is_spoken_for() => {}
+            None => self.silent_zones = self.peers.silent_zones(now),
+        }
+    }
+
+    /// Seeds are asked in each tick until one is heard, then at times.
+    fn is_time_to_ask_seeds(&self) -> bool {
+        self.peers.living_count() == 0 || self.ticks.is_multiple_of(SEED_TICKS)
+    }
+
     /// Messages to the own zone: its peers hear of this node's work themselves, or in a large
     /// zone by its aggregators.
     fn messages_to_zone(&mut self, now: Timestamp) -> Vec<Envelope> {
@@ -131,9 +153,10 @@
     }
 
     /// The answer to a node that wants one: it names others.
-    pub fn answer(&mut self, now: Timestamp) -> Gossip {
+    pub fn answer(&mut self, to: SocketAddr, now: Timestamp) -> Gossip {
         let mut answer = self.gossip(false, now);
-        answer.members = self.peers.sample(now, &mut self.random);
+        let zone = self.peers.zone_of(to).cloned();
+        answer.members = self.peers.sample_for(zone.as_ref(), now, &mut self.random);
         answer
     }
 
@@ -197,7 +220,7 @@
             (FORWARD_NEAR_FANOUT, FORWARD_FAR_FANOUT)
         };
         let mut peers = in_turn(&self.peers.near(), near, &mut self.near_turn);
-        peers.extend(in_turn(&self.peers.far(), far, &mut self.far_turn));
+        peers.extend(self.announced_beyond(is_first_hand, far));
         let mut message = self.bare_gossip(false, now);
         message.news = self.news();
         self.announced_to = self.knowledge.complete_to();
@@ -208,6 +231,25 @@
         }
     }
 
+    /// Nodes of other zones told of newer documents: where zones speak through few nodes, one or
+    /// two of each zone by who heard of them first, and none by the others, as each further one
+    /// tells its own zone only.
+    fn announced_beyond(&mut self, is_first_hand: bool, fanout: usize) -> Vec<SocketAddr> {
+        if !self.is_spoken_for() {
+            return in_turn(&self.peers.far(), fanout, &mut self.far_turn);
+        }
+        if !is_first_hand && !self.speaks_for_zone() {
+            return Vec::new();
+        }
+        let mut told = self.digest_receivers();
+        let others = self.peers.one_of_each_other_zone(&mut self.random);
+        let others = others.into_values().filter(|_| is_first_hand);
+        told.extend(others);
+        told.sort_unstable();
+        told.dedup();
+        told
+    }
+
     /// The changes since the last announcement, if they fit a message.
     fn news(&self) -> Option<News> {
         let changes = self.knowledge.changes_after(self.announced_to);
--- a/crates/coordination/dispatch/src/dispatcher/zone_digest.rs
+++ b/crates/coordination/dispatch/src/dispatcher/zone_digest.rs
@@ -6,7 +6,7 @@
 use super::aggregation::busiest;
 use super::messages::{FAR_FANOUT, NEAR_FANOUT};
 use crate::LoadSource;
-use crate::fleet::message::{Envelope, Gossip, LoadReport, Placement, ZoneDigest};
+use crate::fleet::message::{Envelope, Gossip, LoadReport, Member, Placement, ZoneDigest};
 use crate::fleet::traffic::MessageKind;
 use eiderferry_routing::{PartId, ZoneName};
 use eiderferry_types::{Span, Timestamp};
@@ -21,6 +21,11 @@
 const MOST_LOADS: usize = 200;
 /// Placements named in one digest.
 const MOST_PLACEMENTS: usize = 120;
+/// Digests of one node that name all nodes of its zone.
+const DIGESTS_TO_NAME_ALL: usize = 10;
+/// Time for which the sender of a digest gets those of the own zone: it sends each 0.4 s, to
+/// one of two. After that any node of its zone does, which passes them on.
+const SENDER_LIFETIME: Span = Span::from_milliseconds(1_500);
 /// Zones passed on in one message.
 const MOST_ZONES: usize = 4;
 
@@ -41,7 +46,8 @@
     heard: BTreeMap<ZoneName, HeardDigest>,
     placed: BTreeMap<(u32, PartId), Placement>,
     /// Nodes whose digests of other zones arrived last.
-    senders: BTreeMap<ZoneName, SocketAddr>,
+    senders: BTreeMap<ZoneName, (SocketAddr, Timestamp)>,
+    member_turn: usize,
 }
 
 impl ZoneDigests {
@@ -107,6 +113,9 @@
             return None;
         }
         let mut message = self.bare_gossip(false, now);
+        if self.peers.is_zone_large() {
+            message.members = self.members_for_other_zones(now);
+        }
         message.zone_digests.push(ZoneDigest {
             zone: self.settings.zone.clone(),
             teller: self.settings.node.digest(),
@@ -124,6 +133,19 @@
         })
     }
 
+    /// Nodes of the own zone, a few with each digest.
+    fn members_for_other_zones(&mut self, now: Timestamp) -> Vec<Member> {
+        let count = self.peers.near_count().div_ceil(DIGESTS_TO_NAME_ALL);
+        let first = self.zone_digests.member_turn;
+        self.zone_digests.member_turn = first.wrapping_add(count);
+        self.peers.near_members(first, count, now)
+    }
+
+    /// Whether this node speaks for its zone to others.
+    pub(super) fn speaks_for_zone(&self) -> bool {
+        self.digest_turn().is_some()
+    }
+
     /// Whether this node collects its zone's placements for a digest: in a large zone only
     /// aggregators do.
     pub(super) fn collects_placements(&self) -> bool {
@@ -143,10 +165,11 @@
 
     /// One node of each other zone: the one whose digest was heard last, as it collects what
     /// its zone is told, or any.
-    fn digest_receivers(&mut self) -> Vec<SocketAddr> {
+    pub(super) fn digest_receivers(&mut self) -> Vec<SocketAddr> {
         let mut receivers = self.peers.one_of_each_other_zone(&mut self.random);
-        for (zone, sender) in &self.zone_digests.senders {
+        for (zone, (sender, until)) in &self.zone_digests.senders {
             if let Some(receiver) = receivers.get_mut(zone)
+                && self.now < *until
                 && self.peers.is_living(*sender)
             {
                 *receiver = *sender;
@@ -179,7 +202,9 @@
             }
             if is_first_hand {
                 let zone = zone_digest.zone.clone();
-                self.zone_digests.senders.insert(zone, address);
+                self.zone_digests
+                    .senders
+                    .insert(zone, (address, now + SENDER_LIFETIME));
             }
             self.take_zone_digest(zone_digest, is_first_hand, now);
         }
--- a/crates/coordination/dispatch/src/fleet/peers.rs
+++ b/crates/coordination/dispatch/src/fleet/peers.rs
@@ -28,6 +28,16 @@
 const FORGET_FACTOR: u64 = 60;
 /// Other nodes named in one message.
 const MEMBERS_PER_MESSAGE: usize = 12;
+/// Silence after which a node of another zone that is known from others only counts as lost:
+/// aggregators name all of those within 8 s.
+const TOLD_SILENCE: Span = Span::from_milliseconds(15_000);
+/// Nodes of another zone that a node gets to know by itself; it is told of the others. Before,
+/// each of 300 nodes tried each other one: 14 MB across borders at a start
+/// (`tests/borders.rs`).
+const MET_OF_ZONE: usize = 2;
+/// What a member's way between two nodes of a zone may take: without it what two nodes tell
+/// each other of a third grows younger.
+const MEMBER_ON_THE_WAY: Span = Span::from_milliseconds(10);
 
 /// What changed with a peer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -42,8 +52,11 @@
 
 #[derive(Clone, Debug)]
 struct Peer {
-    name: NodeName,
+    /// Its name, once it was heard: before that it is known from others only.
+    name: Option<NodeName>,
     zone: ZoneName,
+    /// Revision up to which it knows all documents, as it told last.
+    complete_to: u64,
     /// Place in the order in which the nodes of a zone take duties over.
     rank: DutyRank,
     incarnation: u32,
@@ -62,6 +75,8 @@
     hearsay: BTreeMap<SocketAddr, (ZoneName, Timestamp)>,
     seeds: Vec<SocketAddr>,
     most_known: u32,
+    /// When the own zone was large last.
+    large_until: Timestamp,
     near_living: usize,
     far_living: usize,
     /// Most nodes of the own zone ever there at once, and since when.
@@ -100,6 +115,7 @@
             hearsay: BTreeMap::new(),
             seeds,
             most_known: 1,
+            large_until: Timestamp::default(),
             near_living: 0,
             far_living: 0,
             most_near: 0,
@@ -136,19 +152,22 @@
         now: Timestamp,
     ) -> Option<PeerChange> {
         let is_near = message.zone == self.zone;
-        self.take_members(&message.members, is_near, now);
+        self.take_members(message, is_near, now);
         self.hearsay.remove(&address);
         if let Some(peer) = self.peers.get_mut(&address)
+            && peer.name.is_some()
             && !peer.is_lost
             && peer.incarnation == message.incarnation
         {
             peer.heard = now;
+            peer.complete_to = message.complete_to;
             peer.is_stopping = message.is_stopping;
             return None;
         }
         let peer = Peer {
-            name: message.from.clone(),
+            name: Some(message.from.clone()),
             zone: message.zone.clone(),
+            complete_to: message.complete_to,
             rank: DutyRank::new(address, message.link_mbps),
             incarnation: message.incarnation,
             heard: now,
@@ -163,20 +182,28 @@
             self.most_near_since = now;
         }
         let name = message.from.clone();
-        Some(match previous {
+        Some(match previous.and_then(|previous| previous.name) {
             None => PeerChange::Found(name),
             Some(_) => PeerChange::Regained(name),
         })
     }
 
-    /// Nodes that another node names: unknown ones are to be tried; of those of the own
-    /// zone that a node of it names, its word on when they were heard counts as well.
-    fn take_members(&mut self, members: &[Member], is_near: bool, now: Timestamp) {
-        for member in members.iter().filter(|member| member.address != self.own) {
+    /// Nodes that another node names: unknown ones are to be tried; its word on when they were
+    /// heard counts as well for nodes of its zone, and if it is of the own zone for all.
+    fn take_members(&mut self, message: &Gossip, is_near: bool, now: Timestamp) {
+        let members = message.members.iter();
+        for member in members.filter(|member| member.address != self.own) {
             let silent = Span::from_milliseconds(u64::from(member.silent_ms));
             let heard = now - silent;
+            let is_known = self.peers.contains_key(&member.address);
+            if !is_known && self.takes_by_word(member, message, is_near) {
+                let peer = told_peer(member, heard);
+                self.peers.insert(member.address, peer);
+                self.hearsay.remove(&member.address);
+                continue;
+            }
             match self.peers.get_mut(&member.address) {
-                Some(peer) if is_near && peer.zone == self.zone && !peer.is_lost => {
+                Some(peer) if (is_near || peer.zone == message.zone) && !peer.is_lost => {
                     peer.heard = peer.heard.max(heard);
                 }
                 None if silent < Span(FAR_SILENCE.0 * FORGET_FACTOR) => {
@@ -188,6 +215,21 @@
         }
     }
 
+    /// Whether a node that wasn't heard counts as known because others name it.
+    fn takes_by_word(&self, member: &Member, message: &Gossip, is_near: bool) -> bool {
+        let is_trusted = is_near || member.zone == message.zone;
+        let silent = Span::from_milliseconds(u64::from(member.silent_ms));
+        let is_fresh = silent < TOLD_SILENCE;
+        is_trusted && is_fresh && member.zone != self.zone && self.has_met(&member.zone)
+    }
+
+    /// Whether enough nodes of another zone were heard.
+    fn has_met(&self, zone: &ZoneName) -> bool {
+        let peers = self.peers.values();
+        let met = peers.filter(|peer| !peer.is_lost && peer.name.is_some() && peer.zone == *zone);
+        met.take(MET_OF_ZONE).count() == MET_OF_ZONE
+    }
+
     fn recount(&mut self) {
         let living = self.peers.values().filter(|peer| !peer.is_lost);
         let near = living.clone().filter(|peer| peer.zone == self.zone);
@@ -201,9 +243,9 @@
         if std::mem::replace(&mut peer.is_lost, true) {
             return None;
         }
-        let change = PeerChange::Lost(peer.name.clone());
+        let change = peer.name.clone().map(PeerChange::Lost);
         self.recount();
-        Some(change)
+        change
     }
 
     /// Marks silent peers as lost and forgets those silent for long.
@@ -215,14 +257,20 @@
         for peer in self.peers.values_mut() {
             if !peer.is_lost && now.since(peer.heard) > limit(peer) {
                 peer.is_lost = true;
-                changes.push(PeerChange::Lost(peer.name.clone()));
+                changes.extend(peer.name.clone().map(PeerChange::Lost));
             }
         }
         let forget = Span(far.0 * FORGET_FACTOR);
-        self.peers.retain(|_, peer| now.since(peer.heard) < forget);
+        self.peers.retain(|_, peer| {
+            now.since(peer.heard) < forget && !(peer.is_lost && peer.name.is_none())
+        });
         self.hearsay
             .retain(|_, (_, heard)| now.since(*heard) < forget);
         self.recount();
+        self.most_known = self.most_known.max(self.peers.len() as u32 + 1);
+        if self.is_zone_large() {
+            self.large_until = now;
+        }
         changes
     }
 
@@ -251,16 +299,28 @@
         };
         let far = self.far_count().div_ceil(self.far_fanout()) as u64;
         let far = Span(far * FAR_TICKS * TICK.0 * MISSED_TURNS).max(FAR_SILENCE);
+        let far = if self.is_zone_large() || self.has_told() {
+            far.max(TOLD_SILENCE)
+        } else {
+            far
+        };
         (near, far)
     }
 
+    /// Whether nodes are known from others only.
+    fn has_told(&self) -> bool {
+        self.peers.values().any(|peer| peer.name.is_none())
+    }
+
     /// Other zones none of whose peers was heard for some turns: the way there is probably
     /// cut, for requests as well. Their nodes may also all have stopped or ended.
     pub fn silent_zones(&self, now: Timestamp) -> BTreeSet<ZoneName> {
         let turns = self.far_count().div_ceil(self.far_fanout()) as u64;
         let mut zones: BTreeMap<&ZoneName, Vec<Timestamp>> = BTreeMap::new();
         for peer in self.peers.values().filter(|peer| peer.zone != self.zone) {
-            zones.entry(&peer.zone).or_default().push(peer.heard);
+            // Before that, aggregators heard them in place of this node.
+            let heard = peer.heard.max(self.large_until);
+            zones.entry(&peer.zone).or_default().push(heard);
         }
         let is_silent = |heard: &Vec<Timestamp>| {
             // Each of its peers tells this node once in so many turns, one after the other.
@@ -317,14 +377,40 @@
         let lost = self.peers.iter().filter(|(_, peer)| peer.is_lost);
         let lost = lost.map(|(address, _)| *address);
         let seeds = self.other_seeds().into_iter();
-        let unknown = seeds.chain(self.hearsay.keys().copied());
+        let named = self
+            .hearsay
+            .iter()
+            .filter(|(_, (zone, _))| self.is_sought(zone));
+        let unknown = seeds.chain(named.map(|(address, _)| *address));
         let unknown = unknown.filter(|address| !self.peers.contains_key(address));
         unknown.chain(lost).choose_multiple(random, count)
     }
 
     /// Number of nodes known by hearsay only.
     pub fn hearsay_count(&self) -> usize {
-        self.hearsay.len()
+        let zones = self.hearsay.values();
+        zones.filter(|(zone, _)| self.is_sought(zone)).count()
+    }
+
+    /// Whether nodes of a zone that others name are to be tried.
+    fn is_sought(&self, zone: &ZoneName) -> bool {
+        *zone == self.zone || !self.has_met(zone)
+    }
+
+    /// Some nodes to name to a node of a zone: those of its own zone first, as it works with
+    /// them and gets its documents there.
+    pub fn sample_for(
+        &self,
+        zone: Option<&ZoneName>,
+        now: Timestamp,
+        random: &mut impl Rng,
+    ) -> Vec<Member> {
+        let own = self.members(|peer| Some(&peer.zone) == zone, now);
+        let mut named = own.choose_multiple(random, MEMBERS_PER_MESSAGE * 3 / 4);
+        let others = self.members(|peer| Some(&peer.zone) != zone, now);
+        let left = MEMBERS_PER_MESSAGE - named.len();
+        named.extend(others.choose_multiple(random, left));
+        named
     }
 
     /// Some nodes to name in a message.
@@ -335,10 +421,14 @@
 
     /// So many nodes of the own zone to name in a message, from a place in their order on.
     pub fn near_members(&self, first: usize, count: usize, now: Timestamp) -> Vec<Member> {
-        let near: Vec<Member> = self.members(|peer| peer.zone == self.zone, now).collect();
-        let named = count.min(near.len());
-        let numbers = (0..named).map(|offset| first.wrapping_add(offset) % near.len());
-        numbers.map(|number| near[number].clone()).collect()
+        let near = self.members(|peer| peer.zone == self.zone, now);
+        slice(near.collect(), first, count)
+    }
+
+    /// The same of other zones.
+    pub fn far_members(&self, first: usize, count: usize, now: Timestamp) -> Vec<Member> {
+        let far = self.members(|peer| peer.zone != self.zone, now);
+        slice(far.collect(), first, count)
     }
 
     fn members(
@@ -351,7 +441,7 @@
         living.map(move |(address, peer)| Member {
             address: *address,
             zone: peer.zone.clone(),
-            silent_ms: now.since(peer.heard).milliseconds() as u32,
+            silent_ms: (now.since(peer.heard) + MEMBER_ON_THE_WAY).milliseconds() as u32,
         })
     }
 
@@ -382,6 +472,11 @@
         near.filter(|(_, peer)| !peer.is_stopping)
     }
 
+    /// Living peers that know documents beyond a revision.
+    pub fn knowing_more_than(&self, revision: u64) -> Vec<SocketAddr> {
+        self.living(|peer| peer.complete_to > revision)
+    }
+
     /// Zone of a node, as far as it was heard or others tell.
     pub fn zone_of(&self, address: SocketAddr) -> Option<&ZoneName> {
         let heard = self.peers.get(&address).map(|peer| &peer.zone);
@@ -421,3 +516,24 @@
         self.near_living + self.far_living
     }
 }
+
+/// A node as others tell of it.
+fn told_peer(member: &Member, heard: Timestamp) -> Peer {
+    Peer {
+        name: None,
+        zone: member.zone.clone(),
+        complete_to: 0,
+        rank: DutyRank::new(member.address, 0),
+        incarnation: 0,
+        heard,
+        is_lost: false,
+        is_stopping: false,
+    }
+}
+
+/// So many members from a place in their order on.
+fn slice(members: Vec<Member>, first: usize, count: usize) -> Vec<Member> {
+    let named = count.min(members.len());
+    let numbers = (0..named).map(|offset| first.wrapping_add(offset) % members.len());
+    numbers.map(|number| members[number].clone()).collect()
+}
--- a/crates/coordination/dispatch/tests/support/mod.rs
+++ b/crates/coordination/dispatch/tests/support/mod.rs
@@ -238,6 +238,8 @@
     in_flight: Vec<(usize, SocketAddr, Rc<Gossip>)>,
     /// Region of each zone.
     pub regions: RegionOfZone,
+    /// Nodes that hand out no documents.
+    pub busy: BTreeSet<usize>,
     /// Documents that the platform has besides the table.
     pub first_documents: Vec<Change>,
     /// Number of the latest run of any node.
@@ -276,6 +278,7 @@
             in_flight: Vec::new(),
             regions: regions(),
             first_documents: Vec::new(),
+            busy: BTreeSet::new(),
             runs: 1,
         }
     }
@@ -332,6 +335,7 @@
                 }
             }
             self.post(number, output.messages);
+            self.fetch_wanted(number);
         }
     }
 
@@ -395,7 +399,7 @@
         };
         let received = self.nodes[to].receive(node_address(from), message, self.now);
         if received.wants_answer {
-            let answer = self.nodes[to].answer(self.now);
+            let answer = self.nodes[to].answer(node_address(from), self.now);
             let to_asker = vec![node_address(from)];
             let envelope = Envelope {
                 kind: MessageKind::Answer,
@@ -404,14 +408,27 @@
             };
             self.post(to, vec![envelope]);
         }
-        if received.is_newer {
-            self.fetch(to, from);
-        }
+        self.fetch_wanted(to);
         if !received.taken.is_empty() {
             self.announce(to, false);
         }
     }
 
+    /// Fetches documents that a node lacks from the node that it chooses.
+    fn fetch_wanted(&mut self, number: usize) {
+        let now = self.now;
+        let Some(source) = self.nodes[number].document_source(now) else {
+            return;
+        };
+        let from = self
+            .number_of(source)
+            .filter(|from| self.hears(*from, number));
+        match from {
+            Some(from) if !self.busy.contains(&from) => self.fetch(number, from),
+            from => self.nodes[number].note_failed_fetch(source, from.is_some(), now),
+        }
+    }
+
     fn announce(&mut self, number: usize, is_first_hand: bool) {
         let messages = self.nodes[number].announce(is_first_hand, self.now);
         self.post(number, vec![messages]);
--- a/crates/transport/relay/src/control.rs
+++ b/crates/transport/relay/src/control.rs
@@ -25,6 +25,8 @@
 /// Pause after nodes that were busy with others, at the least; up to as much is added, so that
 /// nodes which started together don't ask together.
 const FETCH_PAUSE: Span = Span::from_milliseconds(100);
+/// Time between two looks at whether documents are to be fetched now.
+const FETCH_CHECK: Span = Span::from_milliseconds(50);
 /// Time between two looks at whether this node has to read documents.
 const DUTY_CHECK: Span = Span::from_milliseconds(150);
 /// The same while nothing is known yet.
@@ -235,31 +237,60 @@
             }
             self.follow_news(&received.taken);
             if received.wants_answer {
-                let message = self.dispatcher.borrow_mut().answer(now);
+                let message = self.dispatcher.borrow_mut().answer(from, now);
                 self.send(&Envelope {
                     kind: MessageKind::Answer,
                     to: vec![from],
                     message,
                 });
             }
-            if received.is_newer && !self.fetching.replace(true) {
-                let control = Rc::clone(self);
-                executor
-                    .spawn(async move { control.fetch(from).await })
-                    .detach();
+            if received.is_newer {
+                self.fetch_wanted(executor);
             }
         }
     }
 
+    /// Looks for ever whether documents are to be fetched that were left to others at first.
+    pub async fn run_fetches(self: &Rc<Self>, executor: &smol::LocalExecutor<'static>) {
+        loop {
+            smol::Timer::after(crate::clock::duration(FETCH_CHECK)).await;
+            self.fetch_wanted(executor);
+        }
+    }
+
+    fn fetch_wanted(self: &Rc<Self>, executor: &smol::LocalExecutor<'static>) {
+        if self.fetching.get() {
+            return;
+        }
+        let now = self.clock.now();
+        let Some(source) = self.dispatcher.borrow_mut().document_source(now) else {
+            return;
+        };
+        self.fetching.set(true);
+        let control = Rc::clone(self);
+        executor
+            .spawn(async move { control.fetch(source).await })
+            .detach();
+    }
+
     async fn fetch(&self, from: SocketAddr) {
         let known = self.dispatcher.borrow().knowledge().complete_to();
-        let result = crate::documents::fetch(from, known, self.address).await;
+        let result = crate::documents::fetch(from, known, self.address, |next| {
+            self.is_as_near(next, from)
+        })
+        .await;
         if let Err(FetchError::Busy(_)) = &result {
             let part = rand::random::<f64>();
             let pause = FETCH_PAUSE + FETCH_PAUSE.scaled(part);
             smol::Timer::after(crate::clock::duration(pause)).await;
         }
         self.fetching.set(false);
+        if let Err(error) = &result {
+            let is_busy = matches!(error, FetchError::Busy(_));
+            let now = self.clock.now();
+            let mut dispatcher = self.dispatcher.borrow_mut();
+            dispatcher.note_failed_fetch(from, is_busy, now);
+        }
         match result {
             Ok(package) => {
                 let heard = self.clock.now();
@@ -273,6 +304,12 @@
         }
     }
 
+    /// Whether the way to a node crosses no border that the way to another doesn't.
+    fn is_as_near(&self, address: SocketAddr, other: SocketAddr) -> bool {
+        let dispatcher = self.dispatcher.borrow();
+        dispatcher.border_to(address) <= dispatcher.border_to(other)
+    }
+
     /// Takes changes over; tells the other nodes when anything was new.
     fn take(&self, changes: Vec<Change>, source: &'static str) {
         let mut is_news = false;
--- a/crates/transport/relay/src/documents.rs
+++ b/crates/transport/relay/src/documents.rs
@@ -72,19 +72,22 @@
     SentOn(Vec<SocketAddr>),
 }
 
-/// Fetches all changes after a revision from a peer, or from others that it names. `own` is
-/// where this node answers such calls.
+/// Fetches all changes after a revision from a peer, or from others that it names and that
+/// `may_ask` allows. `own` is where this node answers such calls.
 pub(crate) async fn fetch(
     peer: SocketAddr,
     revision: u64,
     own: SocketAddr,
+    may_ask: impl Fn(SocketAddr) -> bool,
 ) -> Result<Package, FetchError> {
     let mut asked = vec![peer];
     while let Some(source) = asked.last().copied() {
         match ask(source, revision, own).await? {
             Reply::Package(package) => return Ok(package),
             Reply::SentOn(others) => {
-                let mut others = others.into_iter().filter(|other| !asked.contains(other));
+                let mut others = others
+                    .into_iter()
+                    .filter(|other| !asked.contains(other) && may_ask(*other));
                 let next = others.next().filter(|_| asked.len() < MOST_ASKED);
                 asked.push(next.ok_or(FetchError::Busy(peer))?);
             }
--- a/crates/transport/relay/src/node.rs
+++ b/crates/transport/relay/src/node.rs
@@ -232,6 +232,8 @@
     smol::block_on(executor.run(async {
         let commands = control.run_commands(commands);
         let messages = control.run_messages(&executor);
-        futures_lite::future::or(commands, messages).await;
+        let fetches = control.run_fetches(&executor);
+        let incoming = futures_lite::future::or(messages, fetches);
+        futures_lite::future::or(commands, incoming).await;
     }));
 }
