Dispatch: tests of control at borders under failure, fleets of three regions at 30 ms

Cause: documents and membership cross borders through few nodes now; nothing showed what a cut, a death of both, a busy or stale source does.

--- a/crates/coordination/dispatch/tests/borders.rs
+++ b/crates/coordination/dispatch/tests/borders.rs
@@ -3,9 +3,11 @@
 
 mod support;
 
-use eiderferry_dispatch::MessageKind;
+use eiderferry_dispatch::{Dispatcher, MessageKind};
+use eiderferry_routing::ZoneName;
 use rstest::rstest;
-use support::{Fleet, back_end, back_end_change, demand, granted};
+use std::collections::BTreeSet;
+use support::{Fleet, back_end, back_end_change, demand, granted, table_change, zone};
 
 /// Zones of the fleet: 0 and 1 lie in one region, 2 in another.
 const ZONES: usize = 3;
@@ -64,27 +66,181 @@
 }
 
 /// Kilobytes across borders in a start, in 10 s of load, in ten changes and in a start anew.
+/// Before documents were fetched in the own zone and few nodes spoke for each, 300 nodes sent
+/// 43.9, 1.87, 1.43 and 42.9 MB.
 #[rstest]
-#[case::small(30)]
-#[case::middle(100)]
-#[case::large(300)]
-fn bytes_across_borders(#[case] count: usize) {
+#[case::small(30, [1_100, 1_500, 750, 550])]
+#[case::middle(100, [400, 1_000, 550, 300])]
+#[case::large(300, [1_000, 1_000, 550, 900])]
+fn bytes_across_borders_hardly_grow_with_nodes(#[case] count: usize, #[case] bounds: [usize; 4]) {
     let mut fleet = informed_fleet(count);
-    println!("{count} nodes, 20 s from the start: {}", by_kind(&fleet));
-    fleet.traffic.clear();
+    let mut kilobytes = Vec::new();
+    let mut count_and_clear = |fleet: &mut Fleet, what: &str| {
+        println!("{count} nodes, {what}: {}", by_kind(fleet));
+        kilobytes.push(fleet.border_bytes(None) / 1_000);
+        fleet.traffic.clear();
+    };
+    count_and_clear(&mut fleet, "20 s from the start");
     load(&mut fleet, 100);
-    println!("{count} nodes, 10 s of load: {}", by_kind(&fleet));
-    fleet.traffic.clear();
+    count_and_clear(&mut fleet, "10 s of load");
     for revision in 2..12 {
         let change = back_end_change(back_end("engine-0", 0, 0), revision);
         fleet.read_change(0, change, revision);
         fleet.run_with_platform(500, 1);
     }
-    println!("{count} nodes, ten changes in 5 s: {}", by_kind(&fleet));
-    fleet.traffic.clear();
+    count_and_clear(&mut fleet, "ten changes in 5 s");
     for number in 0..count {
         fleet.restart(number);
     }
     fleet.run_with_platform(10_000, 12);
-    println!("{count} nodes, 10 s from a start anew: {}", by_kind(&fleet));
+    count_and_clear(&mut fleet, "10 s from a start anew");
+    for (kilobytes, bound) in kilobytes.iter().zip(bounds) {
+        assert!(*kilobytes <= bound, "{kilobytes} of {bound} kB");
+    }
+}
+
+/// Milliseconds until a condition holds for all nodes that are not dark.
+fn until(fleet: &mut Fleet, holds: impl Fn(&Dispatcher) -> bool) -> u64 {
+    let mut waited = 0;
+    let all = |fleet: &Fleet| {
+        let nodes = fleet.nodes.iter().enumerate();
+        let mut living = nodes.filter(|(number, _)| !fleet.dark.contains(number));
+        living.all(|(_, node)| holds(node))
+    };
+    while !all(fleet) && waited < 20_000 {
+        fleet.run_with_platform(100, 1);
+        waited += 100;
+    }
+    waited
+}
+
+#[rstest]
+#[case::small(30)]
+#[case::large(300)]
+fn after_a_loss_of_all_each_node_has_the_documents_within_two_seconds(#[case] count: usize) {
+    let mut fleet = informed_fleet(count);
+    for number in 0..count {
+        fleet.restart(number);
+    }
+    let waited = until(&mut fleet, |node| node.knowledge().complete_to() > 0);
+    println!("{count} nodes have documents after {waited} ms");
+    assert!(waited <= 2_000, "{waited} ms");
+}
+
+/// Only one node of zone 0 reaches the platform: the documents cross each border few times.
+#[test]
+fn zones_without_documents_get_them_across_the_border_few_times() {
+    let mut fleet = Fleet::new(300, ZONES);
+    fleet.measure_bytes();
+    fleet.run(1_000);
+    for change in documents(300) {
+        fleet.nodes[0].apply(change, fleet.now);
+    }
+    fleet.read_change(0, table_change(1), 1);
+    let package = 138_000;
+    let mut waited = 0;
+    while fleet
+        .nodes
+        .iter()
+        .any(|node| node.knowledge().complete_to() == 0)
+        && waited < 5_000
+    {
+        fleet.run(100);
+        waited += 100;
+    }
+    let bytes = fleet.border_bytes(Some(MessageKind::Documents));
+    println!("{bytes} bytes of documents across borders, {waited} ms");
+    assert!(waited <= 3_000, "{waited} ms");
+    assert!(bytes <= 8 * package, "{bytes} bytes");
+}
+
+fn silent(fleet: &Fleet, zones: &[usize]) -> BTreeSet<ZoneName> {
+    assert!(zones.iter().all(|zone| *zone < fleet.zones.len()));
+    zones.iter().map(|number| zone(*number)).collect()
+}
+
+/// How soon a cut is known, and over: both were so before few nodes spoke for a zone.
+#[rstest]
+#[case::small(30)]
+#[case::large(300)]
+fn a_cut_zone_is_known_and_meets_the_fleet_again_without_a_storm(#[case] count: usize) {
+    let mut fleet = informed_fleet(count);
+    fleet.cut.extend([(0, 1), (0, 2)]);
+    let (outside, inside) = (silent(&fleet, &[0]), silent(&fleet, &[1, 2]));
+    let known = until(&mut fleet, |node| {
+        *node.silent_zones() == outside || *node.silent_zones() == inside
+    });
+    fleet.run_with_platform(5_000, 1);
+    fleet.cut.clear();
+    fleet.traffic.clear();
+    let over = until(&mut fleet, |node| node.silent_zones().is_empty());
+    fleet.run_with_platform(3_000, 1);
+    let kilobytes = fleet.border_bytes(None) / 1_000;
+    println!("{count} nodes: cut known after {known} ms, over after {over} ms, {kilobytes} kB");
+    assert!(known <= 2_500, "known after {known} ms");
+    assert!(over <= 2_500, "over after {over} ms");
+    assert!(kilobytes <= 600, "{kilobytes} kB");
+}
+
+#[test]
+fn a_zone_whose_two_speakers_die_together_is_heard_again() {
+    let mut fleet = informed_fleet(100);
+    let speakers = fleet.nodes.iter().enumerate();
+    let speakers =
+        speakers.filter(|(number, node)| fleet.zones[*number] == 0 && node.is_aggregator());
+    let speakers: Vec<usize> = speakers.map(|(number, _)| number).collect();
+    assert_eq!(speakers.len(), 2);
+    fleet.dark.extend(speakers);
+    fleet.run_with_platform(4_500, 1);
+    for node in &fleet.nodes {
+        assert!(node.silent_zones().is_empty() || node.is_aggregator());
+    }
+    fleet.traffic.clear();
+    load(&mut fleet, 10);
+    assert!(fleet.border_bytes(Some(MessageKind::Digest)) > 0);
+}
+
+#[test]
+fn nodes_of_three_regions_know_all_others_and_lose_none() {
+    let mut fleet = Fleet::in_three_regions(120);
+    fleet.run_with_platform(20_000, 1);
+    fleet.lost.clear();
+    fleet.lost_each = Some(13);
+    fleet.run_with_platform(20_000, 1);
+    assert_eq!(fleet.lost, Vec::new());
+    for node in &fleet.nodes {
+        assert_eq!(node.snapshot(fleet.now).living_peers, 119);
+        assert!(node.silent_zones().is_empty(), "{:?}", node.silent_zones());
+    }
+}
+
+#[test]
+fn a_region_that_is_cut_off_is_known_and_comes_back() {
+    let mut fleet = Fleet::in_three_regions(120);
+    fleet.run_with_platform(20_000, 1);
+    for inside in [0, 1] {
+        fleet.cut.extend((2..6).map(|outside| (inside, outside)));
+    }
+    let (outside, inside) = (silent(&fleet, &[0, 1]), silent(&fleet, &[2, 3, 4, 5]));
+    let known = until(&mut fleet, |node| {
+        *node.silent_zones() == outside || *node.silent_zones() == inside
+    });
+    fleet.cut.clear();
+    let over = until(&mut fleet, |node| node.silent_zones().is_empty());
+    println!("region cut known after {known} ms, over after {over} ms");
+    assert!(known <= 2_500, "known after {known} ms");
+    assert!(over <= 2_500, "over after {over} ms");
+}
+
+#[rstest]
+#[case::small(30)]
+#[case::large(300)]
+fn a_leaving_engine_is_known_everywhere_at_once(#[case] count: usize) {
+    let mut fleet = informed_fleet(count);
+    let mut change = back_end("engine-0", 0, 0);
+    change.draining = true;
+    fleet.read_change(1, back_end_change(change, 5), 5);
+    let waited = until(&mut fleet, |node| node.knowledge().complete_to() == 5);
+    println!("{count} nodes: a change is known after {waited} ms");
+    assert!(waited <= 500, "{waited} ms");
 }
--- a/crates/coordination/dispatch/tests/support/mod.rs
+++ b/crates/coordination/dispatch/tests/support/mod.rs
@@ -124,7 +124,13 @@
     seeds: Vec<SocketAddr>,
     apply_within: Span,
 ) -> Dispatcher {
-    Dispatcher::new(settings(number, zone_number, seeds, apply_within))
+    Dispatcher::new(settings(
+        number,
+        zone_number,
+        seeds,
+        apply_within,
+        regions(),
+    ))
 }
 
 fn settings(
@@ -132,6 +138,7 @@
     zone_number: usize,
     seeds: Vec<SocketAddr>,
     apply_within: Span,
+    regions: RegionOfZone,
 ) -> DispatcherSettings {
     DispatcherSettings {
         apply_within,
@@ -143,7 +150,7 @@
         seeds,
         incarnation: 1,
         budget: BUDGET,
-        regions: regions(),
+        regions,
         features: Features::ALL,
     }
 }
@@ -207,10 +214,11 @@
     name["engine-".len()..].parse().expect("a number")
 }
 
-/// Time that a message takes.
+/// Time that a message takes within a region, and between two.
 const HOP: Span = Span::from_milliseconds(1);
+const REGION_HOP: Span = Span::from_milliseconds(30);
 
-/// A fleet whose messages take a millisecond.
+/// A fleet whose messages take a millisecond, or thirty between regions.
 pub struct Fleet {
     pub now: Timestamp,
     next_tick: Timestamp,
@@ -235,7 +243,10 @@
     measures_bytes: bool,
     /// Nodes that have read the platform.
     pub read_by: BTreeSet<usize>,
-    in_flight: Vec<(usize, SocketAddr, Rc<Gossip>)>,
+    /// Messages on their way, by when they arrive.
+    in_flight: BTreeMap<(Timestamp, u64), (usize, SocketAddr, Rc<Gossip>)>,
+    /// Time that a message takes between regions.
+    pub region_hop: Span,
     /// Region of each zone.
     pub regions: RegionOfZone,
     /// Nodes that hand out no documents.
@@ -253,11 +264,39 @@
 
     /// A fleet in which changes have to be in force within so long.
     pub fn with_apply_within(count: usize, zone_count: usize, apply_within: Span) -> Self {
+        Self::with_regions(count, zone_count, apply_within, regions())
+    }
+
+    /// A fleet in three regions of two zones each.
+    pub fn in_three_regions(count: usize) -> Self {
+        let region = |number: usize| RegionName::from(format!("region-{}", number / 2));
+        let regions = (0..6).map(|number| (zone(number), region(number)));
+        let fleet = Self::with_regions(count, 6, APPLY_WITHIN, regions.collect());
+        Self {
+            region_hop: REGION_HOP,
+            ..fleet
+        }
+    }
+
+    fn with_regions(
+        count: usize,
+        zone_count: usize,
+        apply_within: Span,
+        regions: RegionOfZone,
+    ) -> Self {
         let seeds: Vec<SocketAddr> = (0..3.min(count)).map(node_address).collect();
         let zones: Vec<usize> = (0..count).map(|number| number % zone_count).collect();
-        let nodes = (0..count)
-            .map(|number| dispatcher_with(number, zones[number], seeds.clone(), apply_within))
-            .collect();
+        let node = |number: usize| {
+            let (seeds, regions) = (seeds.clone(), regions.clone());
+            Dispatcher::new(settings(
+                number,
+                zones[number],
+                seeds,
+                apply_within,
+                regions,
+            ))
+        };
+        let nodes = (0..count).map(node).collect();
         Self {
             now: START,
             next_tick: START,
@@ -275,8 +314,9 @@
             lost_each: None,
             measures_bytes: false,
             read_by: BTreeSet::new(),
-            in_flight: Vec::new(),
-            regions: regions(),
+            in_flight: BTreeMap::new(),
+            region_hop: HOP,
+            regions,
             first_documents: Vec::new(),
             busy: BTreeSet::new(),
             runs: 1,
@@ -290,7 +330,13 @@
         let zone_number = self.zones[number];
         self.nodes[number] = Dispatcher::new(DispatcherSettings {
             incarnation: self.runs,
-            ..settings(number, zone_number, seeds, APPLY_WITHIN)
+            ..settings(
+                number,
+                zone_number,
+                seeds,
+                APPLY_WITHIN,
+                self.regions.clone(),
+            )
         });
     }
 
@@ -315,11 +361,12 @@
         self.next_tick = self.next_tick + TICK;
         self.now = self.next_tick;
         self.tick_all();
-        while !self.in_flight.is_empty() {
-            self.now = self.now + HOP;
-            for (from, to, message) in std::mem::take(&mut self.in_flight) {
-                self.deliver(from, to, &message);
-            }
+        while let Some(next) = self.in_flight.first_entry()
+            && next.key().0 < self.next_tick + TICK
+        {
+            self.now = next.key().0;
+            let (from, to, message) = next.remove();
+            self.deliver(from, to, &message);
         }
     }
 
@@ -369,20 +416,33 @@
                     .lost_each
                     .is_some_and(|each| self.messages.is_multiple_of(each));
                 if !is_lost {
-                    self.in_flight.push((from, to, Rc::clone(&message)));
+                    self.send(from, to, &message);
                 }
             }
         }
     }
 
-    /// Counts bytes on their way from a node.
-    fn count(&mut self, kind: MessageKind, from: usize, to: SocketAddr, bytes: usize) {
-        let Some(to) = self.number_of(to) else {
-            return;
+    fn send(&mut self, from: usize, to: SocketAddr, message: &Rc<Gossip>) {
+        let hop = match self.border(from, to) {
+            Some(Border::Region) => self.region_hop,
+            _ => HOP,
         };
+        let key = (self.now + hop, self.messages);
+        let sent = (from, to, Rc::clone(message));
+        self.in_flight.insert(key, sent);
+    }
+
+    fn border(&self, from: usize, to: SocketAddr) -> Option<Border> {
+        let to = self.number_of(to)?;
         let (from, to) = (zone(self.zones[from]), zone(self.zones[to]));
-        let border = Border::between(&from, &to, &self.regions);
-        *self.traffic.entry((kind, border)).or_default() += bytes;
+        Some(Border::between(&from, &to, &self.regions))
+    }
+
+    /// Counts bytes on their way from a node.
+    fn count(&mut self, kind: MessageKind, from: usize, to: SocketAddr, bytes: usize) {
+        if let Some(border) = self.border(from, to) {
+            *self.traffic.entry((kind, border)).or_default() += bytes;
+        }
     }
 
     /// Bytes that crossed a border of a zone or region, of one kind or of all.
