--- a/crates/coordination/dispatch/src/fleet/peers.rs
+++ b/crates/coordination/dispatch/src/fleet/peers.rs
@@ -2,7 +2,7 @@
 
 use crate::dispatcher::{FAR_FANOUT, FAR_TICKS, NEAR_FANOUT, SPARSE_FAR_FANOUT};
 use crate::load::cold_start::sender_rank;
-use crate::{Gossip, Member, TICK};
+use crate::{Gossip, TICK};
 use eiderferry_routing::{NodeName, ZoneName};
 use eiderferry_types::{Span, Timestamp};
 use rand::Rng;
@@ -17,7 +17,7 @@
 /// all of them within 1.6 s, and may have to be replaced first.
 const SUMMARIZED_SILENCE: Span = Span::from_milliseconds(4_000);
 /// The same for a peer of another zone.
-const FAR_SILENCE: Span = Span::from_milliseconds(1_500);
+pub(super) const FAR_SILENCE: Span = Span::from_milliseconds(1_500);
 /// Turns in a row that a peer has to miss besides.
 const MISSED_TURNS: u64 = 5;
 /// Messages in a row that none of a zone's peers sent when the way there counts as cut:
@@ -25,19 +25,10 @@
 const MISSED_BY_ZONE: u64 = 3;
 /// Silence after which a peer is forgotten, as a multiple of that at which it is
 /// lost.
-const FORGET_FACTOR: u64 = 60;
-/// Other nodes named in one message.
-const MEMBERS_PER_MESSAGE: usize = 12;
+pub(super) const FORGET_FACTOR: u64 = 60;
 /// Silence after which a node of another zone that is known from others only counts as lost:
 /// aggregators name all of those within 8 s.
-const TOLD_SILENCE: Span = Span::from_milliseconds(15_000);
-/// Nodes of another zone that a node gets to know by itself; it is told of the others. Before,
-/// each of 300 nodes tried each other one: 14 MB across borders at a start
-/// (`tests/borders.rs`).
-const MET_OF_ZONE: usize = 2;
-/// What a member's way between two nodes of a zone may take: without it what two nodes tell
-/// each other of a third grows younger.
-const MEMBER_ON_THE_WAY: Span = Span::from_milliseconds(10);
+pub(super) const TOLD_SILENCE: Span = Span::from_milliseconds(15_000);
 
 /// What changed with a peer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -51,28 +42,28 @@
 }
 
 #[derive(Clone, Debug)]
-struct Peer {
+pub(super) struct Peer {
     /// Its name, once it was heard: before that it is known from others only.
-    name: Option<NodeName>,
-    zone: ZoneName,
+    pub(super) name: Option<NodeName>,
+    pub(super) zone: ZoneName,
     /// Revision up to which it knows all documents, as it told last.
-    complete_to: u64,
+    pub(super) complete_to: u64,
     /// Place in the order in which the nodes of a zone take duties over.
-    rank: DutyRank,
-    incarnation: u32,
-    heard: Timestamp,
-    is_lost: bool,
-    is_stopping: bool,
+    pub(super) rank: DutyRank,
+    pub(super) incarnation: u32,
+    pub(super) heard: Timestamp,
+    pub(super) is_lost: bool,
+    pub(super) is_stopping: bool,
 }
 
 /// What is known of the other nodes.
 #[derive(Clone, Debug)]
 pub struct Peers {
-    own: SocketAddr,
+    pub(super) own: SocketAddr,
     own_hash: u64,
-    zone: ZoneName,
-    peers: BTreeMap<SocketAddr, Peer>,
-    hearsay: BTreeMap<SocketAddr, (ZoneName, Timestamp)>,
+    pub(super) zone: ZoneName,
+    pub(super) peers: BTreeMap<SocketAddr, Peer>,
+    pub(super) hearsay: BTreeMap<SocketAddr, (ZoneName, Timestamp)>,
     seeds: Vec<SocketAddr>,
     most_known: u32,
     /// When the own zone was large last.
@@ -188,48 +179,6 @@
         })
     }
 
-    /// Nodes that another node names: unknown ones are to be tried; its word on when they were
-    /// heard counts as well for nodes of its zone, and if it is of the own zone for all.
-    fn take_members(&mut self, message: &Gossip, is_near: bool, now: Timestamp) {
-        let members = message.members.iter();
-        for member in members.filter(|member| member.address != self.own) {
-            let silent = Span::from_milliseconds(u64::from(member.silent_ms));
-            let heard = now - silent;
-            let is_known = self.peers.contains_key(&member.address);
-            if !is_known && self.takes_by_word(member, message, is_near) {
-                let peer = told_peer(member, heard);
-                self.peers.insert(member.address, peer);
-                self.hearsay.remove(&member.address);
-                continue;
-            }
-            match self.peers.get_mut(&member.address) {
-                Some(peer) if (is_near || peer.zone == message.zone) && !peer.is_lost => {
-                    peer.heard = peer.heard.max(heard);
-                }
-                None if silent < Span(FAR_SILENCE.0 * FORGET_FACTOR) => {
-                    let hearsay = (member.zone.clone(), heard);
-                    self.hearsay.insert(member.address, hearsay);
-                }
-                _ => {}
-            }
-        }
-    }
-
-    /// Whether a node that wasn't heard counts as known because others name it.
-    fn takes_by_word(&self, member: &Member, message: &Gossip, is_near: bool) -> bool {
-        let is_trusted = is_near || member.zone == message.zone;
-        let silent = Span::from_milliseconds(u64::from(member.silent_ms));
-        let is_fresh = silent < TOLD_SILENCE;
-        is_trusted && is_fresh && member.zone != self.zone && self.has_met(&member.zone)
-    }
-
-    /// Whether enough nodes of another zone were heard.
-    fn has_met(&self, zone: &ZoneName) -> bool {
-        let peers = self.peers.values();
-        let met = peers.filter(|peer| !peer.is_lost && peer.name.is_some() && peer.zone == *zone);
-        met.take(MET_OF_ZONE).count() == MET_OF_ZONE
-    }
-
     fn recount(&mut self) {
         let living = self.peers.values().filter(|peer| !peer.is_lost);
         let near = living.clone().filter(|peer| peer.zone == self.zone);
@@ -397,54 +346,6 @@
         *zone == self.zone || !self.has_met(zone)
     }
 
-    /// Some nodes to name to a node of a zone: those of its own zone first, as it works with
-    /// them and gets its documents there.
-    pub fn sample_for(
-        &self,
-        zone: Option<&ZoneName>,
-        now: Timestamp,
-        random: &mut impl Rng,
-    ) -> Vec<Member> {
-        let own = self.members(|peer| Some(&peer.zone) == zone, now);
-        let mut named = own.choose_multiple(random, MEMBERS_PER_MESSAGE * 3 / 4);
-        let others = self.members(|peer| Some(&peer.zone) != zone, now);
-        let left = MEMBERS_PER_MESSAGE - named.len();
-        named.extend(others.choose_multiple(random, left));
-        named
-    }
-
-    /// Some nodes to name in a message.
-    pub fn sample(&self, now: Timestamp, random: &mut impl Rng) -> Vec<Member> {
-        self.members(|_| true, now)
-            .choose_multiple(random, MEMBERS_PER_MESSAGE)
-    }
-
-    /// So many nodes of the own zone to name in a message, from a place in their order on.
-    pub fn near_members(&self, first: usize, count: usize, now: Timestamp) -> Vec<Member> {
-        let near = self.members(|peer| peer.zone == self.zone, now);
-        slice(near.collect(), first, count)
-    }
-
-    /// The same of other zones.
-    pub fn far_members(&self, first: usize, count: usize, now: Timestamp) -> Vec<Member> {
-        let far = self.members(|peer| peer.zone != self.zone, now);
-        slice(far.collect(), first, count)
-    }
-
-    fn members(
-        &self,
-        fits: impl Fn(&Peer) -> bool,
-        now: Timestamp,
-    ) -> impl Iterator<Item = Member> {
-        let living = self.peers.iter();
-        let living = living.filter(move |(_, peer)| !peer.is_lost && fits(peer));
-        living.map(move |(address, peer)| Member {
-            address: *address,
-            zone: peer.zone.clone(),
-            silent_ms: (now.since(peer.heard) + MEMBER_ON_THE_WAY).milliseconds() as u32,
-        })
-    }
-
     /// Nodes of the own zone that may take duties over for the others, with their places in
     /// the order, first ones first.
     pub(crate) fn ranked_for_duties(&self) -> Vec<(DutyRank, SocketAddr)> {
@@ -516,24 +417,3 @@
         self.near_living + self.far_living
     }
 }
-
-/// A node as others tell of it.
-fn told_peer(member: &Member, heard: Timestamp) -> Peer {
-    Peer {
-        name: None,
-        zone: member.zone.clone(),
-        complete_to: 0,
-        rank: DutyRank::new(member.address, 0),
-        incarnation: 0,
-        heard,
-        is_lost: false,
-        is_stopping: false,
-    }
-}
-
-/// So many members from a place in their order on.
-fn slice(members: Vec<Member>, first: usize, count: usize) -> Vec<Member> {
-    let named = count.min(members.len());
-    let numbers = (0..named).map(|offset| first.wrapping_add(offset) % members.len());
-    numbers.map(|number| members[number].clone()).collect()
-}
--- a/crates/coordination/dispatch/tests/support/mod.rs
+++ b/crates/coordination/dispatch/tests/support/mod.rs
@@ -4,8 +4,8 @@
 
 use eiderferry_dispatch::{
     Border, BudgetSettings, Change, ColdBound, Content, Decision, Demand, Dispatcher,
-    DispatcherSettings, DocumentKey, Envelope, Features, Gossip, Grant, Knowledge, MessageKind,
-    PeerChange, PromptPart, ReadingDuty, TICK,
+    DispatcherSettings, DocumentKey, Envelope, Features, Gossip, Grant, MessageKind, PeerChange,
+    PromptPart, ReadingDuty, TICK,
 };
 use eiderferry_routing::{
     AllowedRegions, BackEnd, EngineSpecification, InstanceId, Limits, NodeName, PartId, Pool,
@@ -16,6 +16,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+mod traffic;
+
 pub const START: Timestamp = Timestamp(10_000_000_000);
 pub const ENGINES: &str = "engines";
 pub const BUDGET: BudgetSettings = BudgetSettings {
@@ -214,9 +216,8 @@
     name["engine-".len()..].parse().expect("a number")
 }
 
-/// Time that a message takes within a region, and between two.
+/// Time that a message takes within a region.
 const HOP: Span = Span::from_milliseconds(1);
-const REGION_HOP: Span = Span::from_milliseconds(30);
 
 /// A fleet whose messages take a millisecond, or thirty between regions.
 pub struct Fleet {
@@ -267,17 +268,6 @@
         Self::with_regions(count, zone_count, apply_within, regions())
     }
 
-    /// A fleet in three regions of two zones each.
-    pub fn in_three_regions(count: usize) -> Self {
-        let region = |number: usize| RegionName::from(format!("region-{}", number / 2));
-        let regions = (0..6).map(|number| (zone(number), region(number)));
-        let fleet = Self::with_regions(count, 6, APPLY_WITHIN, regions.collect());
-        Self {
-            region_hop: REGION_HOP,
-            ..fleet
-        }
-    }
-
     fn with_regions(
         count: usize,
         zone_count: usize,
@@ -422,37 +412,6 @@
         }
     }
 
-    fn send(&mut self, from: usize, to: SocketAddr, message: &Rc<Gossip>) {
-        let hop = match self.border(from, to) {
-            Some(Border::Region) => self.region_hop,
-            _ => HOP,
-        };
-        let key = (self.now + hop, self.messages);
-        let sent = (from, to, Rc::clone(message));
-        self.in_flight.insert(key, sent);
-    }
-
-    fn border(&self, from: usize, to: SocketAddr) -> Option<Border> {
-        let to = self.number_of(to)?;
-        let (from, to) = (zone(self.zones[from]), zone(self.zones[to]));
-        Some(Border::between(&from, &to, &self.regions))
-    }
-
-    /// Counts bytes on their way from a node.
-    fn count(&mut self, kind: MessageKind, from: usize, to: SocketAddr, bytes: usize) {
-        if let Some(border) = self.border(from, to) {
-            *self.traffic.entry((kind, border)).or_default() += bytes;
-        }
-    }
-
-    /// Bytes that crossed a border of a zone or region, of one kind or of all.
-    pub fn border_bytes(&self, kind: Option<MessageKind>) -> usize {
-        let traffic = self.traffic.iter();
-        let crossing = traffic.filter(|((_, border), _)| *border != Border::None);
-        let counted = crossing.filter(|((of, _), _)| kind.is_none_or(|kind| *of == kind));
-        counted.map(|(_, bytes)| bytes).sum()
-    }
-
     fn deliver(&mut self, from: usize, address: SocketAddr, message: &Gossip) {
         let Some(to) = self.number_of(address).filter(|to| self.hears(from, *to)) else {
             return;
@@ -474,21 +433,6 @@
         }
     }
 
-    /// Fetches documents that a node lacks from the node that it chooses.
-    fn fetch_wanted(&mut self, number: usize) {
-        let now = self.now;
-        let Some(source) = self.nodes[number].document_source(now) else {
-            return;
-        };
-        let from = self
-            .number_of(source)
-            .filter(|from| self.hears(*from, number));
-        match from {
-            Some(from) if !self.busy.contains(&from) => self.fetch(number, from),
-            from => self.nodes[number].note_failed_fetch(source, from.is_some(), now),
-        }
-    }
-
     fn announce(&mut self, number: usize, is_first_hand: bool) {
         let messages = self.nodes[number].announce(is_first_hand, self.now);
         self.post(number, vec![messages]);
@@ -500,22 +444,6 @@
         self.confirm(number, revision, self.now, true);
     }
 
-    fn fetch(&mut self, to: usize, from: usize) {
-        self.fetches += 1;
-        let known = self.nodes[to].knowledge().complete_to();
-        let source: Knowledge = self.nodes[from].knowledge().clone();
-        let changes = source.changes_after(known);
-        if self.measures_bytes {
-            let bytes = postcard::to_stdvec(&changes).expect("a package").len();
-            self.count(MessageKind::Documents, from, node_address(to), bytes);
-        }
-        for change in changes {
-            self.nodes[to].apply(change, self.now);
-        }
-        let age = source.confirmed_age(self.now).unwrap_or(Span::ZERO);
-        self.confirm(to, source.complete_to(), self.now - age, false);
-    }
-
     /// Notes a confirmation; news are announced, as the control thread does it.
     fn confirm(&mut self, number: usize, revision: u64, at: Timestamp, is_first_hand: bool) {
         let before = self.nodes[number].knowledge().complete_to();
--- /dev/null
+++ b/crates/coordination/dispatch/tests/support/traffic.rs
@@ -0,0 +1,86 @@
+//! Ways between the nodes of a fleet: how long they take, and the bytes that go over them.
+
+use super::{APPLY_WITHIN, Fleet, HOP, node_address, zone};
+use eiderferry_dispatch::{Border, Gossip, Knowledge, MessageKind};
+use eiderferry_routing::RegionName;
+use eiderferry_types::Span;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Time that a message takes between two regions.
+const REGION_HOP: Span = Span::from_milliseconds(30);
+
+impl Fleet {
+    /// A fleet in three regions of two zones each.
+    pub fn in_three_regions(count: usize) -> Self {
+        let region = |number: usize| RegionName::from(format!("region-{}", number / 2));
+        let regions = (0..6).map(|number| (zone(number), region(number)));
+        let fleet = Self::with_regions(count, 6, APPLY_WITHIN, regions.collect());
+        Self {
+            region_hop: REGION_HOP,
+            ..fleet
+        }
+    }
+
+    pub(super) fn send(&mut self, from: usize, to: SocketAddr, message: &Rc<Gossip>) {
+        let hop = match self.border(from, to) {
+            Some(Border::Region) => self.region_hop,
+            _ => HOP,
+        };
+        let key = (self.now + hop, self.messages);
+        let sent = (from, to, Rc::clone(message));
+        self.in_flight.insert(key, sent);
+    }
+
+    fn border(&self, from: usize, to: SocketAddr) -> Option<Border> {
+        let to = self.number_of(to)?;
+        let (from, to) = (zone(self.zones[from]), zone(self.zones[to]));
+        Some(Border::between(&from, &to, &self.regions))
+    }
+
+    /// Counts bytes on their way from a node.
+    pub(super) fn count(&mut self, kind: MessageKind, from: usize, to: SocketAddr, bytes: usize) {
+        if let Some(border) = self.border(from, to) {
+            *self.traffic.entry((kind, border)).or_default() += bytes;
+        }
+    }
+
+    /// Bytes that crossed a border of a zone or region, of one kind or of all.
+    pub fn border_bytes(&self, kind: Option<MessageKind>) -> usize {
+        let traffic = self.traffic.iter();
+        let crossing = traffic.filter(|((_, border), _)| *border != Border::None);
+        let counted = crossing.filter(|((of, _), _)| kind.is_none_or(|kind| *of == kind));
+        counted.map(|(_, bytes)| bytes).sum()
+    }
+
+    /// Fetches documents that a node lacks from the node that it chooses.
+    pub(super) fn fetch_wanted(&mut self, number: usize) {
+        let now = self.now;
+        let Some(source) = self.nodes[number].document_source(now) else {
+            return;
+        };
+        let from = self
+            .number_of(source)
+            .filter(|from| self.hears(*from, number));
+        match from {
+            Some(from) if !self.busy.contains(&from) => self.fetch(number, from),
+            from => self.nodes[number].note_failed_fetch(source, from.is_some(), now),
+        }
+    }
+
+    fn fetch(&mut self, to: usize, from: usize) {
+        self.fetches += 1;
+        let known = self.nodes[to].knowledge().complete_to();
+        let source: Knowledge = self.nodes[from].knowledge().clone();
+        let changes = source.changes_after(known);
+        if self.measures_bytes {
+            let bytes = postcard::to_stdvec(&changes).expect("a package").len();
+            self.count(MessageKind::Documents, from, node_address(to), bytes);
+        }
+        for change in changes {
+            self.nodes[to].apply(change, self.now);
+        }
+        let age = source.confirmed_age(self.now).unwrap_or(Span::ZERO);
+        self.confirm(to, source.complete_to(), self.now - age, false);
+    }
+}
