--- a/crates/coordination/dispatch/src/dispatcher/document_source.rs
+++ b/crates/coordination/dispatch/src/dispatcher/document_source.rs
@@ -31,8 +31,16 @@
 }
 
 impl Dispatcher {
-    /// The node from which newer documents are to be fetched now, if others have any.
-    pub fn document_source(&mut self, now: Timestamp) -> Option<SocketAddr> {
+    /// The node from which newer documents are to be fetched now, if others have any. One of
+    /// the own zone that has told of them just now is there and comes first.
+    pub fn document_source(
+        &mut self,
+        told_by: Option<SocketAddr>,
+        now: Timestamp,
+    ) -> Option<SocketAddr> {
+        if !self.settings.features.zone_speakers {
+            return told_by;
+        }
         let known = self.knowledge.complete_to();
         let informed = self.peers.knowing_more_than(known);
         if informed.is_empty() {
@@ -54,6 +62,10 @@
             .filter(|(_, address)| !self.wanted.avoided.contains_key(address))
             .filter(|(border, _)| *border == Border::None || may_go_far);
         let free: Vec<(Border, SocketAddr)> = free.collect();
+        let told_by = told_by.map(|address| (Border::None, address));
+        if let Some(near) = told_by.filter(|near| free.contains(near)) {
+            return Some(near.1);
+        }
         let nearest = free.iter().map(|(border, _)| *border).min()?;
         let nearest = free.iter().filter(|(border, _)| *border == nearest);
         let nearest: Vec<SocketAddr> = nearest.map(|(_, address)| *address).collect();
--- a/crates/coordination/dispatch/src/dispatcher/messages.rs
+++ b/crates/coordination/dispatch/src/dispatcher/messages.rs
@@ -87,7 +87,9 @@
 
     /// Whether other nodes speak for this one to other zones.
     fn is_spoken_for(&self) -> bool {
-        self.peers.is_zone_large() && self.tells_zones_by_digest()
+        self.settings.features.zone_speakers
+            && self.peers.is_zone_large()
+            && self.tells_zones_by_digest()
     }
 
     fn renew_silent_zones(&mut self, now: Timestamp) {
--- a/crates/coordination/dispatch/src/features.rs
+++ b/crates/coordination/dispatch/src/features.rs
@@ -13,6 +13,8 @@
     pub pool_split: bool,
     /// A back end in another zone or region costs what the way there takes.
     pub place_costs: bool,
+    /// Few nodes speak for a large zone to others, and documents come from the own zone first.
+    pub zone_speakers: bool,
 }
 
 impl Features {
@@ -22,6 +24,7 @@
         cache_index: true,
         pool_split: true,
         place_costs: true,
+        zone_speakers: true,
     };
 }
 
--- a/crates/coordination/dispatch/tests/borders.rs
+++ b/crates/coordination/dispatch/tests/borders.rs
@@ -35,7 +35,11 @@
 
 /// A fleet that has all documents, of ten engines a node.
 fn informed_fleet(count: usize) -> Fleet {
-    let mut fleet = Fleet::new(count, ZONES);
+    inform(Fleet::new(count, ZONES))
+}
+
+fn inform(mut fleet: Fleet) -> Fleet {
+    let count = fleet.nodes.len();
     fleet.measure_bytes();
     fleet.first_documents = documents(count);
     fleet.run_with_platform(20_000, 1);
@@ -182,6 +186,56 @@
     assert!(kilobytes <= 600, "{kilobytes} kB");
 }
 
+/// Kilobytes across borders in a start and 5 s of load.
+fn start_and_load(fleet: Fleet) -> (usize, usize) {
+    let mut fleet = inform(fleet);
+    let start = fleet.border_bytes(None) / 1_000;
+    fleet.traffic.clear();
+    load(&mut fleet, 50);
+    (start, fleet.border_bytes(None) / 1_000)
+}
+
+#[test]
+fn without_speakers_each_node_crosses_the_borders() {
+    let (start, load) = start_and_load(Fleet::new(100, ZONES));
+    let (start_off, load_off) = start_and_load(Fleet::without_zone_speakers(100, ZONES));
+    println!("start {start} and {start_off} kB, load {load} and {load_off} kB");
+    assert!(start * 5 < start_off, "{start} and {start_off} kB");
+    assert!(load * 5 < load_off * 4, "{load} and {load_off} kB");
+}
+
+/// How soon a cut and a change are known with speakers, and without.
+#[test]
+fn what_few_nodes_tell_is_known_as_soon() {
+    for count in [100, 300] {
+        let fleets = [
+            Fleet::new(count, ZONES),
+            Fleet::without_zone_speakers(count, ZONES),
+        ];
+        let [with, without] = fleets.map(|fleet| times_known(inform(fleet)));
+        println!("{count} nodes: cut, heard again, change known: {with:?} and {without:?} ms");
+        for (with, without) in with.into_iter().zip(without) {
+            assert!(with <= without + 300, "{with} and {without} ms");
+        }
+    }
+}
+
+/// Milliseconds until a cut of a zone, its end, and a change are known to all.
+fn times_known(mut fleet: Fleet) -> [u64; 3] {
+    let (outside, inside) = (silent(&fleet, &[0]), silent(&fleet, &[1, 2]));
+    fleet.cut.extend([(0, 1), (0, 2)]);
+    let cut = until(&mut fleet, |node| {
+        *node.silent_zones() == outside || *node.silent_zones() == inside
+    });
+    fleet.run_with_platform(5_000, 1);
+    fleet.cut.clear();
+    let over = until(&mut fleet, |node| node.silent_zones().is_empty());
+    fleet.run_with_platform(3_000, 1);
+    fleet.read_change(1, back_end_change(back_end("engine-0", 0, 0), 5), 5);
+    let change = until(&mut fleet, |node| node.knowledge().complete_to() == 5);
+    [cut, over, change]
+}
+
 #[test]
 fn a_zone_whose_two_speakers_die_together_is_heard_again() {
     let mut fleet = informed_fleet(100);
--- a/crates/coordination/dispatch/tests/document_source.rs
+++ b/crates/coordination/dispatch/tests/document_source.rs
@@ -33,7 +33,7 @@
 }
 
 fn source(subject: &mut Dispatcher, milliseconds: u64) -> Option<SocketAddr> {
-    subject.document_source(after(milliseconds))
+    subject.document_source(None, after(milliseconds))
 }
 
 #[test]
@@ -48,6 +48,21 @@
     }
 }
 
+#[test]
+fn a_near_node_that_told_just_now_comes_first() {
+    let mut subject = subject();
+    for number in 1..20 {
+        hears(&mut subject, number, 0, 5, START);
+    }
+    hears(&mut subject, 30, 1, 5, START);
+    for _ in 0..20 {
+        let near = subject.document_source(Some(node_address(7)), START);
+        assert_eq!(near, Some(node_address(7)));
+        let far = subject.document_source(Some(node_address(30)), START);
+        assert_ne!(far, Some(node_address(30)), "it is of another zone");
+    }
+}
+
 #[test]
 fn the_own_region_is_asked_before_others() {
     let mut subject = subject();
--- a/crates/coordination/dispatch/tests/support/mod.rs
+++ b/crates/coordination/dispatch/tests/support/mod.rs
@@ -248,6 +248,8 @@
     in_flight: BTreeMap<(Timestamp, u64), (usize, SocketAddr, Rc<Gossip>)>,
     /// Time that a message takes between regions.
     pub region_hop: Span,
+    /// Parts in use on nodes that start anew.
+    pub features: Features,
     /// Region of each zone.
     pub regions: RegionOfZone,
     /// Nodes that hand out no documents.
@@ -268,6 +270,16 @@
         Self::with_regions(count, zone_count, apply_within, regions())
     }
 
+    /// A fleet in which each node speaks for itself to other zones.
+    pub fn without_zone_speakers(count: usize, zone_count: usize) -> Self {
+        let mut fleet = Self::new(count, zone_count);
+        fleet.features.zone_speakers = false;
+        for number in 0..count {
+            fleet.restart(number);
+        }
+        fleet
+    }
+
     fn with_regions(
         count: usize,
         zone_count: usize,
@@ -306,6 +318,7 @@
             read_by: BTreeSet::new(),
             in_flight: BTreeMap::new(),
             region_hop: HOP,
+            features: Features::ALL,
             regions,
             first_documents: Vec::new(),
             busy: BTreeSet::new(),
@@ -320,6 +333,7 @@
         let zone_number = self.zones[number];
         self.nodes[number] = Dispatcher::new(DispatcherSettings {
             incarnation: self.runs,
+            features: self.features,
             ..settings(
                 number,
                 zone_number,
@@ -372,7 +386,7 @@
                 }
             }
             self.post(number, output.messages);
-            self.fetch_wanted(number);
+            self.fetch_wanted(number, None);
         }
     }
 
@@ -427,7 +441,9 @@
             };
             self.post(to, vec![envelope]);
         }
-        self.fetch_wanted(to);
+        if received.is_newer {
+            self.fetch_wanted(to, Some(node_address(from)));
+        }
         if !received.taken.is_empty() {
             self.announce(to, false);
         }
--- a/crates/coordination/dispatch/tests/support/traffic.rs
+++ b/crates/coordination/dispatch/tests/support/traffic.rs
@@ -54,9 +54,9 @@
     }
 
     /// Fetches documents that a node lacks from the node that it chooses.
-    pub(super) fn fetch_wanted(&mut self, number: usize) {
+    pub(super) fn fetch_wanted(&mut self, number: usize, told_by: Option<SocketAddr>) {
         let now = self.now;
-        let Some(source) = self.nodes[number].document_source(now) else {
+        let Some(source) = self.nodes[number].document_source(told_by, now) else {
             return;
         };
         let from = self
--- a/crates/transport/relay/src/control.rs
+++ b/crates/transport/relay/src/control.rs
@@ -245,7 +245,7 @@
                 });
             }
             if received.is_newer {
-                self.fetch_wanted(executor);
+                self.fetch_wanted(Some(from), executor);
             }
         }
     }
@@ -254,16 +254,20 @@
     pub async fn run_fetches(self: &Rc<Self>, executor: &smol::LocalExecutor<'static>) {
         loop {
             smol::Timer::after(crate::clock::duration(FETCH_CHECK)).await;
-            self.fetch_wanted(executor);
+            self.fetch_wanted(None, executor);
         }
     }
 
-    fn fetch_wanted(self: &Rc<Self>, executor: &smol::LocalExecutor<'static>) {
+    fn fetch_wanted(
+        self: &Rc<Self>,
+        told_by: Option<SocketAddr>,
+        executor: &smol::LocalExecutor<'static>,
+    ) {
         if self.fetching.get() {
             return;
         }
         let now = self.clock.now();
-        let Some(source) = self.dispatcher.borrow_mut().document_source(now) else {
+        let Some(source) = self.dispatcher.borrow_mut().document_source(told_by, now) else {
             return;
         };
         self.fetching.set(true);
