--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -2,6 +2,7 @@
 
 mod aggregation;
 mod cold_senders;
+mod document_source;
 mod granting;
 mod home_scopes;
 mod messages;
@@ -15,14 +16,15 @@
 pub use unknown_names::UnknownName;
 
 use aggregation::Aggregation;
+use document_source::WantedDocuments;
 use granting::Lease;
 use home_scopes::HomeScopes;
 
 use crate::load::registry::Registry;
 use crate::placement::places::RoundTrips;
 use crate::{
-    Applied, BudgetSettings, Change, ColdBound, ColdDuty, Content, DocumentKey, Envelope, Features,
-    Gossip, Knowledge, LeaseId, PeerChange, Peers, Placement, RetryBudget, WarmthChange,
+    Applied, Border, BudgetSettings, Change, ColdBound, ColdDuty, Content, DocumentKey, Envelope,
+    Features, Gossip, Knowledge, LeaseId, PeerChange, Peers, Placement, RetryBudget, WarmthChange,
 };
 use eiderferry_routing::{InstanceId, NodeName, PoolName, RegionOfZone, ZoneName};
 use eiderferry_types::{Span, Timestamp};
@@ -154,6 +156,10 @@
     announced_to: u64,
     is_stopping: bool,
     started: Option<Timestamp>,
+    /// Time of the last tick or message.
+    now: Timestamp,
+    /// Documents wanted of other nodes.
+    wanted: WantedDocuments,
     /// Back ends whose entries lapsed, and when they count as gone.
     lapsed: HashMap<InstanceId, Timestamp>,
     zone_digests: ZoneDigests,
@@ -195,6 +201,8 @@
             announced_to: 0,
             is_stopping: false,
             started: None,
+            now: Timestamp::default(),
+            wanted: WantedDocuments::default(),
             lapsed: HashMap::new(),
             zone_digests: ZoneDigests::default(),
             aggregation: Aggregation::default(),
@@ -302,6 +310,7 @@
 
     /// Takes a peer's message in.
     pub fn receive(&mut self, address: SocketAddr, message: &Gossip, now: Timestamp) -> Received {
+        self.now = now;
         let change = self.peers.heard(address, message, now);
         self.take_own_loads(message, now);
         self.take_aggregation(address, message, now);
@@ -353,6 +362,14 @@
         &self.silent_zones
     }
 
+    /// The border between this node and another.
+    pub fn border_to(&self, address: SocketAddr) -> Border {
+        let zone = self.peers.zone_of(address);
+        zone.map_or(Border::Unknown, |zone| {
+            Border::between(&self.settings.zone, zone, &self.settings.regions)
+        })
+    }
+
     fn uptime(&self, now: Timestamp) -> Span {
         self.started
             .map_or(Span::ZERO, |started| now.since(started))
--- a/crates/coordination/dispatch/src/fleet/peers.rs
+++ b/crates/coordination/dispatch/src/fleet/peers.rs
@@ -2,7 +2,7 @@
 
 use crate::dispatcher::{FAR_FANOUT, FAR_TICKS, NEAR_FANOUT, SPARSE_FAR_FANOUT};
 use crate::load::cold_start::sender_rank;
-use crate::{Gossip, Member, TICK};
+use crate::{Gossip, TICK};
 use eiderferry_routing::{NodeName, ZoneName};
 use eiderferry_types::{Span, Timestamp};
 use rand::Rng;
@@ -17,7 +17,7 @@
 /// all of them within 1.6 s, and may have to be replaced first.
 const SUMMARIZED_SILENCE: Span = Span::from_milliseconds(4_000);
 /// The same for a peer of another zone.
-const FAR_SILENCE: Span = Span::from_milliseconds(1_500);
+pub(super) const FAR_SILENCE: Span = Span::from_milliseconds(1_500);
 /// Turns in a row that a peer has to miss besides.
 const MISSED_TURNS: u64 = 5;
 /// Messages in a row that none of a zone's peers sent when the way there counts as cut:
@@ -25,9 +25,10 @@
 const MISSED_BY_ZONE: u64 = 3;
 /// Silence after which a peer is forgotten, as a multiple of that at which it is
 /// lost.
-const FORGET_FACTOR: u64 = 60;
-/// Other nodes named in one message.
-const MEMBERS_PER_MESSAGE: usize = 12;
+pub(super) const FORGET_FACTOR: u64 = 60;
+/// Silence after which a node of another zone that is known from others only counts as lost:
+/// aggregators name all of those within 8 s.
+pub(super) const TOLD_SILENCE: Span = Span::from_milliseconds(15_000);
 
 /// What changed with a peer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -41,27 +42,32 @@
 }
 
 #[derive(Clone, Debug)]
-struct Peer {
-    name: NodeName,
-    zone: ZoneName,
+pub(super) struct Peer {
+    /// Its name, once it was heard: before that it is known from others only.
+    pub(super) name: Option<NodeName>,
+    pub(super) zone: ZoneName,
+    /// Revision up to which it knows all documents, as it told last.
+    pub(super) complete_to: u64,
     /// Place in the order in which the nodes of a zone take duties over.
-    rank: DutyRank,
-    incarnation: u32,
-    heard: Timestamp,
-    is_lost: bool,
-    is_stopping: bool,
+    pub(super) rank: DutyRank,
+    pub(super) incarnation: u32,
+    pub(super) heard: Timestamp,
+    pub(super) is_lost: bool,
+    pub(super) is_stopping: bool,
 }
 
 /// What is known of the other nodes.
 #[derive(Clone, Debug)]
 pub struct Peers {
-    own: SocketAddr,
+    pub(super) own: SocketAddr,
     own_hash: u64,
-    zone: ZoneName,
-    peers: BTreeMap<SocketAddr, Peer>,
-    hearsay: BTreeMap<SocketAddr, (ZoneName, Timestamp)>,
+    pub(super) zone: ZoneName,
+    pub(super) peers: BTreeMap<SocketAddr, Peer>,
+    pub(super) hearsay: BTreeMap<SocketAddr, (ZoneName, Timestamp)>,
     seeds: Vec<SocketAddr>,
     most_known: u32,
+    /// When the own zone was large last.
+    large_until: Timestamp,
     near_living: usize,
     far_living: usize,
     /// Most nodes of the own zone ever there at once, and since when.
@@ -100,6 +106,7 @@
             hearsay: BTreeMap::new(),
             seeds,
             most_known: 1,
+            large_until: Timestamp::default(),
             near_living: 0,
             far_living: 0,
             most_near: 0,
@@ -136,19 +143,22 @@
         now: Timestamp,
     ) -> Option<PeerChange> {
         let is_near = message.zone == self.zone;
-        self.take_members(&message.members, is_near, now);
+        self.take_members(message, is_near, now);
         self.hearsay.remove(&address);
         if let Some(peer) = self.peers.get_mut(&address)
+            && peer.name.is_some()
             && !peer.is_lost
             && peer.incarnation == message.incarnation
         {
             peer.heard = now;
+            peer.complete_to = message.complete_to;
             peer.is_stopping = message.is_stopping;
             return None;
         }
         let peer = Peer {
-            name: message.from.clone(),
+            name: Some(message.from.clone()),
             zone: message.zone.clone(),
+            complete_to: message.complete_to,
             rank: DutyRank::new(address, message.link_mbps),
             incarnation: message.incarnation,
             heard: now,
@@ -163,31 +173,12 @@
             self.most_near_since = now;
         }
         let name = message.from.clone();
-        Some(match previous {
+        Some(match previous.and_then(|previous| previous.name) {
             None => PeerChange::Found(name),
             Some(_) => PeerChange::Regained(name),
         })
     }
 
-    /// Nodes that another node names: unknown ones are to be tried; of those of the own
-    /// zone that a node of it names, its word on when they were heard counts as well.
-    fn take_members(&mut self, members: &[Member], is_near: bool, now: Timestamp) {
-        for member in members.iter().filter(|member| member.address != self.own) {
-            let silent = Span::from_milliseconds(u64::from(member.silent_ms));
-            let heard = now - silent;
-            match self.peers.get_mut(&member.address) {
-                Some(peer) if is_near && peer.zone == self.zone && !peer.is_lost => {
-                    peer.heard = peer.heard.max(heard);
-                }
-                None if silent < Span(FAR_SILENCE.0 * FORGET_FACTOR) => {
-                    let hearsay = (member.zone.clone(), heard);
-                    self.hearsay.insert(member.address, hearsay);
-                }
-                _ => {}
-            }
-        }
-    }
-
     fn recount(&mut self) {
         let living = self.peers.values().filter(|peer| !peer.is_lost);
         let near = living.clone().filter(|peer| peer.zone == self.zone);
@@ -201,9 +192,9 @@
         if std::mem::replace(&mut peer.is_lost, true) {
             return None;
         }
-        let change = PeerChange::Lost(peer.name.clone());
+        let change = peer.name.clone().map(PeerChange::Lost);
         self.recount();
-        Some(change)
+        change
     }
 
     /// Marks silent peers as lost and forgets those silent for long.
@@ -215,14 +206,20 @@
         for peer in self.peers.values_mut() {
             if !peer.is_lost && now.since(peer.heard) > limit(peer) {
                 peer.is_lost = true;
-                changes.push(PeerChange::Lost(peer.name.clone()));
+                changes.extend(peer.name.clone().map(PeerChange::Lost));
             }
         }
         let forget = Span(far.0 * FORGET_FACTOR);
-        self.peers.retain(|_, peer| now.since(peer.heard) < forget);
+        self.peers.retain(|_, peer| {
+            now.since(peer.heard) < forget && !(peer.is_lost && peer.name.is_none())
+        });
         self.hearsay
             .retain(|_, (_, heard)| now.since(*heard) < forget);
         self.recount();
+        self.most_known = self.most_known.max(self.peers.len() as u32 + 1);
+        if self.is_zone_large() {
+            self.large_until = now;
+        }
         changes
     }
 
@@ -251,16 +248,28 @@
         };
         let far = self.far_count().div_ceil(self.far_fanout()) as u64;
         let far = Span(far * FAR_TICKS * TICK.0 * MISSED_TURNS).max(FAR_SILENCE);
+        let far = if self.is_zone_large() || self.has_told() {
+            far.max(TOLD_SILENCE)
+        } else {
+            far
+        };
         (near, far)
     }
 
+    /// Whether nodes are known from others only.
+    fn has_told(&self) -> bool {
+        self.peers.values().any(|peer| peer.name.is_none())
+    }
+
     /// Other zones none of whose peers was heard for some turns: the way there is probably
     /// cut, for requests as well. Their nodes may also all have stopped or ended.
     pub fn silent_zones(&self, now: Timestamp) -> BTreeSet<ZoneName> {
         let turns = self.far_count().div_ceil(self.far_fanout()) as u64;
         let mut zones: BTreeMap<&ZoneName, Vec<Timestamp>> = BTreeMap::new();
         for peer in self.peers.values().filter(|peer| peer.zone != self.zone) {
-            zones.entry(&peer.zone).or_default().push(peer.heard);
+            // Before that, aggregators heard them in place of this node.
+            let heard = peer.heard.max(self.large_until);
+            zones.entry(&peer.zone).or_default().push(heard);
         }
         let is_silent = |heard: &Vec<Timestamp>| {
             // Each of its peers tells this node once in so many turns, one after the other.
@@ -317,42 +326,24 @@
         let lost = self.peers.iter().filter(|(_, peer)| peer.is_lost);
         let lost = lost.map(|(address, _)| *address);
         let seeds = self.other_seeds().into_iter();
-        let unknown = seeds.chain(self.hearsay.keys().copied());
+        let named = self
+            .hearsay
+            .iter()
+            .filter(|(_, (zone, _))| self.is_sought(zone));
+        let unknown = seeds.chain(named.map(|(address, _)| *address));
         let unknown = unknown.filter(|address| !self.peers.contains_key(address));
         unknown.chain(lost).choose_multiple(random, count)
     }
 
     /// Number of nodes known by hearsay only.
     pub fn hearsay_count(&self) -> usize {
-        self.hearsay.len()
-    }
-
-    /// Some nodes to name in a message.
-    pub fn sample(&self, now: Timestamp, random: &mut impl Rng) -> Vec<Member> {
-        self.members(|_| true, now)
-            .choose_multiple(random, MEMBERS_PER_MESSAGE)
+        let zones = self.hearsay.values();
+        zones.filter(|(zone, _)| self.is_sought(zone)).count()
     }
 
-    /// So many nodes of the own zone to name in a message, from a place in their order on.
-    pub fn near_members(&self, first: usize, count: usize, now: Timestamp) -> Vec<Member> {
-        let near: Vec<Member> = self.members(|peer| peer.zone == self.zone, now).collect();
-        let named = count.min(near.len());
-        let numbers = (0..named).map(|offset| first.wrapping_add(offset) % near.len());
-        numbers.map(|number| near[number].clone()).collect()
-    }
-
-    fn members(
-        &self,
-        fits: impl Fn(&Peer) -> bool,
-        now: Timestamp,
-    ) -> impl Iterator<Item = Member> {
-        let living = self.peers.iter();
-        let living = living.filter(move |(_, peer)| !peer.is_lost && fits(peer));
-        living.map(move |(address, peer)| Member {
-            address: *address,
-            zone: peer.zone.clone(),
-            silent_ms: now.since(peer.heard).milliseconds() as u32,
-        })
+    /// Whether nodes of a zone that others name are to be tried.
+    fn is_sought(&self, zone: &ZoneName) -> bool {
+        *zone == self.zone || !self.has_met(zone)
     }
 
     /// Nodes of the own zone that may take duties over for the others, with their places in
@@ -382,6 +373,17 @@
         near.filter(|(_, peer)| !peer.is_stopping)
     }
 
+    /// Living peers that know documents beyond a revision.
+    pub fn knowing_more_than(&self, revision: u64) -> Vec<SocketAddr> {
+        self.living(|peer| peer.complete_to > revision)
+    }
+
+    /// Zone of a node, as far as it was heard or others tell.
+    pub fn zone_of(&self, address: SocketAddr) -> Option<&ZoneName> {
+        let heard = self.peers.get(&address).map(|peer| &peer.zone);
+        heard.or_else(|| self.hearsay.get(&address).map(|(zone, _)| zone))
+    }
+
     /// Whether a peer is there.
     pub fn is_living(&self, address: SocketAddr) -> bool {
         let peer = self.peers.get(&address);
--- a/crates/coordination/dispatch/tests/support/mod.rs
+++ b/crates/coordination/dispatch/tests/support/mod.rs
@@ -3,9 +3,9 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 use eiderferry_dispatch::{
-    BudgetSettings, Change, ColdBound, Content, Decision, Demand, Dispatcher, DispatcherSettings,
-    DocumentKey, Envelope, Features, Gossip, Grant, Knowledge, PeerChange, PromptPart, ReadingDuty,
-    TICK,
+    Border, BudgetSettings, Change, ColdBound, Content, Decision, Demand, Dispatcher,
+    DispatcherSettings, DocumentKey, Envelope, Features, Gossip, Grant, MessageKind, PeerChange,
+    PromptPart, ReadingDuty, TICK,
 };
 use eiderferry_routing::{
     AllowedRegions, BackEnd, EngineSpecification, InstanceId, Limits, NodeName, PartId, Pool,
@@ -16,6 +16,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+mod traffic;
+
 pub const START: Timestamp = Timestamp(10_000_000_000);
 pub const ENGINES: &str = "engines";
 pub const BUDGET: BudgetSettings = BudgetSettings {
@@ -138,7 +140,13 @@
     seeds: Vec<SocketAddr>,
     apply_within: Span,
 ) -> Dispatcher {
-    Dispatcher::new(settings(number, zone_number, seeds, apply_within))
+    Dispatcher::new(settings(
+        number,
+        zone_number,
+        seeds,
+        apply_within,
+        regions(),
+    ))
 }
 
 fn settings(
@@ -146,6 +154,7 @@
     zone_number: usize,
     seeds: Vec<SocketAddr>,
     apply_within: Span,
+    regions: RegionOfZone,
 ) -> DispatcherSettings {
     DispatcherSettings {
         apply_within,
@@ -157,7 +166,7 @@
         seeds,
         incarnation: 1,
         budget: BUDGET,
-        regions: regions(),
+        regions,
         features: Features::ALL,
     }
 }
@@ -222,10 +231,10 @@
     name["engine-".len()..].parse().expect("a number")
 }
 
-/// Time that a message takes.
+/// Time that a message takes within a region.
 const HOP: Span = Span::from_milliseconds(1);
 
-/// A fleet whose messages take a millisecond.
+/// A fleet whose messages take a millisecond, or thirty between regions.
 pub struct Fleet {
     pub now: Timestamp,
     next_tick: Timestamp,
@@ -241,6 +250,8 @@
     /// Bytes of messages, once they are measured, and the largest one.
     pub bytes: usize,
     pub largest_message: usize,
+    /// The same bytes by kind of message and border, document packages included.
+    pub traffic: BTreeMap<(MessageKind, Border), usize>,
     /// Largest part of its link that a node's messages of one tick took.
     pub busiest_link: f64,
     /// Each of so many messages is lost, if any is.
@@ -248,7 +259,18 @@
     measures_bytes: bool,
     /// Nodes that have read the platform.
     pub read_by: BTreeSet<usize>,
-    in_flight: Vec<(usize, SocketAddr, Rc<Gossip>)>,
+    /// Messages on their way, by when they arrive.
+    in_flight: BTreeMap<(Timestamp, u64), (usize, SocketAddr, Rc<Gossip>)>,
+    /// Time that a message takes between regions.
+    pub region_hop: Span,
+    /// Parts in use on nodes that start anew.
+    pub features: Features,
+    /// Region of each zone.
+    pub regions: RegionOfZone,
+    /// Nodes that hand out no documents.
+    pub busy: BTreeSet<usize>,
+    /// Documents that the platform has besides the table.
+    pub first_documents: Vec<Change>,
     /// Number of the latest run of any node.
     runs: u32,
 }
@@ -260,11 +282,38 @@
 
     /// A fleet in which changes have to be in force within so long.
     pub fn with_apply_within(count: usize, zone_count: usize, apply_within: Span) -> Self {
+        Self::with_regions(count, zone_count, apply_within, regions())
+    }
+
+    /// A fleet in which each node speaks for itself to other zones.
+    pub fn without_zone_speakers(count: usize, zone_count: usize) -> Self {
+        let mut fleet = Self::new(count, zone_count);
+        fleet.features.zone_speakers = false;
+        for number in 0..count {
+            fleet.restart(number);
+        }
+        fleet
+    }
+
+    fn with_regions(
+        count: usize,
+        zone_count: usize,
+        apply_within: Span,
+        regions: RegionOfZone,
+    ) -> Self {
         let seeds: Vec<SocketAddr> = (0..3.min(count)).map(node_address).collect();
         let zones: Vec<usize> = (0..count).map(|number| number % zone_count).collect();
-        let nodes = (0..count)
-            .map(|number| dispatcher_with(number, zones[number], seeds.clone(), apply_within))
-            .collect();
+        let node = |number: usize| {
+            let (seeds, regions) = (seeds.clone(), regions.clone());
+            Dispatcher::new(settings(
+                number,
+                zones[number],
+                seeds,
+                apply_within,
+                regions,
+            ))
+        };
+        let nodes = (0..count).map(node).collect();
         Self {
             now: START,
             next_tick: START,
@@ -277,11 +326,17 @@
             fetches: 0,
             bytes: 0,
             largest_message: 0,
+            traffic: BTreeMap::new(),
             busiest_link: 0.0,
             lost_each: None,
             measures_bytes: false,
             read_by: BTreeSet::new(),
-            in_flight: Vec::new(),
+            in_flight: BTreeMap::new(),
+            region_hop: HOP,
+            features: Features::ALL,
+            regions,
+            first_documents: Vec::new(),
+            busy: BTreeSet::new(),
             runs: 1,
         }
     }
@@ -306,7 +361,14 @@
         let zone_number = self.zones[number];
         self.nodes[number] = Dispatcher::new(DispatcherSettings {
             incarnation: self.runs,
-            ..settings(number, zone_number, seeds, APPLY_WITHIN)
+            features: self.features,
+            ..settings(
+                number,
+                zone_number,
+                seeds,
+                APPLY_WITHIN,
+                self.regions.clone(),
+            )
         });
     }
 
@@ -331,11 +393,12 @@
         self.next_tick = self.next_tick + TICK;
         self.now = self.next_tick;
         self.tick_all();
-        while !self.in_flight.is_empty() {
-            self.now = self.now + HOP;
-            for (from, to, message) in std::mem::take(&mut self.in_flight) {
-                self.deliver(from, to, &message);
-            }
+        while let Some(next) = self.in_flight.first_entry()
+            && next.key().0 < self.next_tick + TICK
+        {
+            self.now = next.key().0;
+            let (from, to, message) = next.remove();
+            self.deliver(from, to, &message);
         }
     }
 
@@ -351,6 +414,7 @@
                 }
             }
             self.post(number, output.messages);
+            self.fetch_wanted(number, None);
         }
     }
 
@@ -373,6 +437,9 @@
                 let bytes = postcard::to_stdvec(&envelope.message).expect("a message");
                 self.bytes += bytes.len() * envelope.to.len();
                 self.largest_message = self.largest_message.max(bytes.len());
+                for to in &envelope.to {
+                    self.count(envelope.kind, from, *to, bytes.len());
+                }
             }
             let message = Rc::new(envelope.message);
             for to in envelope.to {
@@ -381,7 +448,7 @@
                     .lost_each
                     .is_some_and(|each| self.messages.is_multiple_of(each));
                 if !is_lost {
-                    self.in_flight.push((from, to, Rc::clone(&message)));
+                    self.send(from, to, &message);
                 }
             }
         }
@@ -393,12 +460,17 @@
         };
         let received = self.nodes[to].receive(node_address(from), message, self.now);
         if received.wants_answer {
-            let answer = self.nodes[to].answer(self.now);
-            let answer = Rc::new(answer);
-            self.in_flight.push((to, node_address(from), answer));
+            let answer = self.nodes[to].answer(node_address(from), self.now);
+            let to_asker = vec![node_address(from)];
+            let envelope = Envelope {
+                kind: MessageKind::Answer,
+                to: to_asker,
+                message: answer,
+            };
+            self.post(to, vec![envelope]);
         }
         if received.is_newer {
-            self.fetch(to, from);
+            self.fetch_wanted(to, Some(node_address(from)));
         }
         if !received.taken.is_empty() {
             self.announce(to, false);
@@ -416,17 +488,6 @@
         self.confirm(number, revision, self.now, true);
     }
 
-    fn fetch(&mut self, to: usize, from: usize) {
-        self.fetches += 1;
-        let known = self.nodes[to].knowledge().complete_to();
-        let source: Knowledge = self.nodes[from].knowledge().clone();
-        for change in source.changes_after(known) {
-            self.nodes[to].apply(change, self.now);
-        }
-        let age = source.confirmed_age(self.now).unwrap_or(Span::ZERO);
-        self.confirm(to, source.complete_to(), self.now - age, false);
-    }
-
     /// Notes a confirmation; news are announced, as the control thread does it.
     fn confirm(&mut self, number: usize, revision: u64, at: Timestamp, is_first_hand: bool) {
         let before = self.nodes[number].knowledge().complete_to();
@@ -451,6 +512,9 @@
                 if !is_dark && self.nodes[number].reading_duty(self.now) == ReadingDuty::Read {
                     self.read_by.insert(number);
                     self.nodes[number].apply(table_change(revision), self.now);
+                    for change in &self.first_documents {
+                        self.nodes[number].apply(change.clone(), self.now);
+                    }
                     self.confirm(number, revision, self.now, true);
                 }
             }
