Dispatch: engines split between streams and long prompts by the load

Cause: a fixed eighth of the engines, of pools beyond 32, was kept for streams that reading makes late. Where such streams are the majority they gathered on 7.5 of 60 engines and made each other late by their own reading, and spilled beside long prompts.

Change: PoolSplit ranks the engines by hashing, zone by zone; a border in steps of a twentieth follows what long prompts need (tokens placed a second over the learned reading rate, slots, memory), with hysteresis and one step a look. Streams get the rest. Reading pauses are learned from engines with long prompts only, so that a split that works isn't unlearned. Whether a prompt may be read beside streams follows from the model, not from a token constant.

--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -19,7 +19,8 @@
 use crate::load::registry::Registry;
 use crate::{
     Applied, BudgetSettings, Change, ColdBound, ColdDuty, Content, DocumentKey, Envelope, Features,
-    Gossip, Knowledge, LeaseId, PeerChange, Peers, Placement, RetryBudget, WarmthChange,
+    Gossip, Knowledge, LeaseId, PeerChange, Peers, Placement, RetryBudget, SplitChange,
+    SplitFigures, WarmthChange,
 };
 use eiderferry_routing::{InstanceId, NodeName, PoolName, RegionOfZone, ZoneName};
 use eiderferry_types::{Span, Timestamp};
@@ -73,6 +74,8 @@
     pub peer_changes: Vec<PeerChange>,
     /// Back ends that turned cold or warm, or got other senders.
     pub warmth_changes: Vec<WarmthChange>,
+    /// Pools whose engines are split in another way than before.
+    pub split_changes: Vec<SplitChange>,
 }
 
 /// What a message asks for.
@@ -130,6 +133,8 @@
     pub table_version: u64,
     /// Age of the youngest confirmation in seconds; infinite without any.
     pub confirmed_age_seconds: f64,
+    /// The split of the largest pool that is split.
+    pub split: SplitFigures,
 }
 
 /// Decides for one node.
@@ -350,6 +355,14 @@
             .map_or(Span::ZERO, |started| now.since(started))
     }
 
+    fn largest_split(&self) -> SplitFigures {
+        let splits = self.back_ends.splits().filter(|split| split.is_on());
+        let figures = splits.map(|split| split.figures());
+        figures
+            .max_by_key(|figures| figures.ranked_engines)
+            .unwrap_or_default()
+    }
+
     /// Figures for metrics.
     pub fn snapshot(&self, now: Timestamp) -> Snapshot {
         let table = self.knowledge.table();
@@ -376,6 +389,7 @@
             complete_to: self.knowledge.complete_to(),
             table_version: table.map_or(0, |table| table.version()),
             confirmed_age_seconds: age.map_or(f64::INFINITY, |age| age.seconds()),
+            split: self.largest_split(),
         }
     }
 }
--- a/crates/coordination/dispatch/src/dispatcher/messages.rs
+++ b/crates/coordination/dispatch/src/dispatcher/messages.rs
@@ -3,8 +3,9 @@
 use super::aggregation::PEER_TICKS;
 use super::turns::in_turn;
 use super::{Dispatcher, OUTCOME_LIFETIME, PLACEMENTS_PER_MESSAGE, TickOutput};
-use crate::DocumentKey;
 use crate::fleet::message::{Envelope, Gossip, LoadReport, News};
+use crate::load::registry::BackEndState;
+use crate::{ColdDuty, DocumentKey, SplitChange};
 use eiderferry_routing::InstanceId;
 use eiderferry_types::{Span, Timestamp};
 use std::collections::BTreeSet;
@@ -56,9 +57,7 @@
             .unwrap_or_else(|| self.peers.silent_zones(now));
         self.ended_lately
             .retain(|_, ended| now.since(*ended) < OUTCOME_LIFETIME);
-        if self.ticks.is_multiple_of(SPLIT_TICKS) {
-            self.back_ends.renew_streams_apart(now);
-        }
+        let split_changes = self.renew_splits(now);
         let mut messages = self.messages_to_zone(now);
         messages.extend(self.zone_digest(now));
         if self.ticks.is_multiple_of(FAR_TICKS) {
@@ -78,7 +77,30 @@
             messages,
             peer_changes,
             warmth_changes,
+            split_changes,
+        }
+    }
+
+    /// Looks from time to time at how the engines of pools are split.
+    fn renew_splits(&mut self, now: Timestamp) -> Vec<SplitChange> {
+        if !self.ticks.is_multiple_of(SPLIT_TICKS) {
+            return Vec::new();
+        }
+        if !self.settings.features.pool_split {
+            self.back_ends.renew_streams_apart(now);
+            return Vec::new();
         }
+        let (silent, evacuated) = (&self.silent_zones, &self.evacuated);
+        let is_usable = |state: &BackEndState| {
+            let zone = &state.back_end.zone;
+            state.takes_work()
+                && !state.health.is_ejected(now)
+                && state.warmth.duty() == ColdDuty::Warm
+                && !silent.contains(zone)
+                && !evacuated.contains(zone)
+        };
+        let seconds = super::TICK.seconds() * SPLIT_TICKS as f64;
+        self.back_ends.renew_splits(is_usable, seconds, now)
     }
 
     /// Messages to the own zone: its peers hear of this node's work themselves, or in a large
--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -35,3 +35,4 @@
 pub use load::pacing::StreamPacing;
 pub use placement::candidate::{Candidate, choose};
 pub use placement::demand::{Decision, Demand, Grant, LeaseId, Outcome, PromptPart};
+pub use placement::pool_split::{EngineNeed, PoolLoad, SplitChange, SplitFigures};
--- a/crates/coordination/dispatch/src/load/back_end_load.rs
+++ b/crates/coordination/dispatch/src/load/back_end_load.rs
@@ -218,6 +218,8 @@
     own_placed: u64,
     placed_by_nodes: u64,
     placed_by_zones: u64,
+    /// The same of all nodes, however this node hears of it.
+    placed_by_all: u64,
     /// What each source told last.
     placed_by: HashMap<Counted, Placed>,
     /// What all nodes have there, as an aggregator told it.
@@ -239,6 +241,7 @@
             own_placed: 0,
             placed_by_nodes: 0,
             placed_by_zones: 0,
+            placed_by_all: 0,
             placed_by: HashMap::new(),
             sum: None,
             slowness: 1.0,
@@ -312,6 +315,11 @@
         reports.filter(move |report| report.is_fresh(now))
     }
 
+    /// Tokens of single requests placed there by all nodes since this one listed it.
+    pub fn placed_by_all(&self) -> u64 {
+        self.placed_by_all
+    }
+
     /// Expected time to read so many prompt tokens.
     pub fn reading_time(&self, tokens: u64) -> Span {
         let milliseconds = tokens as f64 / ASSUMED_TOKENS_PER_MS * self.slowness;
@@ -348,7 +356,10 @@
         match counted {
             Counted::Node(_) => self.placed_by_nodes += since,
             Counted::Zone(_) => self.placed_by_zones += since,
-            Counted::AllNodes => {}
+            Counted::AllNodes => self.placed_by_all += since,
+        }
+        if counted != Counted::AllNodes && self.fresh_sum(at).is_none() {
+            self.placed_by_all += since;
         }
         let placed = Placed { teller, placed, at };
         self.placed_by.insert(counted, placed);
@@ -400,6 +411,10 @@
 
     pub(crate) fn begin(&mut self, lease: LeaseId, footprint: Footprint, now: Timestamp) {
         self.own_placed += u64::from(footprint.single_tokens);
+        if self.fresh_sum(now).is_none() {
+            // A sum holds what this node places, too.
+            self.placed_by_all += u64::from(footprint.single_tokens);
+        }
         let running = Running {
             footprint,
             pending_before: self.occupancy(now).pending_tokens,
--- a/crates/coordination/dispatch/src/load/engine_model.rs
+++ b/crates/coordination/dispatch/src/load/engine_model.rs
@@ -111,6 +111,15 @@
             .learn(milliseconds(pacing.longest_pause()));
     }
 
+    /// The same from a stream that was kept apart from long prompts: it tells nothing of how
+    /// long they make others pause, and would make that be forgotten.
+    pub fn learn_apart(&mut self, pacing: &StreamPacing) {
+        if let Some(spacing) = pacing.spacing().filter(|_| tells_enough(pacing)) {
+            self.has_seen_streams = true;
+            self.spacing_ms.learn(milliseconds(spacing));
+        }
+    }
+
     /// An engine of this pool that no stream has been seen of.
     pub fn engine_speed(&self) -> EngineSpeed {
         EngineSpeed {
--- a/crates/coordination/dispatch/src/load/registry.rs
+++ b/crates/coordination/dispatch/src/load/registry.rs
@@ -3,6 +3,7 @@
 use crate::load::back_end_load::Counted;
 use crate::load::cold_start::Warmth;
 use crate::load::health::Health;
+use crate::placement::pool_split::{PoolLoad, PoolSplit, RankedEngine, SplitChange};
 use crate::placement::streams_apart::keeps_streams_apart;
 use crate::{BackEndLoad, LoadReport, LoadSource, Placement, PoolModel, PromptPart, StreamPacing};
 use eiderferry_routing::{BackEnd, EngineSpecification, InstanceId, PoolName, RoutingTable};
@@ -12,6 +13,8 @@
 
 /// Memory assumed for a back end that is no model engine.
 const NO_ENGINE_TOKENS: u64 = 0;
+/// Tokens whose reading time tells an engine's rate: long enough that rounding is nothing.
+const READING_SAMPLE: u64 = 100_000;
 
 /// One back end.
 #[derive(Clone, Debug)]
@@ -41,6 +44,7 @@
     reported: HashMap<Counted, Vec<u32>>,
     models: HashMap<PoolName, PoolModel>,
     streams_apart: HashMap<PoolName, bool>,
+    splits: HashMap<PoolName, PoolSplit>,
 }
 
 fn instance_digest(instance: &InstanceId) -> u32 {
@@ -55,6 +59,25 @@
     engine(table, pool).map_or(NO_ENGINE_TOKENS, |engine| engine.cache_tokens)
 }
 
+/// What runs at some back ends of a pool together.
+fn pool_load<'a>(states: impl Iterator<Item = &'a BackEndState>, now: Timestamp) -> PoolLoad {
+    let mut load = PoolLoad::default();
+    let mut rates = 0.0;
+    for state in states {
+        let there = state.load.occupancy(now);
+        load.engines += 1;
+        load.slots += state.back_end.slots;
+        load.memory_tokens += state.load.cache.engine_tokens();
+        load.running += there.running;
+        load.exposed += there.exposed;
+        load.long_requests += there.long_readings;
+        load.single_tokens += there.single_tokens;
+        rates += READING_SAMPLE as f64 / state.load.reading_time(READING_SAMPLE).seconds();
+    }
+    load.reading_rate = rates / f64::from(load.engines.max(1));
+    load
+}
+
 impl Registry {
     pub fn get(&self, instance: &InstanceId) -> Option<&BackEndState> {
         self.states.get(instance)
@@ -181,14 +204,65 @@
         }
     }
 
+    /// The split of a pool between streams and long prompts, where pools are split by load.
+    pub fn split(&self, pool: &PoolName) -> Option<&PoolSplit> {
+        self.splits.get(pool)
+    }
+
+    /// All splits.
+    pub fn splits(&self) -> impl Iterator<Item = &PoolSplit> {
+        self.splits.values()
+    }
+
+    /// Renews the splits from what runs at the back ends for which `is_usable` holds; the
+    /// last renewal was so many seconds ago. Returns those whose border has moved.
+    pub fn renew_splits(
+        &mut self,
+        is_usable: impl Fn(&BackEndState) -> bool,
+        seconds: f64,
+        now: Timestamp,
+    ) -> Vec<SplitChange> {
+        let mut changes = Vec::new();
+        self.splits.retain(|pool, _| self.pools.contains_key(pool));
+        for (pool, instances) in &self.pools {
+            let listed = instances.iter();
+            let listed = listed.filter_map(|instance| self.states.get(instance));
+            let states: Vec<&BackEndState> = listed.collect();
+            let ranked: Vec<RankedEngine> = states
+                .iter()
+                .map(|state| RankedEngine {
+                    digest: state.digest,
+                    zone: &state.back_end.zone,
+                })
+                .collect();
+            let placed = states.iter().map(|state| state.load.placed_by_all()).sum();
+            let load = pool_load(states.into_iter().filter(|state| is_usable(state)), now);
+            let split = self.splits.entry(pool.clone()).or_default();
+            if split.renew(&ranked, load, placed, seconds) {
+                changes.push(SplitChange {
+                    pool: pool.clone(),
+                    figures: split.figures(),
+                });
+            }
+        }
+        changes
+    }
+
     /// Learns from a stream that ended at a back end.
     pub fn learn(&mut self, instance: &InstanceId, pacing: &StreamPacing) {
         let Some(state) = self.states.get_mut(instance) else {
             return;
         };
         state.load.speed.learn(pacing);
-        if let Some(model) = self.models.get_mut(&state.back_end.pool) {
-            model.learn(pacing);
+        let pool = &state.back_end.pool;
+        let split = self.splits.get(pool).filter(|split| split.is_on());
+        let was_apart = split.is_some_and(|split| split.is_for_streams(state.digest));
+        if let Some(model) = self.models.get_mut(pool) {
+            if was_apart {
+                model.learn_apart(pacing);
+            } else {
+                model.learn(pacing);
+            }
         }
     }
 
--- a/crates/coordination/dispatch/src/placement/planning.rs
+++ b/crates/coordination/dispatch/src/placement/planning.rs
@@ -2,6 +2,7 @@
 
 use crate::load::registry::{BackEndState, Registry};
 use crate::placement::eligibility::is_eligible;
+use crate::placement::pool_split::PoolSplit;
 use crate::placement::view::View;
 use crate::{Candidate, Demand, Footprint, Occupancy, PoolModel};
 use eiderferry_routing::InstanceId;
@@ -40,6 +41,9 @@
 const STREAMING_SEED: u64 = 0x5354_5245_414d;
 /// Chance to come late beside long prompts from which on a stream is placed apart.
 const SENSITIVE_CHANCE: f64 = 0.15;
+/// Part of the streams that the longest reading makes late up to which a single reading counts
+/// as harmless to them: the prompt may be read beside streams.
+const HARMLESS_SHARE: f64 = 0.1;
 /// Requests with long prompts that are expected at an engine with homes besides those there.
 const EXPECTED_AT_HOMES: u32 = 1;
 
@@ -100,7 +104,7 @@
 /// beginning prefers, and some drawn at random.
 fn shortlist<'a>(
     staying: &[&'a BackEndState],
-    split: &Split,
+    split: &Split<'_>,
     view: &View<'_>,
     demand: &Demand,
     random: &mut impl Rng,
@@ -139,41 +143,85 @@
 /// How the engines of a pool are split between streams that long prompts would make late
 /// and long prompts, and which of these a request is.
 #[derive(Clone, Copy, Debug)]
-struct Split {
-    is_on: bool,
+struct Split<'a> {
+    rule: Rule<'a>,
     is_sensitive: bool,
 }
 
-impl Split {
-    fn of(registry: &Registry, demand: &Demand, engines: usize) -> Self {
-        let is_short = demand.prompt_tokens < MINIMUM_COPIED_TOKENS * 2;
+/// Which engines are kept for streams.
+#[derive(Clone, Copy, Debug)]
+enum Rule<'a> {
+    /// None.
+    None,
+    /// A fixed part.
+    FixedPart,
+    /// As many as the load leaves.
+    ByLoad(&'a PoolSplit),
+}
+
+impl<'a> Split<'a> {
+    fn of(registry: &'a Registry, demand: &Demand, engines: usize) -> Self {
+        let by_load = registry.split(&demand.pool);
         let chance = registry.model(&demand.pool).zip(demand.pause_target);
-        let chance = chance.map_or(0.0, |(model, target)| {
-            model.chance_beside_long_prompts(&model.engine_speed(), target)
+        let is_exposed = chance.is_some_and(|(model, target)| {
+            model.chance_beside_long_prompts(&model.engine_speed(), target) >= SENSITIVE_CHANCE
         });
+        let is_short = match (by_load, registry.model(&demand.pool)) {
+            (Some(split), Some(model)) => {
+                let reading = split.reading_time(demand.prompt_tokens);
+                model.share_made_late(&model.engine_speed(), reading) < HARMLESS_SHARE
+            }
+            _ => demand.prompt_tokens < MINIMUM_COPIED_TOKENS * 2,
+        };
+        let rule = match by_load.filter(|split| split.is_on()) {
+            Some(split) => Rule::ByLoad(split),
+            None if engines > MOST_COMPARED && registry.streams_are_apart(&demand.pool) => {
+                Rule::FixedPart
+            }
+            None => Rule::None,
+        };
         Self {
-            is_on: engines > MOST_COMPARED && registry.streams_are_apart(&demand.pool),
-            is_sensitive: is_short && chance >= SENSITIVE_CHANCE,
+            rule,
+            is_sensitive: is_short && is_exposed,
         }
     }
 
-    fn is_for_streams(state: &BackEndState) -> bool {
-        let hash = xxh3_64_with_seed(&state.digest.to_le_bytes(), STREAMING_SEED);
-        (hash as f64) < STREAMING_PART * u64::MAX as f64
+    fn is_for_streams(&self, state: &BackEndState) -> Option<bool> {
+        match self.rule {
+            Rule::None => None,
+            Rule::FixedPart => Some(is_in_fixed_part(state)),
+            Rule::ByLoad(split) => Some(split.is_for_streams(state.digest)),
+        }
     }
 
     /// Whether an engine is kept for requests like this.
     fn suits(&self, state: &BackEndState) -> bool {
-        !self.is_on || Self::is_for_streams(state) == self.is_sensitive
+        self.is_for_streams(state)
+            .is_none_or(|is_for_streams| is_for_streams == self.is_sensitive)
     }
 
     fn expected_long_readings(&self, state: &BackEndState) -> u32 {
-        if self.is_on && !Self::is_for_streams(state) {
-            EXPECTED_AT_HOMES
-        } else {
-            0
+        match self.is_for_streams(state) {
+            Some(false) => EXPECTED_AT_HOMES,
+            _ => 0,
         }
     }
+
+    /// Exposed streams that a long prompt finds at an engine, or that come while it is read.
+    fn expected_exposed(&self, state: &BackEndState, there: f64) -> f64 {
+        match self.rule {
+            Rule::ByLoad(split) if !self.is_sensitive && !self.suits(state) => {
+                there.max(split.exposed_at_streams())
+            }
+            _ => there,
+        }
+    }
+}
+
+/// Whether an engine is one of the fixed part that is kept for streams.
+fn is_in_fixed_part(state: &BackEndState) -> bool {
+    let hash = xxh3_64_with_seed(&state.digest.to_le_bytes(), STREAMING_SEED);
+    (hash as f64) < STREAMING_PART * u64::MAX as f64
 }
 
 /// The two engines that keep most of a prompt's beginning.
@@ -219,7 +267,7 @@
     home: Option<&'a InstanceId>,
     keepers: Keepers<'a>,
     usual_failures: f64,
-    split: Split,
+    split: Split<'a>,
     view: &'a View<'a>,
 }
 
@@ -267,7 +315,10 @@
         let readings = Readings::at(state, &there, &footprint);
         let expected = setting.split.expected_long_readings(state);
         candidate.own_late_event = readings.own_late_event(&footprint, expected);
-        candidate.others_late = readings.others_late(model, state, there.exposed);
+        candidate.others_late = {
+            let exposed = setting.split.expected_exposed(state, there.exposed);
+            readings.others_late(model, state, exposed)
+        };
     }
     Plan {
         instance: instance.clone(),
--- /dev/null
+++ b/crates/coordination/dispatch/src/placement/pool_split.rs
@@ -0,0 +1,275 @@
+//! How the engines of a pool are split between streams that reading makes late and long
+//! prompts.
+//!
+//! All engines of a pool are ranked once by hashing, zone by zone, so that any part of the
+//! ranking lies in all zones alike. Those before the border read long prompts, those behind it
+//! run streams that a long reading beside them would make late. The border follows the load
+//! that every node sees, in steps: nodes whose sums differ a little choose the same step, and
+//! a step moves only the engines between its two ends.
+
+use eiderferry_routing::{PoolName, ZoneName};
+use eiderferry_types::Span;
+use std::collections::{BTreeMap, HashSet};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Exposed streams for each slot of a pool from which on, and down to which, its engines are
+/// split: apart, so that homes do not move to and fro.
+const SPLIT_FROM: f64 = 0.01;
+const SPLIT_TO: f64 = 0.003;
+/// Part of a pool's slots in use from which on its engines are split no more: each is needed
+/// for whatever comes.
+const FULL_FROM: f64 = 0.85;
+const FULL_TO: f64 = 0.7;
+/// Engines that each side has at least, so that one that fails does not take all along.
+const FEWEST_ON_A_SIDE: f64 = 2.0;
+/// Part of the engines that each kind has at least, for a burst that no sum tells of yet.
+const LEAST_FOR_PROMPTS: f64 = 0.25;
+const LEAST_FOR_STREAMS: f64 = 0.125;
+/// Engines of the smallest pool that is split.
+const SMALLEST_POOL: f64 = 8.0;
+/// Part of their time that engines for long prompts are meant to read: room for bursts.
+const READING_UTILISATION: f64 = 0.6;
+/// Part of its slots that an engine of either side is meant to have in use.
+const SLOT_UTILISATION: f64 = 0.5;
+/// Part of an engine's memory that requests which run there are meant to take.
+const MEMORY_UTILISATION: f64 = 0.5;
+/// Part of a ranking that one step of the border takes.
+const STEP: f64 = 0.05;
+/// How far, in steps, the load must be from where the border stands to move it: more than
+/// half a step, so that it does not move to and fro between two.
+const MOVES_BEYOND: f64 = 0.8;
+/// Seed of the hash that ranks the engines.
+const RANKING_SEED: u64 = 0x5354_5245_414d;
+/// Weight of the newest measurement of the tokens placed a second, of two a second: the
+/// figure follows a burst within two seconds.
+const RATE_SMOOTHING: f64 = 0.3;
+
+/// What runs at a pool, over all nodes, and what its usable engines have.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PoolLoad {
+    /// Engines that take work.
+    pub engines: u32,
+    /// Their slots.
+    pub slots: u32,
+    /// Their memory in tokens.
+    pub memory_tokens: u64,
+    /// Requests that run there.
+    pub running: u32,
+    /// Streams that a long prompt would make late, in expectation.
+    pub exposed: f64,
+    /// Requests with long prompts that run there.
+    pub long_requests: u32,
+    /// Tokens of memory that only one request has.
+    pub single_tokens: u64,
+    /// Prompt tokens that one engine reads in a second.
+    pub reading_rate: f64,
+}
+
+/// How many engines each kind of request needs.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct EngineNeed {
+    /// Engines for long prompts.
+    pub prompts: f64,
+    /// Engines for streams.
+    pub streams: f64,
+}
+
+impl EngineNeed {
+    /// What a load needs in which so many tokens a second are placed.
+    fn of(load: &PoolLoad, placed_rate: f64) -> Self {
+        let engines = f64::from(load.engines.max(1));
+        let slots = f64::from(load.slots.max(1)) / engines * SLOT_UTILISATION;
+        let memory = (load.memory_tokens as f64 / engines * MEMORY_UTILISATION).max(1.0);
+        let reading = placed_rate / load.reading_rate.max(1.0) / READING_UTILISATION;
+        let long_requests = f64::from(load.long_requests);
+        let others = f64::from(load.running) - long_requests;
+        // Nearly all of what only one request has belongs to long prompts.
+        let remembered = load.single_tokens as f64 / memory;
+        Self {
+            prompts: reading.max(long_requests / slots).max(remembered),
+            streams: others.max(0.0) / slots,
+        }
+    }
+
+    /// Part of the engines that long prompts get. What neither kind needs goes to the streams:
+    /// the fewer of them an engine has, the fewer does a reading beside them make late.
+    fn prompts_part(&self, engines: u32) -> f64 {
+        let engines = f64::from(engines);
+        let wanted = if self.prompts + self.streams > engines {
+            engines * self.prompts / (self.prompts + self.streams)
+        } else {
+            self.prompts
+        };
+        let least = (engines * LEAST_FOR_PROMPTS).max(FEWEST_ON_A_SIDE);
+        let most = engines - (engines * LEAST_FOR_STREAMS).max(FEWEST_ON_A_SIDE);
+        wanted.clamp(least, most.max(least)) / engines
+    }
+}
+
+/// Figures of a split, for metrics and logs.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct SplitFigures {
+    /// Engines for long prompts; 0 while the pool is not split.
+    pub prompt_engines: u32,
+    /// All engines that are ranked.
+    pub ranked_engines: u32,
+    /// Engines that each kind needs.
+    pub need: EngineNeed,
+    /// What the need rests on.
+    pub load: PoolLoad,
+    /// Tokens placed a second.
+    pub placed_rate: f64,
+}
+
+/// A pool whose engines are split in another way than before.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SplitChange {
+    /// The pool.
+    pub pool: PoolName,
+    /// How they are split now.
+    pub figures: SplitFigures,
+}
+
+/// An engine in the ranking.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RankedEngine<'a> {
+    pub digest: u32,
+    pub zone: &'a ZoneName,
+}
+
+/// The split of one pool.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PoolSplit {
+    /// Steps of the border; `None` while the pool is not split.
+    border: Option<u32>,
+    is_full: bool,
+    prompt_engines: HashSet<u32>,
+    placed_before: Option<u64>,
+    figures: SplitFigures,
+}
+
+impl PoolSplit {
+    /// Renews the split from what runs now and the tokens that were ever placed; the last
+    /// renewal was so many seconds ago. Returns whether the border has moved.
+    pub fn renew(
+        &mut self,
+        engines: &[RankedEngine<'_>],
+        load: PoolLoad,
+        placed: u64,
+        seconds: f64,
+    ) -> bool {
+        self.note_placed(placed, seconds);
+        let need = EngineNeed::of(&load, self.figures.placed_rate);
+        let before = self.border;
+        self.border = self.next_border(&load, &need);
+        self.prompt_engines = match self.border {
+            Some(steps) => first_of_ranking(engines, f64::from(steps) * STEP),
+            None => HashSet::new(),
+        };
+        self.figures = SplitFigures {
+            prompt_engines: self.prompt_engines.len() as u32,
+            ranked_engines: engines.len() as u32,
+            need,
+            load,
+            placed_rate: self.figures.placed_rate,
+        };
+        self.border != before
+    }
+
+    fn note_placed(&mut self, placed: u64, seconds: f64) {
+        // A sum that falls has lost a teller: it begins anew.
+        if let Some(before) = self.placed_before.filter(|before| *before <= placed) {
+            let rate = (placed - before) as f64 / seconds.max(f64::EPSILON);
+            self.figures.placed_rate += RATE_SMOOTHING * (rate - self.figures.placed_rate);
+        }
+        self.placed_before = Some(placed);
+    }
+
+    fn next_border(&mut self, load: &PoolLoad, need: &EngineNeed) -> Option<u32> {
+        let is_large = f64::from(load.engines) >= SMALLEST_POOL;
+        if !is_large || !self.has_streams(load) || !self.has_room(load) {
+            return None;
+        }
+        let wanted = need.prompts_part(load.engines) / STEP;
+        let Some(border) = self.border else {
+            return Some(wanted.round().max(1.0) as u32);
+        };
+        let distance = wanted - f64::from(border);
+        Some(if distance > MOVES_BEYOND {
+            border + 1
+        } else if distance < -MOVES_BEYOND {
+            border - 1
+        } else {
+            border
+        })
+    }
+
+    fn has_streams(&self, load: &PoolLoad) -> bool {
+        let limit = if self.border.is_some() {
+            SPLIT_TO
+        } else {
+            SPLIT_FROM
+        };
+        load.exposed > limit * f64::from(load.slots)
+    }
+
+    fn has_room(&mut self, load: &PoolLoad) -> bool {
+        let limit = if self.is_full { FULL_TO } else { FULL_FROM };
+        self.is_full = f64::from(load.running) >= limit * f64::from(load.slots);
+        !self.is_full
+    }
+
+    /// Whether the pool is split now.
+    pub fn is_on(&self) -> bool {
+        self.border.is_some()
+    }
+
+    /// Whether an engine is kept for streams.
+    pub fn is_for_streams(&self, digest: u32) -> bool {
+        !self.prompt_engines.contains(&digest)
+    }
+
+    /// Time in which an engine of the pool reads so many tokens.
+    pub fn reading_time(&self, tokens: u32) -> Span {
+        let rate = self.figures.load.reading_rate.max(1.0);
+        Span::from_seconds(f64::from(tokens) / rate)
+    }
+
+    /// Exposed streams that an engine for streams has on average.
+    pub fn exposed_at_streams(&self) -> f64 {
+        let figures = &self.figures;
+        let engines = figures
+            .ranked_engines
+            .saturating_sub(figures.prompt_engines);
+        figures.load.exposed / f64::from(engines.max(1))
+    }
+
+    pub fn figures(&self) -> SplitFigures {
+        self.figures
+    }
+}
+
+/// The engines in the first part of the ranking. Each zone has its own, which begins at
+/// another fraction of an engine, so that their ends do not all come at once.
+fn first_of_ranking(engines: &[RankedEngine<'_>], part: f64) -> HashSet<u32> {
+    let mut zones: BTreeMap<&ZoneName, Vec<(u64, u32)>> = BTreeMap::new();
+    for engine in engines {
+        let hash = xxh3_64_with_seed(&engine.digest.to_le_bytes(), RANKING_SEED);
+        let ranking = zones.entry(engine.zone).or_default();
+        ranking.push((hash, engine.digest));
+    }
+    let count = zones.len() as f64;
+    let mut first = HashSet::new();
+    for (number, mut ranking) in zones.into_values().enumerate() {
+        ranking.sort_unstable();
+        let begin = (number as f64 + 0.5) / count;
+        let taken = ranking.len() as f64 * part + begin;
+        first.extend(
+            ranking
+                .iter()
+                .take(taken as usize)
+                .map(|(_, digest)| digest),
+        );
+    }
+    first
+}
--- a/crates/coordination/dispatch/tests/streams_apart.rs
+++ b/crates/coordination/dispatch/tests/streams_apart.rs
@@ -2,13 +2,18 @@
 
 mod support;
 
-use eiderferry_dispatch::{Decision, Demand, Dispatcher, Grant, Outcome, TICK};
+use eiderferry_dispatch::{Decision, Demand, Dispatcher, Features, Grant, Outcome, TICK};
 use eiderferry_types::{Span, Timestamp};
 use std::collections::BTreeSet;
-use support::{START, demand, granted, with_engines};
+use support::{START, demand, granted, with_engines, with_engines_and};
 
 const LARGE_POOL: usize = 320;
 const SMALL_POOL: usize = 30;
+/// The split by load is switched off: a fixed part is kept.
+const FIXED_PART: Features = Features {
+    pool_split: false,
+    ..Features::ALL
+};
 
 /// A short prompt whose stream must not pause.
 fn sensitive(thing: u64) -> Demand {
@@ -27,7 +32,7 @@
 
 /// A dispatcher at which such streams ran for a while, and have just ended.
 fn with_streams(engines: usize) -> Dispatcher {
-    let mut subject = with_engines(engines);
+    let mut subject = with_engines_and(engines, FIXED_PART);
     let placed = place_streams(&mut subject, 600, START);
     for tick in 1..=20 {
         subject.tick(START + TICK * tick);
--- a/crates/coordination/dispatch/tests/support/mod.rs
+++ b/crates/coordination/dispatch/tests/support/mod.rs
@@ -157,7 +157,15 @@
 
 /// A dispatcher that knows so many engines, all in its zone.
 pub fn with_engines(count: usize) -> Dispatcher {
-    let mut subject = dispatcher(0, 0, Vec::new());
+    with_engines_and(count, Features::ALL)
+}
+
+/// The same with some parts of the dispatcher switched off.
+pub fn with_engines_and(count: usize, features: Features) -> Dispatcher {
+    let mut subject = Dispatcher::new(DispatcherSettings {
+        features,
+        ..settings(0, 0, Vec::new(), APPLY_WITHIN)
+    });
     subject.apply(table_change(1), START);
     for number in 0..count {
         let name = format!("engine-{number}");
@@ -271,6 +279,17 @@
         }
     }
 
+    /// Starts all nodes anew with some parts of the dispatcher switched off.
+    pub fn switch(&mut self, features: Features) {
+        let seeds: Vec<SocketAddr> = (0..3).map(node_address).collect();
+        for number in 0..self.nodes.len() {
+            self.nodes[number] = Dispatcher::new(DispatcherSettings {
+                features,
+                ..settings(number, self.zones[number], seeds.clone(), APPLY_WITHIN)
+            });
+        }
+    }
+
     /// Starts a node anew: a run that knows nothing but the seeds.
     pub fn restart(&mut self, number: usize) {
         let seeds: Vec<SocketAddr> = (0..3).map(node_address).collect();
--- a/crates/transport/relay/src/control.rs
+++ b/crates/transport/relay/src/control.rs
@@ -203,6 +203,9 @@
         for change in &output.warmth_changes {
             events::warmth(change);
         }
+        for change in &output.split_changes {
+            events::pool_split(change);
+        }
         for envelope in &output.messages {
             self.socket.send(envelope);
         }
--- a/crates/transport/relay/src/events.rs
+++ b/crates/transport/relay/src/events.rs
@@ -7,8 +7,8 @@
 use crate::metrics;
 use crate::own_answer::OwnAnswer;
 use eiderferry_dispatch::{
-    Applied, ColdDuty, DocumentKey, Grant, HealthChange, Outcome, PeerChange, StreamPacing,
-    TakenNews, UnknownName, WarmthChange,
+    Applied, ColdDuty, DocumentKey, Grant, HealthChange, Outcome, PeerChange, SplitChange,
+    StreamPacing, TakenNews, UnknownName, WarmthChange,
 };
 use eiderferry_routing::InstanceId;
 use eiderferry_types::{Reason, Span, Timestamp};
@@ -80,6 +80,21 @@
     );
 }
 
+/// The engines of a pool are split in another way than before. At most one line a pool and
+/// look at it, of two a second, and none while the load stays within a step.
+pub(crate) fn pool_split(change: &SplitChange) {
+    let figures = &change.figures;
+    log::info!(
+        event = "pool_split", pool = change.pool.as_str(),
+        prompt_engines = figures.prompt_engines, engines = figures.ranked_engines,
+        usable = figures.load.engines, needed_prompts = figures.need.prompts,
+        needed_streams = figures.need.streams, running = figures.load.running,
+        exposed = figures.load.exposed, long_requests = figures.load.long_requests,
+        placed_per_s = figures.placed_rate, read_per_s = figures.load.reading_rate;
+        "engines split between long prompts and streams"
+    );
+}
+
 /// This node began to aggregate for its zone, or stopped.
 pub(crate) fn aggregating(is_aggregator: bool) {
     log::info!(event = "aggregating", on = is_aggregator; "duty as an aggregator");
--- a/crates/transport/relay/src/metrics.rs
+++ b/crates/transport/relay/src/metrics.rs
@@ -3,7 +3,7 @@
 //! Labels are kinds of route, ranks and outcomes: their number does not grow with
 //! routes, tenants or requests.
 
-use eiderferry_dispatch::Snapshot;
+use eiderferry_dispatch::{Snapshot, SplitFigures};
 use eiderferry_routing::{Route, RouteKind};
 use eiderferry_types::Span;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
@@ -116,4 +116,21 @@
     metrics::gauge!("eiderferry_documents_revision").set(snapshot.complete_to as f64);
     metrics::gauge!("eiderferry_table_version").set(snapshot.table_version as f64);
     metrics::gauge!("eiderferry_confirmation_age_seconds").set(snapshot.confirmed_age_seconds);
+    set_split_gauges(&snapshot.split);
+}
+
+/// How the engines of the largest split pool are split, and what that rests on.
+fn set_split_gauges(split: &SplitFigures) {
+    let stream_engines = split.ranked_engines.saturating_sub(split.prompt_engines);
+    for (side, engines, needed) in [
+        ("prompts", split.prompt_engines, split.need.prompts),
+        ("streams", stream_engines, split.need.streams),
+    ] {
+        metrics::gauge!("eiderferry_split_engines", "side" => side).set(f64::from(engines));
+        metrics::gauge!("eiderferry_split_needed_engines", "side" => side).set(needed);
+    }
+    metrics::gauge!("eiderferry_split_exposed_streams").set(split.load.exposed);
+    metrics::gauge!("eiderferry_split_long_requests").set(f64::from(split.load.long_requests));
+    metrics::gauge!("eiderferry_split_placed_tokens_per_second").set(split.placed_rate);
+    metrics::gauge!("eiderferry_split_reading_tokens_per_second").set(split.load.reading_rate);
 }
