Dispatch: a pool too full to be split keeps the fixed part

Change: while both kinds need more than 1.15 times the engines there are (until 1.0) pools of more than 32 engines keep the fixed part as without the split.

--- a/crates/coordination/dispatch/src/placement/planning.rs
+++ b/crates/coordination/dispatch/src/placement/planning.rs
@@ -173,11 +173,11 @@
             }
             _ => demand.prompt_tokens < MINIMUM_COPIED_TOKENS * 2,
         };
+        let has_fixed_part = registry.streams_are_apart(&demand.pool)
+            || by_load.is_some_and(|split| split.is_full());
         let rule = match by_load.filter(|split| split.is_on()) {
             Some(split) => Rule::ByLoad(split),
-            None if engines > MOST_COMPARED && registry.streams_are_apart(&demand.pool) => {
-                Rule::FixedPart
-            }
+            None if engines > MOST_COMPARED && has_fixed_part => Rule::FixedPart,
             None => Rule::None,
         };
         Self {
--- a/crates/coordination/dispatch/src/placement/pool_split.rs
+++ b/crates/coordination/dispatch/src/placement/pool_split.rs
@@ -20,7 +20,7 @@
 /// no more, and down to which it stays so: each engine is needed for whatever comes. At 1.9 three
 /// times as many streams came late split as not (207 and 63 of 2,000, load played).
 const FULL_FROM: f64 = 1.15;
-const FULL_TO: f64 = 1.05;
+const FULL_TO: f64 = 1.0;
 /// Engines that each side has at least, so that one that fails does not take all along.
 const FEWEST_ON_A_SIDE: f64 = 2.0;
 /// Part of the engines that each kind has at least, for a burst that no sum tells of yet.
@@ -227,7 +227,11 @@
 
     fn next_border(&mut self, load: &PoolLoad, need: &EngineNeed) -> Option<u32> {
         let is_large = f64::from(load.engines) >= SMALLEST_POOL;
-        if !is_large || !self.has_streams(load) || !self.has_room(load, need) {
+        if !is_large || !self.has_streams(load) {
+            self.is_full = false;
+            return None;
+        }
+        if !self.has_room(load, need) {
             return None;
         }
         let wanted = need.prompts_part(load.engines) / STEP;
@@ -272,6 +276,11 @@
         self.border.is_some()
     }
 
+    /// Whether both kinds need more engines than there are, so that the load splits nothing.
+    pub fn is_full(&self) -> bool {
+        self.is_full
+    }
+
     /// Whether an engine is kept for streams.
     pub fn is_for_streams(&self, digest: u32) -> bool {
         !self.prompt_engines.contains(&digest)
