--- a/crates/coordination/dispatch/src/placement/planning.rs
+++ b/crates/coordination/dispatch/src/placement/planning.rs
@@ -166,6 +166,9 @@
         let is_exposed = chance.is_some_and(|(model, target)| {
             model.chance_beside_long_prompts(&model.engine_speed(), target) >= SENSITIVE_CHANCE
         });
+        let has_fixed_part = registry.streams_are_apart(&demand.pool)
+            || by_load.is_some_and(|split| split.is_full());
+        let by_load = by_load.filter(|split| split.is_on());
         let is_short = match (by_load, registry.model(&demand.pool)) {
             (Some(split), Some(model)) => {
                 let reading = split.reading_time(demand.prompt_tokens);
@@ -173,9 +176,7 @@
             }
             _ => demand.prompt_tokens < MINIMUM_COPIED_TOKENS * 2,
         };
-        let has_fixed_part = registry.streams_are_apart(&demand.pool)
-            || by_load.is_some_and(|split| split.is_full());
-        let rule = match by_load.filter(|split| split.is_on()) {
+        let rule = match by_load {
             Some(split) => Rule::ByLoad(split),
             None if engines > MOST_COMPARED && has_fixed_part => Rule::FixedPart,
             None => Rule::None,
