--- a/crates/coordination/dispatch/src/load/engine_model.rs
+++ b/crates/coordination/dispatch/src/load/engine_model.rs
@@ -90,6 +90,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct EngineSpeed {
     spacing_ms: Quantile,
+    /// Whether a stream has told anything of it; until then it is as fast as its pool.
+    is_learned: bool,
 }
 
 impl PoolModel {
@@ -145,6 +147,7 @@
     pub fn engine_speed(&self) -> EngineSpeed {
         EngineSpeed {
             spacing_ms: self.spacing_ms,
+            is_learned: false,
         }
     }
 
@@ -159,6 +162,9 @@
     }
 
     fn relative(&self, speed: &EngineSpeed) -> f64 {
+        if !speed.is_learned {
+            return 1.0;
+        }
         let relative = speed.spacing_ms.value / self.spacing_ms.value;
         relative.clamp(RELATIVE_SPEED.0, RELATIVE_SPEED.1)
     }
@@ -194,9 +200,15 @@
 }
 
 impl EngineSpeed {
+    /// Whether a stream has told anything of it.
+    pub fn is_learned(&self) -> bool {
+        self.is_learned
+    }
+
     /// Learns from a stream that has ended there.
     pub fn learn(&mut self, pacing: &StreamPacing) {
         if let Some(spacing) = pacing.spacing().filter(|_| tells_enough(pacing)) {
+            self.is_learned = true;
             self.spacing_ms.learn(milliseconds(spacing));
         }
     }
--- a/crates/coordination/dispatch/src/load/registry.rs
+++ b/crates/coordination/dispatch/src/load/registry.rs
@@ -6,7 +6,9 @@
 use crate::placement::planning::SENSITIVE_CHANCE;
 use crate::placement::pool_split::{PoolLoad, PoolSplit, RankedEngine, SplitChange};
 use crate::placement::streams_apart::keeps_streams_apart;
-use crate::{BackEndLoad, LoadReport, LoadSource, Placement, PoolModel, PromptPart, StreamPacing};
+use crate::{
+    BackEndLoad, Footprint, LoadReport, LoadSource, Placement, PoolModel, PromptPart, StreamPacing,
+};
 use eiderferry_routing::{BackEnd, EngineSpecification, InstanceId, PoolName, RoutingTable};
 use eiderferry_types::Timestamp;
 use std::collections::HashMap;
@@ -280,8 +282,16 @@
         let Some(state) = self.states.get_mut(instance) else {
             return;
         };
-        state.load.speed.learn(pacing);
         let pool = &state.back_end.pool;
+        // What the pool has learned since the engine was listed must not count as a difference
+        // of this engine: with 90 engines seen rarely, streams were held for half as exposed as
+        // they were, and the split ended itself.
+        if let Some(model) = self.models.get(pool)
+            && !state.load.speed.is_learned()
+        {
+            state.load.speed = model.engine_speed();
+        }
+        state.load.speed.learn(pacing);
         let split = self.splits.get(pool).filter(|split| split.is_on());
         let was_apart = split.map(|split| split.is_for_streams(state.digest));
         if let Some(model) = self.models.get_mut(pool) {
--- a/crates/coordination/dispatch/src/placement/pool_split.rs
+++ b/crates/coordination/dispatch/src/placement/pool_split.rs
@@ -182,6 +182,8 @@
     is_full: bool,
     prompt_engines: HashSet<u32>,
     placed_before: Option<u64>,
+    /// Looks at which tokens had been placed.
+    rates_seen: u32,
     /// Exposure of a stream that is placed apart, on average.
     usual_exposure: Option<f64>,
     figures: SplitFigures,
@@ -220,7 +222,11 @@
         // A sum that falls has lost a teller: it begins anew.
         if let Some(before) = self.placed_before.filter(|before| *before <= placed) {
             let rate = (placed - before) as f64 / seconds.max(f64::EPSILON);
-            self.figures.placed_rate += RATE_SMOOTHING * (rate - self.figures.placed_rate);
+            // The first ones are averaged: a pool that is too full from the start must not be
+            // split for the seconds in which the figure grows.
+            self.rates_seen = self.rates_seen.saturating_add(u32::from(rate > 0.0));
+            let weight = RATE_SMOOTHING.max(1.0 / f64::from(self.rates_seen.max(1)));
+            self.figures.placed_rate += weight * (rate - self.figures.placed_rate);
         }
         self.placed_before = Some(placed);
     }
