Cache index: engines' cache events are followed, and correct what nodes believe

Cause: each node guesses what an engine keeps from placements that nodes tell each other; engines tell it themselves, and nobody listened. Change: one node of an engine's zone lists its cache and follows its events. What contradicts belief goes to the other nodes as observed placements (0 tokens: dropped); nothing else is told. The pace follows the corrections it gains, down to nothing. `granted` says whether a choice rests on an engine's word and how old that is. Off by features.cacheIndex, or where the configuration gives engines no bound of calls.

--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -1,6 +1,7 @@
 //! The state machine of a relay's decisions.
 
 mod aggregation;
+mod cache_index;
 mod cold_senders;
 mod granting;
 mod messages;
@@ -9,13 +10,16 @@
 mod unknown_names;
 mod zone_digest;
 
+pub use cache_index::{CacheNews, CacheOrder};
 pub(crate) use messages::{FAR_FANOUT, FAR_TICKS, NEAR_FANOUT, SPARSE_FAR_FANOUT};
 pub use reading::ReadingDuty;
 pub use unknown_names::UnknownName;
 
 use aggregation::Aggregation;
+use cache_index::CacheFollows;
 use granting::Lease;
 
+use crate::load::cache_index::FollowCounts;
 use crate::load::registry::Registry;
 use crate::{
     Applied, BudgetSettings, Change, ColdBound, ColdDuty, Content, DocumentKey, Envelope, Features,
@@ -130,6 +134,10 @@
     pub table_version: u64,
     /// Age of the youngest confirmation in seconds; infinite without any.
     pub confirmed_age_seconds: f64,
+    /// Engines whose caches this node follows.
+    pub caches_followed: usize,
+    /// What following caches came to since the start.
+    pub cache_counts: FollowCounts,
 }
 
 /// Decides for one node.
@@ -154,6 +162,7 @@
     /// Back ends whose entries lapsed, and when they count as gone.
     lapsed: HashMap<InstanceId, Timestamp>,
     zone_digests: ZoneDigests,
+    cache_follows: CacheFollows,
     aggregation: Aggregation,
     silent_zones: BTreeSet<ZoneName>,
     /// Zones whose back ends get nothing new.
@@ -192,6 +201,7 @@
             started: None,
             lapsed: HashMap::new(),
             zone_digests: ZoneDigests::default(),
+            cache_follows: CacheFollows::default(),
             aggregation: Aggregation::default(),
             silent_zones: BTreeSet::new(),
             evacuated: BTreeSet::new(),
@@ -359,6 +369,7 @@
             states.filter(|state| state.warmth.duty() == duty).count()
         };
         let cold_sender_for = count(ColdDuty::Sender);
+        let (caches_followed, cache_counts) = self.cache_counts();
         Snapshot {
             living_peers: self.peers.living_count(),
             back_ends: self.back_ends.all().count(),
@@ -376,6 +387,8 @@
             complete_to: self.knowledge.complete_to(),
             table_version: table.map_or(0, |table| table.version()),
             confirmed_age_seconds: age.map_or(f64::INFINITY, |age| age.seconds()),
+            caches_followed,
+            cache_counts,
         }
     }
 }
--- /dev/null
+++ b/crates/coordination/dispatch/src/dispatcher/cache_index.rs
@@ -0,0 +1,236 @@
+//! Which engines' caches this node follows, and what comes of what they tell.
+//!
+//! One node of an engine's zone follows it: the first by rendezvous hashing over the zone's
+//! living nodes that stay. A second one for a while does no harm, as what is told is a state
+//! and not a change of one.
+
+use super::{Dispatcher, PLACEMENTS_PER_MESSAGE};
+use crate::Placement;
+use crate::load::cache_index::{CacheAnswer, CacheCall, CacheIndex, FollowCounts};
+use crate::load::registry::BackEndState;
+use eiderferry_routing::{InstanceId, PartId};
+use eiderferry_types::{Span, Timestamp};
+use std::collections::{BTreeMap, HashSet};
+use std::net::SocketAddr;
+
+/// Time after a start in which a node comes to know enough others of its zone to tell who
+/// follows which engine: peers are told each tenth of a second.
+const SETTLING_TIME: Span = Span::from_milliseconds(700);
+/// Engines that one node follows; a mirror of one takes some 100 kB.
+const MOST_FOLLOWED: usize = 24;
+/// Corrections told after one answer.
+const MOST_CORRECTIONS: usize = 12;
+
+/// A call that is due at an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CacheOrder {
+    /// The engine.
+    pub instance: InstanceId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// What it is asked.
+    pub call: CacheCall,
+}
+
+/// What came of an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CacheNews {
+    /// Parts believed kept that the engine doesn't keep.
+    pub gone: usize,
+    /// Parts that it keeps and that were not believed kept.
+    pub kept: usize,
+    /// The counts of the engine since it is followed.
+    pub counts: FollowCounts,
+    /// Time since it is followed.
+    pub followed_for: Span,
+}
+
+/// The engines that this node follows.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct CacheFollows {
+    indices: BTreeMap<InstanceId, CacheIndex>,
+    ended: FollowCounts,
+}
+
+impl Dispatcher {
+    /// Calls that are due at the engines that this node follows.
+    pub fn cache_calls(&mut self, now: Timestamp) -> Vec<CacheOrder> {
+        self.renew_cache_follows(now);
+        let placed = self.back_ends.take_placed_lately();
+        self.recall_kept(placed.into_iter(), now);
+        let follows = &mut self.cache_follows.indices;
+        let due = follows.iter_mut().filter_map(|(instance, index)| {
+            let address = self.back_ends.get(instance)?.back_end.address;
+            let call = index.call(now)?;
+            Some(CacheOrder {
+                instance: instance.clone(),
+                address,
+                call,
+            })
+        });
+        due.collect()
+    }
+
+    /// Whether this node follows an engine's cache.
+    pub fn follows_cache(&self, instance: &InstanceId) -> bool {
+        self.cache_follows.indices.contains_key(instance)
+    }
+
+    fn renew_cache_follows(&mut self, now: Timestamp) {
+        let own: HashSet<InstanceId> = self.caches_to_follow(now).into_iter().collect();
+        let follows = &mut self.cache_follows;
+        let ended = &mut follows.ended;
+        follows.indices.retain(|instance, index| {
+            let stays = own.contains(instance);
+            if !stays {
+                ended.add(index.counts());
+            }
+            stays
+        });
+        for instance in own {
+            let index = follows.indices.entry(instance);
+            index.or_insert_with(|| CacheIndex::new(now));
+        }
+    }
+
+    fn caches_to_follow(&self, now: Timestamp) -> Vec<InstanceId> {
+        let is_on = self.settings.features.cache_index;
+        if !is_on || self.is_stopping || self.uptime(now) < SETTLING_TIME {
+            return Vec::new();
+        }
+        let states = self.back_ends.all();
+        let own = states.filter(|state| self.has_to_follow(state));
+        let mut own: Vec<&BackEndState> = own.collect();
+        own.sort_unstable_by_key(|state| state.digest);
+        let own = own.into_iter().take(MOST_FOLLOWED);
+        own.map(|state| state.back_end.instance.clone()).collect()
+    }
+
+    fn has_to_follow(&self, state: &BackEndState) -> bool {
+        let tells = self
+            .knowledge
+            .table()
+            .and_then(|table| table.pool(&state.back_end.pool)?.engine.as_ref())
+            .is_some_and(|engine| engine.cache_event_calls > 0);
+        tells
+            && state.takes_work()
+            && state.back_end.zone == self.settings.zone
+            && self.peers.sender_place(state.digest) == 0
+    }
+
+    /// Takes in what came of a call; `None` where the engine is not followed any more, or
+    /// nothing was learned.
+    pub fn take_cache_answer(
+        &mut self,
+        instance: &InstanceId,
+        answer: CacheAnswer,
+        now: Timestamp,
+    ) -> Option<CacheNews> {
+        let index = self.cache_follows.indices.get_mut(instance)?;
+        let gaps = index.counts().gaps;
+        if !index.take(answer, now) {
+            let has_gap = index.counts().gaps > gaps;
+            return has_gap.then(|| CacheNews::of(index, &[], now));
+        }
+        let facts = self.corrections(instance)?;
+        let cache = &mut self.back_ends.get_mut(instance)?.load.cache;
+        for fact in &facts {
+            cache.take_fact(fact.part, fact.tokens, now);
+        }
+        let index = self.cache_follows.indices.get_mut(instance)?;
+        cache.confirm(|part| index.holds(part).is_some(), now);
+        index.note_corrections(facts.len(), now);
+        let news = CacheNews::of(index, &facts, now);
+        self.tell_facts(&facts);
+        Some(news)
+    }
+
+    /// Where an engine's word differs from belief. What finds no room in the next messages is
+    /// still wrong at the next answer, and told then.
+    fn corrections(&self, instance: &InstanceId) -> Option<Vec<Placement>> {
+        let index = self.cache_follows.indices.get(instance)?;
+        let state = self.back_ends.get(instance)?;
+        let cache = &state.load.cache;
+        let gone = index.believed_wrongly(cache).into_iter();
+        let gone = gone.map(|part| fact(state.digest, part, 0));
+        let kept = index.kept_unknown(cache, &self.back_ends.believed_parts());
+        let kept = kept.into_iter();
+        let kept = kept.map(|part| fact(state.digest, part.id, part.tokens));
+        let room = PLACEMENTS_PER_MESSAGE.saturating_sub(self.placements.len());
+        Some(gone.chain(kept).take(room.min(MOST_CORRECTIONS)).collect())
+    }
+
+    /// Parts turn out to be shared: the followed engines that hold them are known to keep them
+    /// from now on. So the caches are known again with the first requests after a loss of all
+    /// nodes, though no word of an engine tells which of its parts are shared.
+    pub(super) fn recall_kept(&mut self, parts: impl Iterator<Item = PartId>, now: Timestamp) {
+        if self.cache_follows.indices.is_empty() {
+            return;
+        }
+        let mut recalled = Vec::new();
+        for part in parts {
+            for (instance, index) in &self.cache_follows.indices {
+                let Some(tokens) = index.holds(part) else {
+                    continue;
+                };
+                let Some(state) = self.back_ends.get_mut(instance) else {
+                    continue;
+                };
+                let cache = &mut state.load.cache;
+                if !cache.keeps(part) {
+                    cache.take_fact(part, tokens, now);
+                    recalled.push(fact(state.digest, part, tokens));
+                }
+            }
+        }
+        self.tell_facts(&recalled);
+    }
+
+    /// What following came to since the start, and how many engines are followed.
+    pub(super) fn cache_counts(&self) -> (usize, FollowCounts) {
+        let mut counts = self.cache_follows.ended;
+        for index in self.cache_follows.indices.values() {
+            counts.add(index.counts());
+        }
+        (self.cache_follows.indices.len(), counts)
+    }
+
+    /// Tells what engines themselves told, in place of what was said of these parts before.
+    fn tell_facts(&mut self, facts: &[Placement]) {
+        let key = |placement: &Placement| (placement.back_end, placement.part);
+        self.placements
+            .retain(|known| !facts.iter().any(|fact| key(fact) == key(known)));
+        self.tell_placements(facts);
+    }
+
+    /// Tells other nodes of parts with the next messages.
+    pub(super) fn tell_placements(&mut self, told: &[Placement]) {
+        let room = PLACEMENTS_PER_MESSAGE.saturating_sub(self.placements.len());
+        let told = &told[..told.len().min(room)];
+        self.placements.extend_from_slice(told);
+        if self.collects_placements() {
+            self.zone_digests.note_placements(told);
+        }
+    }
+}
+
+impl CacheNews {
+    fn of(index: &CacheIndex, facts: &[Placement], now: Timestamp) -> Self {
+        let gone = facts.iter().filter(|fact| fact.tokens == 0).count();
+        Self {
+            gone,
+            kept: facts.len() - gone,
+            counts: index.counts(),
+            followed_for: now.since(index.since()),
+        }
+    }
+}
+
+fn fact(back_end: u32, part: PartId, tokens: u32) -> Placement {
+    Placement {
+        back_end,
+        part,
+        tokens,
+        is_observed: true,
+    }
+}
--- a/crates/coordination/dispatch/src/dispatcher/granting.rs
+++ b/crates/coordination/dispatch/src/dispatcher/granting.rs
@@ -1,6 +1,6 @@
 //! Places at back ends: granted, refused and given back.
 
-use super::{Dispatcher, PLACEMENTS_PER_MESSAGE};
+use super::Dispatcher;
 use crate::load::health::HealthChange;
 use crate::load::registry::BackEndState;
 use crate::placement::eligibility::refusal;
@@ -60,6 +60,8 @@
 
     /// Chooses a back end for a request, or refuses it.
     pub fn ask(&mut self, demand: &Demand, now: Timestamp) -> Decision {
+        let shared = demand.shared_parts().iter().map(|part| part.id);
+        self.recall_kept(shared, now);
         let cold_start = self.cold_start(&demand.pool);
         let view = View {
             zone: &self.settings.zone,
@@ -112,16 +114,15 @@
         let state = self.back_ends.get_mut(&plan.instance)?;
         state.load.begin(lease, plan.footprint, now);
         state.warmth.note_sent(now);
+        let cache_known = state.load.cache.known_age(demand.shared_parts(), now);
         let read_at = now + plan.candidate.first_event;
         state.load.cache.insert(&demand.parts, read_at);
+        state.load.cache.note_shared(demand.shared_parts());
         let answer = u64::from(demand.output_tokens);
         state.load.cache.insert_single(answer);
         let address = state.back_end.address;
-        let known = self.placements.len();
-        note_placements(&mut self.placements, state.digest, demand.shared_parts());
-        if self.collects_placements() {
-            self.zone_digests.note_placements(&self.placements[known..]);
-        }
+        let placements = placements(state.digest, demand.shared_parts());
+        self.tell_placements(&placements);
         let record = Lease {
             instance: plan.instance.clone(),
             pool: demand.pool.clone(),
@@ -133,6 +134,7 @@
             address,
             connections,
             uncached_tokens: plan.footprint.uncached_tokens,
+            cache_known,
             copy_from: plan.copy_from,
             candidate: plan.candidate,
             revision,
@@ -237,15 +239,13 @@
     }
 }
 
-fn note_placements(placements: &mut Vec<Placement>, back_end: u32, parts: &[PromptPart]) {
-    for part in parts.iter().rev() {
-        if placements.len() >= PLACEMENTS_PER_MESSAGE {
-            return;
-        }
-        placements.push(Placement {
-            back_end,
-            part: part.id,
-            tokens: part.tokens,
-        });
-    }
+fn placements(back_end: u32, parts: &[PromptPart]) -> Vec<Placement> {
+    let parts = parts.iter().rev();
+    let placements = parts.map(|part| Placement {
+        back_end,
+        part: part.id,
+        tokens: part.tokens,
+        is_observed: false,
+    });
+    placements.collect()
 }
--- a/crates/coordination/dispatch/src/fleet/message.rs
+++ b/crates/coordination/dispatch/src/fleet/message.rs
@@ -46,15 +46,17 @@
     pub placements: Vec<Placement>,
 }
 
-/// A prompt part that was sent to a back end.
+/// A prompt part that was sent to a back end, or what the back end told of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Placement {
     /// Digest of the back end's instance.
     pub back_end: u32,
     /// The part.
     pub part: PartId,
-    /// Its length in tokens.
+    /// Its length in tokens; 0 where the back end keeps it no longer.
     pub tokens: u32,
+    /// Whether the back end itself told that it keeps it, or no longer does.
+    pub is_observed: bool,
 }
 
 /// A node as others tell of it.
--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -15,8 +15,8 @@
 mod placement;
 
 pub use dispatcher::{
-    Dispatcher, DispatcherSettings, ReadingDuty, Received, Snapshot, TICK, TakenNews, TickOutput,
-    UnknownName,
+    CacheNews, CacheOrder, Dispatcher, DispatcherSettings, ReadingDuty, Received, Snapshot, TICK,
+    TakenNews, TickOutput, UnknownName,
 };
 pub use documents::document_service::{Admission, DocumentService, TransferId};
 pub use documents::knowledge::{Applied, Change, Content, DocumentKey, Knowledge};
@@ -28,6 +28,9 @@
 pub use fleet::retry_budget::{BudgetSettings, RetryBudget};
 pub use load::back_end_load::{BackEndLoad, Footprint, LoadSource, Occupancy, REPORT_LIFETIME};
 pub use load::cache::PrefixCache;
+pub use load::cache_index::{
+    CacheAnswer, CacheCall, CacheEvent, CacheEvents, CacheListing, FollowCounts,
+};
 pub use load::cold_start::{ColdBound, ColdDuty, LONGEST_COLD, WarmthChange};
 pub use load::engine_model::{EngineSpeed, PoolModel};
 pub use load::health::{Health, HealthChange};
--- a/crates/coordination/dispatch/src/load/cache.rs
+++ b/crates/coordination/dispatch/src/load/cache.rs
@@ -1,8 +1,9 @@
 //! What a node believes an engine keeps of the prompts it has read.
 
+use super::cache_index::EVENT_DELAY;
 use crate::PromptPart;
 use eiderferry_routing::PartId;
-use eiderferry_types::Timestamp;
+use eiderferry_types::{Span, Timestamp};
 use std::collections::{BTreeMap, HashMap};
 
 /// Part of an engine's memory assumed to hold kept prompts.
@@ -14,6 +15,10 @@
     order: u64,
     /// When it has been read, as far as that can be expected.
     read_at: Timestamp,
+    /// When the engine itself told that it keeps it.
+    known_at: Option<Timestamp>,
+    /// Whether requests are known to share it.
+    is_shared: bool,
 }
 
 /// What was read or made at one moment.
@@ -94,6 +99,74 @@
         self.evict();
     }
 
+    /// Notes that these parts, which are kept, are ones that requests share.
+    pub fn note_shared(&mut self, parts: &[PromptPart]) {
+        for part in parts {
+            if let Some(kept) = self.parts.get_mut(&part.id) {
+                kept.is_shared = true;
+            }
+        }
+    }
+
+    fn shared(&self) -> impl Iterator<Item = (PartId, &Kept)> {
+        let shared = self.parts.iter().filter(|(_, kept)| kept.is_shared);
+        shared.map(|(part, kept)| (*part, kept))
+    }
+
+    /// Shared parts that are believed kept.
+    pub fn parts(&self) -> impl Iterator<Item = PartId> {
+        self.shared().map(|(part, _)| part)
+    }
+
+    /// Shared parts believed kept that have been read by a moment.
+    pub(crate) fn read_before(&self, moment: Timestamp) -> impl Iterator<Item = PartId> {
+        let read = self.shared().filter(move |(_, kept)| kept.read_at < moment);
+        read.map(|(part, _)| part)
+    }
+
+    /// The engine itself told how much it keeps of a part. What is being read there just now
+    /// may not have reached that word.
+    pub fn take_fact(&mut self, part: PartId, tokens: u32, now: Timestamp) {
+        let known = self.parts.get(&part);
+        if tokens == 0 {
+            if known.is_some_and(|kept| kept.read_at + EVENT_DELAY < now) {
+                self.remove(part);
+            }
+            return;
+        }
+        if known.is_none() {
+            self.insert(&[PromptPart { id: part, tokens }], now);
+        }
+        if let Some(kept) = self.parts.get_mut(&part) {
+            kept.known_at = Some(now);
+            kept.is_shared = true;
+        }
+    }
+
+    /// The engine told just now what it holds.
+    pub(crate) fn confirm(&mut self, holds: impl Fn(PartId) -> bool, now: Timestamp) {
+        for (part, kept) in &mut self.parts {
+            if holds(*part) {
+                kept.known_at = Some(now);
+            }
+        }
+    }
+
+    /// How long ago the engine itself told that it keeps what is expected of the beginning of
+    /// a prompt; `None` where that is only believed, or nothing is kept.
+    pub fn known_age(&self, parts: &[PromptPart], now: Timestamp) -> Option<Span> {
+        let kept = parts.iter().map_while(|part| self.parts.get(&part.id));
+        let ages = kept.map(|kept| kept.known_at.map(|at| now.since(at)));
+        ages.collect::<Option<Vec<Span>>>()?.into_iter().max()
+    }
+
+    fn remove(&mut self, part: PartId) {
+        if let Some(kept) = self.parts.remove(&part) {
+            self.by_age.remove(&kept.order);
+            self.used -= u64::from(kept.tokens);
+        }
+    }
+
     /// Notes tokens that take room and that no other request shares.
     pub fn insert_single(&mut self, tokens: u64) {
         if tokens == 0 {
@@ -129,6 +202,8 @@
             tokens: part.tokens,
             order,
             read_at: read_at.min(read_before),
+            known_at: previous.and_then(|previous| previous.known_at),
+            is_shared: previous.is_some_and(|previous| previous.is_shared),
         };
         self.parts.insert(part.id, kept);
         if let Some(previous) = previous {
--- a/crates/coordination/dispatch/src/load/registry.rs
+++ b/crates/coordination/dispatch/src/load/registry.rs
@@ -4,15 +4,23 @@
 use crate::load::cold_start::Warmth;
 use crate::load::health::Health;
 use crate::placement::streams_apart::keeps_streams_apart;
-use crate::{BackEndLoad, LoadReport, LoadSource, Placement, PoolModel, PromptPart, StreamPacing};
-use eiderferry_routing::{BackEnd, EngineSpecification, InstanceId, PoolName, RoutingTable};
+use crate::{
+    BackEndLoad, LoadReport, LoadSource, Placement, PoolModel, PrefixCache, PromptPart,
+    StreamPacing,
+};
+use eiderferry_routing::{
+    BackEnd, EngineSpecification, InstanceId, PartId, PoolName, RoutingTable,
+};
 use eiderferry_types::Timestamp;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
 /// Memory assumed for a back end that is no model engine.
 const NO_ENGINE_TOKENS: u64 = 0;
 
+/// Parts noted between two looks at them.
+const MOST_PLACED_LATELY: usize = 512;
+
 /// One back end.
 #[derive(Clone, Debug)]
 pub(crate) struct BackEndState {
@@ -41,6 +49,8 @@
     reported: HashMap<Counted, Vec<u32>>,
     models: HashMap<PoolName, PoolModel>,
     streams_apart: HashMap<PoolName, bool>,
+    /// Shared parts placed anywhere since they were last taken.
+    placed_lately: Vec<PartId>,
 }
 
 fn instance_digest(instance: &InstanceId) -> u32 {
@@ -234,20 +244,44 @@
 
     /// Takes over which prompts were placed where.
     pub fn take_placements(&mut self, placements: &[Placement], now: Timestamp) {
+        self.note_placed(placements.iter().map(|placement| placement.part));
         for placement in placements {
             let part = PromptPart {
                 id: placement.part,
                 tokens: placement.tokens,
             };
-            if let Some(state) = self.by_digest_mut(placement.back_end) {
+            let Some(state) = self.by_digest_mut(placement.back_end) else {
+                continue;
+            };
+            if placement.is_observed {
+                state.load.cache.take_fact(part.id, part.tokens, now);
+            } else {
                 let waiting = state.load.occupancy(now).pending_tokens;
                 let tokens = waiting.max(u64::from(part.tokens));
                 let read_at = now + state.load.reading_time(tokens);
                 state.load.cache.insert(&[part], read_at);
+                state.load.cache.note_shared(&[part]);
             }
         }
     }
 
+    /// Notes shared parts that requests were placed with.
+    pub fn note_placed(&mut self, parts: impl Iterator<Item = PartId>) {
+        let room = MOST_PLACED_LATELY.saturating_sub(self.placed_lately.len());
+        self.placed_lately.extend(parts.take(room));
+    }
+
+    /// Shared parts placed anywhere since the last call.
+    pub fn take_placed_lately(&mut self) -> Vec<PartId> {
+        std::mem::take(&mut self.placed_lately)
+    }
+
+    /// Shared parts that any engine is believed to keep.
+    pub fn believed_parts(&self) -> HashSet<PartId> {
+        let caches = self.states.values().map(|state| &state.load.cache);
+        caches.flat_map(PrefixCache::parts).collect()
+    }
+
     fn by_digest_mut(&mut self, digest: u32) -> Option<&mut BackEndState> {
         let instance = self.by_digest.get(&digest)?;
         self.states.get_mut(instance)
--- a/crates/coordination/dispatch/src/placement/demand.rs
+++ b/crates/coordination/dispatch/src/placement/demand.rs
@@ -60,6 +60,9 @@
     pub connections: u32,
     /// Tokens of the prompt that it is expected to read.
     pub uncached_tokens: u32,
+    /// How long ago the engine told that it keeps what it is expected to find of the shared
+    /// parts; `None` where that is only believed, or nothing is found.
+    pub cache_known: Option<Span>,
     /// Engine from which it is to copy what it lacks of the prompt.
     pub copy_from: Option<SocketAddr>,
     /// What was expected of the back end when it was chosen.
--- a/crates/coordination/dispatch/tests/engine_model.rs
+++ b/crates/coordination/dispatch/tests/engine_model.rs
@@ -14,6 +14,7 @@
         slots: 64,
         cache_tokens: 300_000,
         tokens_per_event,
+        cache_event_calls: 12,
     }
 }
 
--- a/crates/coordination/dispatch/tests/support/mod.rs
+++ b/crates/coordination/dispatch/tests/support/mod.rs
@@ -58,6 +58,11 @@
 }
 
 pub fn table_change(revision: u64) -> Change {
+    table_with(revision, 12)
+}
+
+/// A table whose engines hold so many calls for cache events.
+fn table_with(revision: u64, cache_event_calls: u32) -> Change {
     let pool = Pool {
         health_path: "/health".to_owned(),
         maximum_connections: 360,
@@ -65,6 +70,7 @@
             slots: 64,
             cache_tokens: 520_000,
             tokens_per_event: 4,
+            cache_event_calls,
         }),
         cold_start: None,
     };
@@ -167,6 +173,19 @@
     subject
 }
 
+/// A dispatcher with parts switched off that knows one engine, which holds so many calls for
+/// cache events.
+pub fn with_features(features: Features, cache_event_calls: u32) -> Dispatcher {
+    let mut subject = Dispatcher::new(DispatcherSettings {
+        features,
+        ..settings(0, 0, Vec::new(), APPLY_WITHIN)
+    });
+    subject.apply(table_with(1, cache_event_calls), START);
+    subject.apply(back_end_change(back_end("engine-0", 0, 0), 2), START);
+    subject.confirm(2, START);
+    subject
+}
+
 /// A demand whose prompt begins with the shared part `thing`.
 pub fn demand(thing: u64, shared: u32, own: u32) -> Demand {
     Demand {
--- a/crates/state/routing/src/table.rs
+++ b/crates/state/routing/src/table.rs
@@ -97,6 +97,8 @@
     pub cache_tokens: u64,
     /// Tokens that one event of a stream holds.
     pub tokens_per_event: u32,
+    /// Calls for cache events that one engine holds at once; 0 where it tells none.
+    pub cache_event_calls: u32,
 }
 
 /// A pool of interchangeable back ends.
--- a/crates/transport/relay/src/control.rs
+++ b/crates/transport/relay/src/control.rs
@@ -1,5 +1,6 @@
 //! The control thread: the one place that touches the dispatcher.
 
+use crate::cache_follower::CacheFollower;
 use crate::clock::Clock;
 use crate::documents::FetchError;
 use crate::events;
@@ -172,7 +173,7 @@
     }
 
     /// Ticks the dispatcher for ever.
-    pub async fn run_ticks(&self) {
+    pub async fn run_ticks(self: &Rc<Self>, follower: &Rc<CacheFollower>) {
         let mut previous = self.clock.now();
         let mut count: u64 = 0;
         self.tick(previous);
@@ -186,6 +187,7 @@
                 self.dispatcher.borrow_mut().resume_after_pause(now);
             }
             self.tick(now);
+            follower.begin_calls(self);
             count += 1;
             if count.is_multiple_of(GAUGE_TICKS) {
                 metrics::set_gauges(&self.dispatcher.borrow().snapshot(now));
--- a/crates/transport/relay/src/events.rs
+++ b/crates/transport/relay/src/events.rs
@@ -3,12 +3,13 @@
 //! Every line names its `event`; docs/operations/LOGS.md explains each field. Keys,
 //! bodies and prompts never appear.
 
+use crate::cache_follower::UnreadableAnswer;
 use crate::documents::FetchError;
 use crate::metrics;
 use crate::own_answer::OwnAnswer;
 use eiderferry_dispatch::{
-    Applied, ColdDuty, DocumentKey, Grant, HealthChange, Outcome, PeerChange, StreamPacing,
-    TakenNews, UnknownName, WarmthChange,
+    Applied, CacheNews, ColdDuty, DocumentKey, Grant, HealthChange, Outcome, PeerChange,
+    StreamPacing, TakenNews, UnknownName, WarmthChange,
 };
 use eiderferry_routing::InstanceId;
 use eiderferry_types::{Reason, Span, Timestamp};
@@ -163,6 +164,38 @@
     (part * 100.0) as u64
 }
 
+/// What an engine told of its cache corrected what was believed, or has a gap.
+pub(crate) fn cache_told(instance: &InstanceId, news: &CacheNews) {
+    let counts = &news.counts;
+    if news.gone + news.kept == 0 && counts.listings > 0 && counts.answers > 0 {
+        return;
+    }
+    log::info!(
+        event = "cache_told", back_end = instance.as_str(), gone = news.gone, kept = news.kept,
+        followed_ms = news.followed_for.milliseconds(), listings = counts.listings,
+        answers = counts.answers, gaps = counts.gaps, vain = counts.vain;
+        "an engine told what it keeps"
+    );
+}
+
+/// A call for what an engine keeps gave nothing.
+pub(crate) fn cache_call_failed(instance: &InstanceId, cause: &str) {
+    metrics::cache_call_failed("call");
+    log::debug!(
+        event = "cache_call_failed", back_end = instance.as_str(), cause = cause;
+        "no word of what an engine keeps"
+    );
+}
+
+/// An engine's word on what it keeps makes no sense; it is not used.
+pub(crate) fn cache_answer_doubtful(instance: &InstanceId, error: &UnreadableAnswer) {
+    metrics::cache_call_failed("shape");
+    log::warn!(
+        event = "cache_answer_doubtful", back_end = instance.as_str(), doubt:% = error;
+        "what an engine tells of its cache is not used"
+    );
+}
+
 /// A request got a place on a back end.
 pub(crate) fn granted(id: &str, route: &str, rank: u8, attempt: u32, grant: &Grant) {
     let candidate = &grant.candidate;
@@ -170,7 +203,8 @@
         event = "granted", request = id, route = route, rank = rank, attempt = attempt,
         back_end = grant.instance.as_str(), expected_ms = candidate.first_event.milliseconds(),
         uncached = grant.uncached_tokens, read_again = candidate.read_again,
-        copied = candidate.copied, is_home = candidate.is_home, cost_ms = candidate.cost().milliseconds(),
+        copied = candidate.copied, cache = if grant.cache_known.is_some() { "known" } else { "believed" },
+        cache_age_ms = grant.cache_known.unwrap_or_default().milliseconds(), is_home = candidate.is_home, cost_ms = candidate.cost().milliseconds(),
         running = candidate.running,
         own_late_percent = percent(candidate.own_late_event),
         others_late_percent = percent(candidate.others_late),
--- a/crates/transport/relay/src/lib.rs
+++ b/crates/transport/relay/src/lib.rs
@@ -8,6 +8,7 @@
 #![forbid(unsafe_code)]
 
 mod answer;
+mod cache_follower;
 mod clock;
 mod control;
 mod documents;
@@ -29,6 +30,7 @@
 mod upstream;
 mod vocabulary;
 
+pub use cache_follower::{CacheProtocol, UnreadableAnswer};
 pub use clock::Clock;
 pub use control::DocumentFeed;
 pub use event_stream::EventSplitter;
--- a/crates/transport/relay/src/metrics.rs
+++ b/crates/transport/relay/src/metrics.rs
@@ -88,6 +88,11 @@
     metrics::counter!("eiderferry_documents_doubtful_total", "what" => what).increment(1);
 }
 
+/// A call for what an engine keeps gave nothing, or what it told makes no sense.
+pub(crate) fn cache_call_failed(step: &'static str) {
+    metrics::counter!("eiderferry_cache_calls_failed_total", "step" => step).increment(1);
+}
+
 /// This node answered a request by itself.
 pub(crate) fn own_answer(reason: &'static str) {
     metrics::counter!("eiderferry_own_answers_total", "reason" => reason).increment(1);
@@ -113,6 +118,13 @@
     metrics::gauge!("eiderferry_silent_zones").set(snapshot.silent_zones as f64);
     metrics::gauge!("eiderferry_evacuated_zones").set(snapshot.evacuated_zones as f64);
     metrics::gauge!("eiderferry_places").set(snapshot.leases as f64);
+    metrics::gauge!("eiderferry_caches_followed").set(snapshot.caches_followed as f64);
+    let counts = &snapshot.cache_counts;
+    metrics::counter!("eiderferry_cache_listings_total").absolute(counts.listings);
+    metrics::counter!("eiderferry_cache_answers_total").absolute(counts.answers);
+    metrics::counter!("eiderferry_cache_events_total").absolute(counts.events);
+    metrics::counter!("eiderferry_cache_gaps_total").absolute(counts.gaps);
+    metrics::counter!("eiderferry_cache_corrections_total").absolute(counts.corrections);
     metrics::gauge!("eiderferry_documents_revision").set(snapshot.complete_to as f64);
     metrics::gauge!("eiderferry_table_version").set(snapshot.table_version as f64);
     metrics::gauge!("eiderferry_confirmation_age_seconds").set(snapshot.confirmed_age_seconds);
--- a/crates/transport/relay/src/node.rs
+++ b/crates/transport/relay/src/node.rs
@@ -1,5 +1,6 @@
 //! Threads and sockets of a relay.
 
+use crate::cache_follower::{CacheFollower, CacheProtocol};
 use crate::clock::{Clock, duration};
 use crate::control::{Control, ControlHandle, DocumentFeed, SharedTable};
 use crate::documents;
@@ -83,11 +84,12 @@
         });
         let shared = Arc::clone(&table);
         let peer = settings.peer;
+        let cache_protocol = settings.cache_protocol.clone();
         let thread = std::thread::Builder::new().name("control".to_owned());
         thread
             .spawn(move || {
                 let control = Control::new(dispatcher, clock, shared, socket, peer);
-                run_control(Rc::new(control), commands, listener, source);
+                run_control(Rc::new(control), commands, listener, cache_protocol, source);
             })
             .map_err(StartError::Thread)?;
         Ok(Self {
@@ -207,13 +209,15 @@
     control: Rc<Control>,
     commands: async_channel::Receiver<crate::control::Command>,
     listener: std::net::TcpListener,
+    cache_protocol: CacheProtocol,
     source: Source,
 ) {
-    let executor: LocalExecutor<'static> = LocalExecutor::new();
+    let executor: Rc<LocalExecutor<'static>> = Rc::new(LocalExecutor::new());
     let (requests, package_requests) = async_channel::unbounded();
+    let follower = Rc::new(CacheFollower::new(cache_protocol, Rc::clone(&executor)));
     let ticking = Rc::clone(&control);
     executor
-        .spawn(async move { ticking.run_ticks().await })
+        .spawn(async move { ticking.run_ticks(&follower).await })
         .detach();
     let clock = control.clock;
     executor
--- a/crates/transport/relay/src/settings.rs
+++ b/crates/transport/relay/src/settings.rs
@@ -1,6 +1,6 @@
 //! What a relay is told at its start.
 
-use crate::Vocabulary;
+use crate::{CacheProtocol, Vocabulary};
 use eiderferry_dispatch::{BudgetSettings, ColdBound, Features};
 use eiderferry_routing::{NodeName, RegionOfZone, ZoneName};
 use eiderferry_types::Span;
@@ -48,6 +48,8 @@
     pub features: Features,
     /// Planned stops.
     pub stop: StopSettings,
+    /// How engines are asked for what they keep of prompts.
+    pub cache_protocol: CacheProtocol,
     /// Header names.
     pub vocabulary: Vocabulary,
 }
--- /dev/null
+++ b/crates/transport/relay/tests/cache_follower.rs
@@ -0,0 +1,113 @@
+//! Calls for what engines keep, over sockets; one failure a test.
+
+mod support;
+
+use std::sync::mpsc::{self, Receiver};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use support::{PATIENCE, Running, Seen, StandIn, write};
+
+const LISTING: &str = "1 10 0\n0 7 500\n";
+const NO_EVENTS: &str = "1 10 0\n";
+
+fn ok(body: &str) -> String {
+    let length = body.len();
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}")
+}
+
+fn is_listing(seen: &Seen) -> bool {
+    seen.head.starts_with("GET /cache HTTP")
+}
+
+/// A call as the engine saw it.
+struct Call {
+    target: String,
+    wait: Option<String>,
+    at: Instant,
+}
+
+/// An engine that answers its calls with these texts, one after the other, and then without
+/// events. An empty text closes the connection.
+fn engine(answers: Vec<String>) -> (StandIn, Receiver<Call>) {
+    let (seen, calls) = mpsc::channel();
+    let answers = Arc::new(Mutex::new(answers.into_iter()));
+    let stand_in = StandIn::start(move |stream, request, _| {
+        let head = request.head.lines().next().unwrap_or_default();
+        let target = head.split(' ').nth(1).unwrap_or_default().to_owned();
+        let wait = request.header("wait").map(str::to_owned);
+        let at = Instant::now();
+        // A test that has seen enough is gone.
+        let _ = seen.send(Call { target, wait, at });
+        let usual = ok(if is_listing(request) {
+            LISTING
+        } else {
+            NO_EVENTS
+        });
+        let text = answers.lock().expect("lock").next().unwrap_or(usual);
+        write(stream, &text);
+        !text.is_empty()
+    });
+    (stand_in, calls)
+}
+
+fn next(calls: &Receiver<Call>) -> Call {
+    calls.recv_timeout(PATIENCE).expect("a call")
+}
+
+#[test]
+fn an_engine_is_listed_and_then_asked_for_events() {
+    let (engine, calls) = engine(Vec::new());
+    let _relay = Running::before_engine(&engine);
+    assert_eq!(next(&calls).target, "/cache");
+    let events = next(&calls);
+    assert_eq!(events.target, "/cache-events?after=10");
+    assert_eq!(events.wait.as_deref(), Some("1000"));
+}
+
+#[test]
+fn after_a_gap_it_is_listed_again() {
+    let (engine, calls) = engine(vec![ok(LISTING), ok("1 90 1\n")]);
+    let _relay = Running::before_engine(&engine);
+    let targets = [(); 3].map(|()| next(&calls).target);
+    assert_eq!(targets, ["/cache", "/cache-events?after=10", "/cache"]);
+}
+
+#[test]
+fn after_a_restart_of_its_cache_it_is_listed_again() {
+    let (engine, calls) = engine(vec![ok(LISTING), ok("2 1 0\n")]);
+    let _relay = Running::before_engine(&engine);
+    let targets = [(); 3].map(|()| next(&calls).target);
+    assert_eq!(targets, ["/cache", "/cache-events?after=10", "/cache"]);
+}
+
+/// Whatever the first call comes to, the next one waits.
+fn is_repeated_later(first: String) {
+    let (engine, calls) = engine(vec![first]);
+    let relay = Running::before_engine(&engine);
+    let vain = next(&calls);
+    let repeated = next(&calls);
+    assert_eq!(repeated.target, "/cache");
+    assert!(repeated.at - vain.at >= Duration::from_millis(900));
+    assert_eq!(relay.readiness(), 200);
+}
+
+#[test]
+fn a_call_turned_away_is_repeated_later() {
+    is_repeated_later("HTTP/1.1 429 Many\r\nContent-Length: 0\r\n\r\n".to_owned());
+}
+
+#[test]
+fn a_call_without_an_answer_is_repeated_later() {
+    is_repeated_later(String::new());
+}
+
+#[test]
+fn an_answer_of_unknown_shape_is_not_used() {
+    is_repeated_later(ok("kept: all"));
+}
+
+#[test]
+fn an_answer_without_end_is_given_up() {
+    let endless = format!("HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n{LISTING}");
+    is_repeated_later(endless);
+}
--- a/crates/transport/relay/tests/support/mod.rs
+++ b/crates/transport/relay/tests/support/mod.rs
@@ -2,11 +2,16 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
-use eiderferry_dispatch::{BudgetSettings, Change, ColdBound, Content, DocumentKey, Features};
-use eiderferry_relay::{Relay, RelaySettings, Source, StopSettings, Vocabulary};
+use eiderferry_dispatch::{
+    BudgetSettings, CacheEvent, CacheEvents, CacheListing, Change, ColdBound, Content, DocumentKey,
+    Features, PromptPart,
+};
+use eiderferry_relay::{
+    CacheProtocol, Relay, RelaySettings, Source, StopSettings, UnreadableAnswer, Vocabulary,
+};
 use eiderferry_routing::{
-    BackEnd, InstanceId, Limits, NodeName, Pool, PoolName, Route, RouteKind, Split, TableDocument,
-    Tenant, ZoneName,
+    BackEnd, EngineSpecification, InstanceId, Limits, NodeName, PartId, Pool, PoolName, Route,
+    RouteKind, Split, TableDocument, Tenant, ZoneName,
 };
 use eiderferry_types::Span;
 use http::HeaderName;
@@ -205,6 +210,66 @@
     }
 }
 
+const ENGINE: EngineSpecification = EngineSpecification {
+    slots: 64,
+    cache_tokens: 500_000,
+    tokens_per_event: 1,
+    cache_event_calls: 4,
+};
+
+fn numbers(body: &[u8]) -> Result<Vec<Vec<u64>>, UnreadableAnswer> {
+    let text = String::from_utf8_lossy(body);
+    let lines = text.lines().map(|line| {
+        let words = line.split(' ').map(str::parse);
+        words
+            .collect::<Result<Vec<u64>, _>>()
+            .map_err(|_| UnreadableAnswer::new("line", line))
+    });
+    lines.collect()
+}
+
+fn read_cache_events(body: &[u8]) -> Result<CacheEvents, UnreadableAnswer> {
+    let lines = numbers(body)?;
+    let [epoch, next, lost] = lines[0][..] else {
+        return Err(UnreadableAnswer::new("head", "other fields"));
+    };
+    let events = lines[1..].iter().map(|line| CacheEvent {
+        number: line[0],
+        part: PartId(line[1]),
+        tokens: line[2] as u32,
+    });
+    Ok(CacheEvents {
+        epoch,
+        next,
+        has_gap: lost > 0,
+        events: events.collect(),
+    })
+}
+
+fn read_cache_listing(body: &[u8]) -> Result<CacheListing, UnreadableAnswer> {
+    let events = read_cache_events(body)?;
+    let kept = events.events.iter().map(|event| PromptPart {
+        id: event.part,
+        tokens: event.tokens,
+    });
+    Ok(CacheListing {
+        epoch: events.epoch,
+        next: events.next,
+        kept: kept.collect(),
+    })
+}
+
+/// Answers of lines: epoch, number to go on from, gap; then number, part, tokens each.
+pub fn cache_protocol() -> CacheProtocol {
+    CacheProtocol {
+        events_path: |after| format!("/cache-events?after={after}"),
+        listing_path: "/cache",
+        wait: HeaderName::from_static("wait"),
+        read_events: read_cache_events,
+        read_listing: read_cache_listing,
+    }
+}
+
 fn route(name: &str, kind: RouteKind, attempts: u32) -> Route {
     Route {
         name: name.to_owned(),
@@ -329,6 +394,18 @@
         running
     }
 
+    /// A relay before an engine that tells what it keeps.
+    pub fn before_engine(engine: &StandIn) -> Self {
+        let mut documents = changes(&[engine.address]);
+        for change in &mut documents {
+            if let Content::Table(table) = &mut change.content {
+                let pools = table.pools.values_mut();
+                pools.for_each(|pool| pool.engine = Some(ENGINE));
+            }
+        }
+        Self::start(Some(documents), Duration::ZERO)
+    }
+
     /// A relay that knows no configuration.
     pub fn without_configuration() -> Self {
         Self::start(None, Duration::ZERO)
@@ -369,6 +446,7 @@
                 refuse_after: Span::from_milliseconds(300),
                 end_after: Span::from_milliseconds(1_500),
             },
+            cache_protocol: cache_protocol(),
             vocabulary: vocabulary(),
         };
         let source: Source = Box::new(move |feed| {
