--- a/crates/coordination/dispatch/tests/cache_index.rs
+++ b/crates/coordination/dispatch/tests/cache_index.rs
@@ -9,10 +9,11 @@
 use eiderferry_routing::{InstanceId, PartId};
 use eiderferry_types::{Span, Timestamp};
 use rstest::rstest;
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicU32, Ordering};
 use support::{
-    START, back_end, back_end_change, demand, dispatcher, granted, node_address, table_change,
-    with_engines,
+    Fleet, START, back_end, back_end_change, demand, dispatcher, granted, node_address,
+    table_change, with_engines,
 };
 
 /// The shared part of the prompts, and its length.
@@ -374,6 +375,42 @@
     assert_eq!(uncached(&mut subject, now), 0);
 }
 
+#[test]
+fn after_a_loss_a_request_at_one_node_makes_the_followers_tell_all_who_keep_its_beginning() {
+    let mut fleet = Fleet::new(4, 1);
+    for number in 0..3 {
+        let name = format!("engine-{number}");
+        fleet.read_change(0, back_end_change(back_end(&name, number, 0), 2), 2);
+    }
+    fleet.read_change(0, table_change(3), 3);
+    // One call at each engine, and no two nodes at one.
+    let mut asked = BTreeSet::new();
+    for _ in 0..12 {
+        fleet.step();
+        for node in &mut fleet.nodes {
+            for order in node.cache_calls(fleet.now) {
+                assert!(asked.insert(order.instance.clone()), "listed once");
+                let told = listing(&[(THING, SHARED)]);
+                node.take_cache_answer(&order.instance, told, fleet.now);
+            }
+        }
+    }
+    assert_eq!(asked.len(), 3);
+    let first = granted(fleet.nodes[3].ask(&demand(THING, SHARED, 1), fleet.now));
+    for _ in 0..8 {
+        fleet.step();
+        for node in &mut fleet.nodes {
+            node.cache_calls(fleet.now);
+        }
+    }
+    for node in &mut fleet.nodes {
+        let mut elsewhere = demand(THING, SHARED, 2);
+        elsewhere.excluded = vec![first.instance.clone()];
+        let grant = granted(node.ask(&elsewhere, fleet.now));
+        assert_eq!((grant.uncached_tokens, grant.copy_from), (2, None));
+    }
+}
+
 #[test]
 fn nothing_is_refused_for_lack_of_word_from_engines() {
     let (mut subject, now) = believing();
