Relay: a budget for what is held for others, streams read ahead of slow callers

Cause: a stream's events were read from its back end only as the caller took them, so that a slow caller left the back end's answer unread, and bodies, whole answers and events were held without being counted.

Change: memory_budget.rs counts bodies, whole answers and events read ahead, each by a guard that gives its bytes back when dropped. New requests are refused with 503 `memory` above three quarters of the budget, before their bodies are read; events read ahead take at most half of it and an eighth a request. read_ahead.rs reads a stream on from its caller's connection's own task while that connection is blocked: no task a stream, a keen caller's events take the way they took. Past the bounds the stream least worth keeping (least urgent, then largest) is ended, its connection closed, `ended_for_memory` logged. Bodies at one back end are bounded by a quarter of the budget. The kernel's buffer for a caller is 128 KiB, and whole answers are sent in slices, for the library copied what it was handed into a buffer that is not counted.

--- a/crates/transport/relay/src/answer.rs
+++ b/crates/transport/relay/src/answer.rs
@@ -1,5 +1,6 @@
 //! Bodies of answers to callers.
 
+use crate::whole_body::WholeBody;
 use bytes::Bytes;
 use futures_lite::Stream;
 use http_body::{Body, Frame, SizeHint};
@@ -20,28 +21,32 @@
         TimedOut {
             display("the time-out of the route has passed")
         }
+        /// What was read ahead of the caller exceeds the memory for it.
+        Memory {
+            display("no memory for what the caller has not taken")
+        }
     }
 }
 
-type Pieces = Pin<Box<dyn Stream<Item = Result<Bytes, BrokenAnswer>>>>;
+pub(crate) type Pieces = Pin<Box<dyn Stream<Item = Result<Bytes, BrokenAnswer>>>>;
 
 /// The body of an answer to a caller.
 pub enum RelayBody {
     /// All of it is here.
-    Whole(Option<Bytes>),
+    Whole(WholeBody),
     /// It comes in pieces.
     Pieces(Pieces),
 }
 
 impl From<String> for RelayBody {
     fn from(text: String) -> Self {
-        RelayBody::Whole(Some(Bytes::from(text)))
+        RelayBody::from(Bytes::from(text))
     }
 }
 
 impl From<Bytes> for RelayBody {
     fn from(bytes: Bytes) -> Self {
-        RelayBody::Whole(Some(bytes))
+        RelayBody::Whole(WholeBody::from(bytes))
     }
 }
 
@@ -54,10 +59,9 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenAnswer>>> {
         match self.get_mut() {
-            RelayBody::Whole(bytes) => {
-                let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
-                Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
-            }
+            RelayBody::Whole(body) => Pin::new(body)
+                .poll_frame(context)
+                .map_err(|never| match never {}),
             RelayBody::Pieces(pieces) => pieces
                 .as_mut()
                 .poll_next(context)
@@ -67,16 +71,14 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            RelayBody::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            RelayBody::Whole(body) => body.is_end_stream(),
             RelayBody::Pieces(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            RelayBody::Whole(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
-            }
+            RelayBody::Whole(body) => body.size_hint(),
             RelayBody::Pieces(_) => SizeHint::default(),
         }
     }
--- a/crates/transport/relay/src/events.rs
+++ b/crates/transport/relay/src/events.rs
@@ -244,3 +244,12 @@
         "ended"
     );
 }
+
+/// A request was ended because what it held did not fit any longer.
+pub(crate) fn ended_for_memory(id: &str, route: &'static str, held: u64, why: &'static str) {
+    metrics::ended_for_memory(why, route);
+    log::warn!(
+        event = "ended_for_memory", request = id, route = route, held_bytes = held, why = why;
+        "ended for memory"
+    );
+}
--- a/crates/transport/relay/src/exchange.rs
+++ b/crates/transport/relay/src/exchange.rs
@@ -11,6 +11,7 @@
 use crate::own_answer::OwnAnswer;
 use crate::progress::Progress;
 use crate::request_head::RequestHead;
+use crate::request_memory::Memory;
 use crate::stream::StreamRelay;
 use crate::upstream::{Connection, SendError, Upstream};
 use crate::vocabulary::Vocabulary;
@@ -46,6 +47,7 @@
 /// What all requests of a traffic thread share.
 pub(crate) struct Traffic {
     pub upstream: Upstream,
+    pub memory: Rc<Memory>,
     pub control: ControlHandle,
     pub table: SharedTable,
     pub vocabulary: Vocabulary,
@@ -112,7 +114,10 @@
         .map_err(|answer| (id.clone(), answer))?;
     let deadline = started + head.remaining;
     let limit = table.limits().maximum_body_bytes;
-    let body = read_body(body, limit)
+    progress
+        .memory
+        .describe(&id, metrics::kind(&head.route), head.rank);
+    let body = read_body(body, limit, &progress.memory)
         .await
         .map_err(|answer| (id, answer))?;
     let point = rand::random::<f64>();
@@ -326,7 +331,7 @@
         result: Option<Result<(Response<Incoming>, Connection), SendError>>,
     ) -> Result<(Response<Incoming>, Connection), Outcome> {
         match result {
-            Some(Err(SendError::Unreachable(_) | SendError::NoConnection)) => {
+            Some(Err(SendError::Unreachable(_) | SendError::NoConnection | SendError::Backlog)) => {
                 self.unreachable += 1;
                 Err(Outcome::Unreachable)
             }
@@ -421,7 +426,7 @@
             smol::Timer::after(duration(limit)).await;
             Err(Outcome::Silent)
         };
-        let outcome = match read_answer(body).or(timeout).await {
+        let outcome = match read_answer(body, &self.progress.memory).or(timeout).await {
             Err(outcome) => outcome,
             Ok(bytes) => {
                 self.traffic.upstream.keep(connection, &parts.headers);
@@ -461,6 +466,6 @@
 
 impl Drop for Exchange {
     fn drop(&mut self) {
-        self.end("caller_left");
+        self.end(self.progress.memory.end_of_dropped());
     }
 }
--- a/crates/transport/relay/src/forwarding.rs
+++ b/crates/transport/relay/src/forwarding.rs
@@ -2,7 +2,9 @@
 //! connection.
 
 use crate::answer::RelayBody;
+use crate::memory_budget::{HeldKind, MemoryFull};
 use crate::own_answer::OwnAnswer;
+use crate::request_memory::RequestMemory;
 use crate::vocabulary::Vocabulary;
 use bytes::{Bytes, BytesMut};
 use eiderferry_dispatch::{Grant, Outcome};
@@ -93,11 +95,23 @@
 }
 
 /// The whole body of a request, if it is no longer than allowed.
-pub(crate) async fn read_body(mut body: Incoming, limit: u64) -> Result<Bytes, OwnAnswer> {
-    if body.size_hint().lower() > limit {
+pub(crate) async fn read_body(
+    mut body: Incoming,
+    limit: u64,
+    memory: &RequestMemory,
+) -> Result<Bytes, OwnAnswer> {
+    let announced = body.size_hint().lower();
+    if announced > limit {
         return Err(OwnAnswer::BodyTooLarge);
     }
-    let mut collected = BytesMut::with_capacity(body.size_hint().lower() as usize);
+    let mut held = memory.nothing(HeldKind::Body);
+    let refused = |bytes: u64| {
+        let retry_after = memory.shared.budget.retry_after(bytes);
+        move |MemoryFull| OwnAnswer::NoMemory(retry_after)
+    };
+    // Counted before it is read, so that what does not fit is not read.
+    held.grow(announced).map_err(refused(announced))?;
+    let mut collected = BytesMut::with_capacity(announced as usize);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| OwnAnswer::BodyBroken)?;
         if let Ok(data) = frame.into_data() {
@@ -106,8 +120,10 @@
         if collected.len() as u64 > limit {
             return Err(OwnAnswer::BodyTooLarge);
         }
+        let uncounted = (collected.len() as u64).saturating_sub(held.bytes());
+        held.grow(uncounted).map_err(refused(uncounted))?;
     }
-    Ok(collected.freeze())
+    Ok(held.into_bytes(collected))
 }
 
 /// Headers passed on to back ends: without those that belong to the connection, and
@@ -159,7 +175,11 @@
 }
 
 /// The whole body of an answer.
-pub(crate) async fn read_answer(mut body: Incoming) -> Result<Bytes, Outcome> {
+pub(crate) async fn read_answer(
+    mut body: Incoming,
+    memory: &RequestMemory,
+) -> Result<Bytes, Outcome> {
+    let mut held = memory.nothing(HeldKind::Answer);
     let mut collected = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Outcome::Broken)?;
@@ -169,6 +189,11 @@
         if collected.len() > MAXIMUM_ANSWER_BYTES {
             return Err(Outcome::Broken);
         }
+        let uncounted = collected.len() as u64 - held.bytes();
+        if memory.grow_answer(&mut held, uncounted).is_err() {
+            memory.note_ended(held.bytes(), "answer");
+            return Err(Outcome::Broken);
+        }
     }
-    Ok(collected.freeze())
+    Ok(held.into_bytes(collected))
 }
--- a/crates/transport/relay/src/lib.rs
+++ b/crates/transport/relay/src/lib.rs
@@ -8,6 +8,7 @@
 #![forbid(unsafe_code)]
 
 mod answer;
+mod caller_socket;
 mod clock;
 mod control;
 mod documents;
@@ -18,22 +19,27 @@
 mod gossip;
 mod lease;
 mod logging;
+mod memory_budget;
 mod metrics;
 mod node;
 mod own_answer;
 mod progress;
+mod read_ahead;
 mod request_head;
+mod request_memory;
 mod server;
 mod settings;
 mod stream;
 mod upstream;
 mod vocabulary;
+mod whole_body;
 
 pub use clock::Clock;
 pub use control::DocumentFeed;
 pub use event_stream::EventSplitter;
 pub use events::{document_doubtful, reloaded, source_lost, source_regained};
 pub use logging::{LogBudget, LogQueue, start as start_logging};
+pub use memory_budget::{HeldKind, MemoryBudget};
 pub use node::{Relay, Source, StartError};
 pub use settings::{RelaySettings, StopSettings};
 pub use vocabulary::Vocabulary;
--- a/crates/transport/relay/src/metrics.rs
+++ b/crates/transport/relay/src/metrics.rs
@@ -3,6 +3,7 @@
 //! Labels are kinds of route, ranks and outcomes: their number does not grow with
 //! routes, tenants or requests.
 
+use crate::memory_budget::MemoryBudget;
 use eiderferry_dispatch::Snapshot;
 use eiderferry_routing::{Route, RouteKind};
 use eiderferry_types::Span;
@@ -22,7 +23,8 @@
     Some(handle)
 }
 
-fn kind(route: &Route) -> &'static str {
+/// The kind of a route, as a label.
+pub(crate) fn kind(route: &Route) -> &'static str {
     match route.kind {
         RouteKind::Repeatable => "repeatable",
         RouteKind::NotRepeatable => "not_repeatable",
@@ -101,6 +103,21 @@
         .increment(u64::from(uncached));
 }
 
+/// What is held for callers and back ends.
+pub(crate) fn held(budget: &MemoryBudget) {
+    for (kind, route, bytes) in budget.cells() {
+        metrics::gauge!("eiderferry_held_bytes", "kind" => kind.as_str(), "route" => route)
+            .set(bytes as f64);
+    }
+    metrics::gauge!("eiderferry_held_bytes_highest").set(budget.highest() as f64);
+}
+
+/// A request was ended for want of memory.
+pub(crate) fn ended_for_memory(why: &'static str, route: &'static str) {
+    metrics::counter!("eiderferry_ended_for_memory_total", "why" => why, "route" => route)
+        .increment(1);
+}
+
 /// How the dispatcher stands.
 pub(crate) fn set_gauges(snapshot: &Snapshot) {
     metrics::gauge!("eiderferry_living_peers").set(snapshot.living_peers as f64);
--- a/crates/transport/relay/src/node.rs
+++ b/crates/transport/relay/src/node.rs
@@ -5,6 +5,8 @@
 use crate::documents;
 use crate::exchange::Traffic;
 use crate::gossip::PeerSocket;
+use crate::memory_budget::MemoryBudget;
+use crate::request_memory::Memory;
 use crate::server::{Phase, Server};
 use crate::settings::{RelaySettings, StopSettings};
 use crate::upstream::Upstream;
@@ -26,6 +28,10 @@
 
 /// Time between two looks for rested connections.
 const CLEANING_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Bytes that the kernel holds for one caller (it takes twice this, for its own records
+/// too); left alone it takes 4 MiB of a caller that does not read. 10 Mbit/s over 70 ms there
+/// and back need 88 kB.
+const CALLER_SEND_BUFFER: usize = 128 * 1024;
 /// Time between two looks at whether all requests have ended.
 const END_CHECK: Duration = Duration::from_millis(50);
 /// Time for log lines to be written before the process ends.
@@ -57,6 +63,7 @@
     table: SharedTable,
     control: ControlHandle,
     metrics: Option<PrometheusHandle>,
+    memory: Arc<MemoryBudget>,
 }
 
 impl Relay {
@@ -90,7 +97,9 @@
                 run_control(Rc::new(control), commands, listener, source);
             })
             .map_err(StartError::Thread)?;
+        let memory = MemoryBudget::new(settings.memory_budget);
         Ok(Self {
+            memory,
             settings,
             clock,
             table,
@@ -99,6 +108,11 @@
         })
     }
 
+    /// What this relay holds for callers and back ends.
+    pub fn memory(&self) -> Arc<MemoryBudget> {
+        Arc::clone(&self.memory)
+    }
+
     /// Serves callers on this thread until `stop` is over and the planned stop that
     /// follows it is done.
     pub fn serve(self, stop: impl Future<Output = ()>) -> Result<(), StartError> {
@@ -106,7 +120,8 @@
         let (close, closing) = async_channel::bounded::<Infallible>(1);
         let (end, ending) = async_channel::bounded::<Infallible>(1);
         let traffic = Rc::new(Traffic {
-            upstream: Upstream::new(Rc::clone(&executor)),
+            upstream: Upstream::new(Rc::clone(&executor), self.memory.most_at_back_end()),
+            memory: Memory::new(Arc::clone(&self.memory)),
             control: self.control.clone(),
             table: Arc::clone(&self.table),
             vocabulary: self.settings.vocabulary.clone(),
@@ -157,6 +172,9 @@
                 .detach();
         }
         let callers = bind("callers", settings.listen).await?;
+        if self.memory.is_bounded() {
+            bound_send_buffers(&callers);
+        }
         executor.spawn(Rc::clone(server).accept(callers)).detach();
         executor.spawn(clean(Rc::clone(server))).detach();
         Ok(())
@@ -169,6 +187,14 @@
         .map_err(|cause| StartError::Bind(what, address, cause))
 }
 
+/// Bounds what the kernel holds for a caller that does not read; connections inherit it.
+fn bound_send_buffers(callers: &TcpListener) {
+    let socket = socket2::SockRef::from(callers);
+    if let Err(error) = socket.set_send_buffer_size(CALLER_SEND_BUFFER) {
+        log::warn!("send buffers of callers are not bounded: {error}");
+    }
+}
+
 fn bind_datagrams(address: SocketAddr) -> Result<PeerSocket, StartError> {
     let error = |cause| StartError::Bind("messages", address, cause);
     let socket = std::net::UdpSocket::bind(address).map_err(error)?;
@@ -179,7 +205,11 @@
 async fn clean(server: Rc<Server>) {
     loop {
         Timer::after(CLEANING_INTERVAL).await;
-        server.traffic.upstream.close_rested();
+        let traffic = &server.traffic;
+        traffic.upstream.close_rested();
+        let budget = &traffic.memory.budget;
+        budget.note_pace(traffic.clock.now());
+        metrics::held(budget);
     }
 }
 
--- a/crates/transport/relay/src/own_answer.rs
+++ b/crates/transport/relay/src/own_answer.rs
@@ -20,6 +20,8 @@
     BodyBroken,
     /// The request has not run and will not.
     NotRun(Reason, Span),
+    /// What the request needs does not fit in memory; nothing of it has run.
+    NoMemory(Span),
     /// The request may have run; its answer is lost.
     AnswerLost,
     /// The time of the request's route has passed; it may have run.
@@ -33,7 +35,7 @@
             OwnAnswer::UnknownKey => StatusCode::UNAUTHORIZED,
             OwnAnswer::BadHeader(_) | OwnAnswer::BodyBroken => StatusCode::BAD_REQUEST,
             OwnAnswer::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            OwnAnswer::NotRun(..) => StatusCode::SERVICE_UNAVAILABLE,
+            OwnAnswer::NotRun(..) | OwnAnswer::NoMemory(_) => StatusCode::SERVICE_UNAVAILABLE,
             OwnAnswer::AnswerLost => StatusCode::BAD_GATEWAY,
             OwnAnswer::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -47,6 +49,7 @@
             OwnAnswer::BodyTooLarge => "body_too_large",
             OwnAnswer::BodyBroken => "body_broken",
             OwnAnswer::NotRun(reason, _) => reason.as_str(),
+            OwnAnswer::NoMemory(_) => "memory",
             OwnAnswer::AnswerLost => "answer_lost",
             OwnAnswer::TimedOut => "timed_out",
         }
@@ -60,7 +63,10 @@
     }
 
     fn closes_connection(&self) -> bool {
-        matches!(self, OwnAnswer::BodyTooLarge | OwnAnswer::BodyBroken)
+        matches!(
+            self,
+            OwnAnswer::BodyTooLarge | OwnAnswer::BodyBroken | OwnAnswer::NoMemory(_)
+        )
     }
 
     pub fn response(&self) -> Response<RelayBody> {
@@ -69,7 +75,7 @@
         *response.status_mut() = self.status();
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
-        if let OwnAnswer::NotRun(_, span) = self
+        if let OwnAnswer::NotRun(_, span) | OwnAnswer::NoMemory(span) = self
             && let Ok(value) = HeaderValue::from_str(&format!("{:.2}", span.seconds()))
         {
             headers.insert(RETRY_AFTER, value);
--- /dev/null
+++ b/crates/transport/relay/src/request_memory.rs
@@ -0,0 +1,129 @@
+//! What one request holds, and the readers that may be ended to make room.
+
+use crate::events;
+use crate::memory_budget::{Held, HeldKind, MemoryBudget, MemoryFull};
+use crate::read_ahead::ReadAhead;
+use std::cell::{Cell, RefCell};
+use std::rc::{Rc, Weak};
+use std::sync::Arc;
+
+/// Kind of route before it is known.
+const UNKNOWN_ROUTE: &str = "unknown";
+
+/// The memory of a traffic thread: its budget and the streams read ahead under it.
+#[derive(Default)]
+pub(crate) struct Memory {
+    pub budget: Arc<MemoryBudget>,
+    readers: RefCell<Vec<Weak<RefCell<ReadAhead>>>>,
+}
+
+impl Memory {
+    pub fn new(budget: Arc<MemoryBudget>) -> Rc<Self> {
+        Rc::new(Self {
+            budget,
+            readers: RefCell::default(),
+        })
+    }
+
+    /// A stream whose caller has begun to lag.
+    pub fn add_reader(&self, reader: Weak<RefCell<ReadAhead>>) {
+        let mut readers = self.readers.borrow_mut();
+        readers.retain(|reader| reader.strong_count() > 0);
+        readers.push(reader);
+    }
+
+    /// Ends the stream least worth keeping, if one is worth less than `own`; whether it did.
+    /// Whoever is being read just now is borrowed and passed over.
+    pub fn end_least_worth(&self, own: Option<Worth>) -> bool {
+        let victim = {
+            let readers = self.readers.borrow();
+            let alive = readers.iter().filter_map(Weak::upgrade);
+            let valued = alive.filter_map(|reader| {
+                let worth = reader.try_borrow().ok()?.worth()?;
+                Some((worth, reader))
+            });
+            valued.max_by_key(|(worth, _)| *worth)
+        };
+        let Some((worth, reader)) = victim else {
+            return false;
+        };
+        if own.is_some_and(|own| own >= worth) {
+            return false;
+        }
+        let source = reader.borrow_mut().end_for_memory();
+        drop(source);
+        true
+    }
+}
+
+/// How little a stream is worth keeping: the less urgent first, then the one that holds
+/// more. The greatest is ended first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Worth {
+    pub rank: u8,
+    pub bytes: u64,
+}
+
+/// The account of one request.
+pub(crate) struct RequestMemory {
+    pub shared: Rc<Memory>,
+    route: Cell<&'static str>,
+    rank: Cell<u8>,
+    id: RefCell<String>,
+    was_ended: Cell<bool>,
+}
+
+impl RequestMemory {
+    pub fn new(shared: Rc<Memory>) -> Rc<Self> {
+        Rc::new(Self {
+            shared,
+            route: Cell::new(UNKNOWN_ROUTE),
+            rank: Cell::new(0),
+            id: RefCell::default(),
+            was_ended: Cell::new(false),
+        })
+    }
+
+    /// What is known once the head has been read.
+    pub fn describe(&self, id: &str, route: &'static str, rank: u8) {
+        id.clone_into(&mut self.id.borrow_mut());
+        self.route.set(route);
+        self.rank.set(rank);
+    }
+
+    pub fn nothing(&self, kind: HeldKind) -> Held {
+        Held::nothing(&self.shared.budget, kind, self.route.get())
+    }
+
+    /// Holds more of an answer that has run: streams of slower callers give way.
+    pub fn grow_answer(&self, held: &mut Held, bytes: u64) -> Result<(), MemoryFull> {
+        loop {
+            match held.grow(bytes) {
+                Err(MemoryFull) if self.shared.end_least_worth(None) => {}
+                result => return result,
+            }
+        }
+    }
+
+    pub fn worth(&self, bytes: u64) -> Worth {
+        Worth {
+            rank: self.rank.get(),
+            bytes,
+        }
+    }
+
+    /// The request is ended for want of memory.
+    pub fn note_ended(&self, held: u64, why: &'static str) {
+        self.was_ended.set(true);
+        events::ended_for_memory(&self.id.borrow(), self.route.get(), held, why);
+    }
+
+    /// How a request ended whose exchange was dropped before its end.
+    pub fn end_of_dropped(&self) -> &'static str {
+        if self.was_ended.get() {
+            "memory"
+        } else {
+            "caller_left"
+        }
+    }
+}
--- a/crates/transport/relay/src/server.rs
+++ b/crates/transport/relay/src/server.rs
@@ -1,9 +1,12 @@
 //! Callers' connections, readiness and metrics.
 
 use crate::answer::RelayBody;
+use crate::caller_socket::{CallerSocket, Sending, SentBody};
 use crate::exchange::{self, Traffic};
 use crate::own_answer::OwnAnswer;
 use crate::progress::Progress;
+use crate::read_ahead::{CurrentStream, ReadAhead, SentStream, poll_current};
+use crate::request_memory::RequestMemory;
 use eiderferry_types::{Reason, Span};
 use futures_lite::FutureExt;
 use http::header::{CONNECTION, HeaderValue};
@@ -17,7 +20,10 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::future::{Future, poll_fn};
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 /// Longest rest of a connection before anything is known of the limits.
@@ -100,16 +106,25 @@
         });
         let head_bytes = limits.map_or(MINIMUM_HEAD_BYTES, |limits| limits.maximum_header_bytes);
         let server = Rc::clone(&self);
+        let current: Rc<CurrentStream> = Rc::default();
+        let sent = Rc::clone(&current);
+        let sending = Rc::<Sending>::default();
+        let socket = CallerSocket::new(stream, Rc::clone(&sending));
+        let bodies = Rc::clone(&sending);
         let service = service_fn(move |request| {
-            let server = Rc::clone(&server);
-            async move { Ok::<_, Infallible>(server.serve_request(request).await) }
+            let (server, sent) = (Rc::clone(&server), Rc::clone(&sent));
+            let bodies = Rc::clone(&bodies);
+            async move {
+                let response = server.serve_request(request, &sent).await;
+                Ok::<_, Infallible>(response.map(|body| SentBody::new(body, bodies)))
+            }
         });
         let connection = http1::Builder::new()
             .timer(SmolTimer::new())
             .header_read_timeout(idle)
             .max_buf_size(head_bytes.max(MINIMUM_HEAD_BYTES))
             .auto_date_header(false)
-            .serve_connection(FuturesIo::new(stream), service);
+            .serve_connection(socket, service);
         let mut connection = std::pin::pin!(connection);
         let is_late = self.phase.get() == Phase::Refusing;
         let closing = async {
@@ -117,22 +132,31 @@
                 // A connection opened this late is closed with its first answer.
                 std::future::pending::<()>().await;
             }
-            None
+            false
+        };
+        let serving = send_reading_ahead(connection.as_mut(), &current, &sending);
+        let ended = async {
+            serving.await;
+            true
         };
-        let ended = async { Some(connection.as_mut().await) }.or(closing).await;
-        if ended.is_none() {
+        if !ended.or(closing).await {
             connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
+            send_reading_ahead(connection, &current, &sending).await;
         }
     }
 
-    async fn serve_request(self: Rc<Self>, request: Request<Incoming>) -> Response<RelayBody> {
+    async fn serve_request(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+        current: &CurrentStream,
+    ) -> Response<RelayBody> {
         if self.phase.get() == Phase::Refusing {
             let answer = OwnAnswer::NotRun(Reason::Draining, STOPPING_RETRY);
             return closing(answer.response());
         }
         let open = OpenRequest::new(Rc::clone(&self));
-        let progress = Progress::default();
+        let memory = RequestMemory::new(Rc::clone(&self.traffic.memory));
+        let progress = Progress::new(Rc::clone(&memory));
         let ending = async {
             let _ = self.ending.recv().await;
             progress.last_answer().response()
@@ -141,7 +165,14 @@
         let response = exchange::serve(traffic, request, progress.clone())
             .or(ending)
             .await;
-        let response = response.map(|body| hold_open(body, open));
+        let response = response.map(|body| match body {
+            RelayBody::Pieces(pieces) if memory.shared.budget.is_bounded() => {
+                let stream = ReadAhead::new(pieces, memory);
+                current.replace(Rc::downgrade(&stream));
+                hold_open(RelayBody::Pieces(Box::pin(SentStream(stream))), open)
+            }
+            body => hold_open(body, open),
+        });
         if self.phase.get() == Phase::Serving {
             response
         } else {
@@ -224,6 +255,25 @@
     response
 }
 
+/// Serves a connection to its end. Polled in this order, what is read ahead is what the
+/// connection did not take.
+async fn send_reading_ahead(
+    mut connection: Pin<&mut impl Future<Output = hyper::Result<()>>>,
+    current: &CurrentStream,
+    sending: &Sending,
+) {
+    poll_fn(|context| match connection.as_mut().poll(context) {
+        Poll::Ready(_) => Poll::Ready(()),
+        Poll::Pending => {
+            if sending.needs_another_turn() {
+                context.waker().wake_by_ref();
+            }
+            poll_current(current, context)
+        }
+    })
+    .await;
+}
+
 /// Counts a request as open until its answer has been sent.
 fn hold_open(body: RelayBody, open: OpenRequest) -> RelayBody {
     match body {
--- a/crates/transport/relay/src/settings.rs
+++ b/crates/transport/relay/src/settings.rs
@@ -46,6 +46,8 @@
     pub regions: RegionOfZone,
     /// Parts of the dispatcher in use.
     pub features: Features,
+    /// Most bytes held for callers and back ends; 0: nothing is bounded or read ahead.
+    pub memory_budget: u64,
     /// Planned stops.
     pub stop: StopSettings,
     /// Header names.
--- a/crates/transport/relay/src/upstream.rs
+++ b/crates/transport/relay/src/upstream.rs
@@ -6,6 +6,7 @@
 use futures_lite::FutureExt;
 use futures_lite::future::yield_now;
 use http::{HeaderMap, Request, Response};
+use http_body::Body;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -44,6 +45,10 @@
         NoConnection {
             display("all connections are in use")
         }
+        /// The back end has not yet taken what it was sent before; nothing was sent.
+        Backlog {
+            display("the bodies at the back end fill their part of the memory")
+        }
         /// The request may have arrived.
         Broken(cause: hyper::Error) {
             display("no whole answer: {cause}")
@@ -57,6 +62,8 @@
 struct Pool {
     idle: Vec<Idle>,
     open: u32,
+    /// Bytes of the bodies whose exchanges with the back end are not over.
+    outstanding: u64,
 }
 
 struct Idle {
@@ -72,7 +79,25 @@
     socket: Arc<Async<std::net::TcpStream>>,
     _driver: Task<()>,
     _count: OpenCount,
+    body: Option<OutstandingBody>,
+    key: Key,
+}
+
+/// A body at a back end, until its answer has been read or given up.
+struct OutstandingBody {
+    pools: Pools,
     key: Key,
+    bytes: u64,
+}
+
+impl Drop for OutstandingBody {
+    fn drop(&mut self) {
+        if let Ok(mut pools) = self.pools.try_borrow_mut()
+            && let Some(pool) = pools.get_mut(&self.key)
+        {
+            pool.outstanding = pool.outstanding.saturating_sub(self.bytes);
+        }
+    }
 }
 
 struct OpenCount {
@@ -96,12 +121,15 @@
 pub(crate) struct Upstream {
     executor: Rc<LocalExecutor<'static>>,
     pools: Pools,
+    /// Most bytes of bodies at one back end, if bounded.
+    most_outstanding: Option<u64>,
 }
 
 impl Upstream {
-    pub fn new(executor: Rc<LocalExecutor<'static>>) -> Self {
+    pub fn new(executor: Rc<LocalExecutor<'static>>, most_outstanding: Option<u64>) -> Self {
         Self {
             executor,
+            most_outstanding,
             pools: Rc::default(),
         }
     }
@@ -114,9 +142,13 @@
         may_repeat: bool,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         let key = (grant.address, grant.instance.clone());
+        let body = self.reserve(&key, request.body().size_hint().lower())?;
         while let Some(mut connection) = self.take_idle(&key, may_repeat).await {
             match connection.sender.try_send_request(request).await {
-                Ok(response) => return Ok((response, connection)),
+                Ok(response) => {
+                    connection.body = Some(body);
+                    return Ok((response, connection));
+                }
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(SendError::Broken(error.into_error())),
@@ -125,11 +157,31 @@
         }
         let mut connection = self.connect(key, grant.connections).await?;
         match connection.sender.try_send_request(request).await {
-            Ok(response) => Ok((response, connection)),
+            Ok(response) => {
+                connection.body = Some(body);
+                Ok((response, connection))
+            }
             Err(error) => Err(SendError::Broken(error.into_error())),
         }
     }
 
+    /// Counts a body as being at a back end. One alone is always let through.
+    fn reserve(&self, key: &Key, bytes: u64) -> Result<OutstandingBody, SendError> {
+        let mut pools = self.pools.borrow_mut();
+        let pool = pools.entry(key.clone()).or_default();
+        let after = pool.outstanding + bytes;
+        let is_over = self.most_outstanding.is_some_and(|most| after > most);
+        if is_over && bytes > 0 && pool.outstanding > 0 {
+            return Err(SendError::Backlog);
+        }
+        pool.outstanding = after;
+        Ok(OutstandingBody {
+            pools: Rc::clone(&self.pools),
+            key: key.clone(),
+            bytes,
+        })
+    }
+
     async fn take_idle(&self, key: &Key, may_repeat: bool) -> Option<Connection> {
         let most = if may_repeat {
             MAXIMUM_REST
@@ -165,6 +217,7 @@
             socket,
             _driver: driver,
             _count: count,
+            body: None,
             key,
         })
     }
@@ -183,7 +236,8 @@
     }
 
     /// Keeps a connection whose answer was read whole.
-    pub fn keep(&self, connection: Connection, headers: &HeaderMap) {
+    pub fn keep(&self, mut connection: Connection, headers: &HeaderMap) {
+        connection.body = None;
         let Some(limit) = allowed_rest(headers) else {
             return;
         };
@@ -218,7 +272,7 @@
         drop(closed);
         self.pools
             .borrow_mut()
-            .retain(|_, pool| pool.open > 0 || !pool.idle.is_empty());
+            .retain(|_, pool| pool.open > 0 || pool.outstanding > 0 || !pool.idle.is_empty());
     }
 }
 
--- /dev/null
+++ b/crates/transport/relay/src/whole_body.rs
@@ -0,0 +1,57 @@
+//! Bodies that are here in whole, sent in slices.
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+/// Most bytes handed to a connection at once. The library copies what it is handed into a
+/// buffer of its own: of an answer of 4 MiB handed over at once nothing would stay counted
+/// while its caller does not read.
+const SLICE_BYTES: usize = 16 * 1024;
+
+/// A body whose bytes are all here.
+pub(crate) struct WholeBody(Bytes);
+
+impl From<Bytes> for WholeBody {
+    fn from(bytes: Bytes) -> Self {
+        Self(bytes)
+    }
+}
+
+impl WholeBody {
+    fn next_slice(&mut self) -> Option<Bytes> {
+        let length = self.0.len().min(SLICE_BYTES);
+        if length == 0 {
+            return None;
+        }
+        let slice = self.0.split_to(length);
+        if self.0.is_empty() {
+            // An empty rest would hold the whole as long as this body lives.
+            self.0 = Bytes::new();
+        }
+        Some(slice)
+    }
+}
+
+impl Body for WholeBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let slice = self.get_mut().next_slice();
+        Poll::Ready(slice.map(|slice| Ok(Frame::data(slice))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.0.len() as u64)
+    }
+}
--- /dev/null
+++ b/crates/transport/relay/tests/slow_readers.rs
@@ -0,0 +1,332 @@
+//! Callers and back ends that are slow to read: what is held for them is bounded.
+
+mod support;
+
+use eiderferry_relay::HeldKind;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+use support::{
+    AMPLE_MEMORY, Caller, HOST, KEY, PATIENCE, Running, Seen, StandIn, chunk, stream_head,
+    wait_for_close, whole, write,
+};
+
+/// How long a back end lets its answer sit unread.
+const UNREAD_LIMIT: Duration = Duration::from_millis(1_500);
+/// More than the kernel takes for one connection while nobody reads.
+const LONG_STREAM_EVENTS: u64 = 6_000;
+/// Bytes of an event.
+const EVENT_BYTES: usize = 1_024;
+const MEBIBYTE: u64 = 1024 * 1024;
+
+fn wait_for(what: &str, is_so: impl Fn() -> bool) {
+    let begun = Instant::now();
+    while !is_so() {
+        assert!(begun.elapsed() < PATIENCE, "{what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+fn long_event(id: u64) -> String {
+    let head = format!("id: {id}\ndata: ");
+    let filling = "w".repeat(EVENT_BYTES - head.len() - 2);
+    format!("{head}{filling}\n\n")
+}
+
+/// What became of streams at a back end that insists on being read.
+#[derive(Default)]
+struct Fates {
+    taken: AtomicUsize,
+    cut: AtomicUsize,
+}
+
+impl Fates {
+    fn over(&self) -> usize {
+        self.taken.load(Ordering::SeqCst) + self.cut.load(Ordering::SeqCst)
+    }
+}
+
+/// Sends a stream; whether it was taken in time.
+fn send_insistently(stream: &mut TcpStream, seen: &Seen, events: u64) -> bool {
+    let _ = stream.set_write_timeout(Some(UNREAD_LIMIT));
+    let mut send = |text: &str| stream.write_all(text.as_bytes()).is_ok();
+    send(&stream_head(seen, "one"))
+        && (1..=events).all(|id| send(&chunk(&long_event(id))))
+        && send("0\r\n\r\n")
+}
+
+/// A back end that cuts off an answer that sits unread.
+fn insistent(events: u64) -> (StandIn, Arc<Fates>) {
+    let fates = Arc::new(Fates::default());
+    let noted = Arc::clone(&fates);
+    let back_end = StandIn::with_small_buffers(move |stream, seen, _| {
+        let is_taken = send_insistently(stream, seen, events);
+        let fate = if is_taken { &noted.taken } else { &noted.cut };
+        fate.fetch_add(1, Ordering::SeqCst);
+        is_taken
+    });
+    (back_end, fates)
+}
+
+fn is_whole_stream(body: &str, events: u64) -> bool {
+    body.len() == events as usize * EVENT_BYTES
+        && (1..=events).all(|id| body.contains(&format!("id: {id}\n")))
+}
+
+fn read_a_few_bytes(caller: &mut Caller) -> Vec<u8> {
+    let mut byte = [0];
+    (0..3)
+        .map(|_| {
+            caller.stream.read_exact(&mut byte).expect("a byte");
+            std::thread::sleep(Duration::from_millis(20));
+            byte[0]
+        })
+        .collect()
+}
+
+#[test]
+fn a_slow_caller_keeps_no_back_end_waiting_and_gets_the_whole_answer() {
+    let (back_end, fates) = insistent(LONG_STREAM_EVENTS);
+    let relay = Running::with_memory(&[&back_end], AMPLE_MEMORY);
+    let mut caller = relay.connect_slowly();
+    caller.send("POST", "/patient/1", "", "x");
+    let begun = read_a_few_bytes(&mut caller);
+    assert_eq!(begun, b"HTT");
+    wait_for("the stream is still unread", || fates.over() == 1);
+    assert_eq!(fates.taken.load(Ordering::SeqCst), 1, "cut off as unread");
+    assert!(relay.memory.held_of(HeldKind::Events) > 0);
+    let answer = caller.answer_after(begun);
+    assert!(answer.is_whole);
+    assert!(is_whole_stream(&answer.body, LONG_STREAM_EVENTS));
+    wait_for("bytes stay held", || relay.memory.held() == 0);
+}
+
+#[test]
+fn without_a_budget_a_slow_caller_keeps_its_back_end_waiting() {
+    let (back_end, fates) = insistent(LONG_STREAM_EVENTS);
+    let relay = Running::with_memory(&[&back_end], 0);
+    let mut caller = relay.connect_slowly();
+    caller.send("POST", "/patient/1", "", "x");
+    wait_for("neither taken nor cut", || fates.over() == 1);
+    assert_eq!(fates.cut.load(Ordering::SeqCst), 1);
+    assert_eq!(relay.memory.held_of(HeldKind::Events), 0);
+}
+
+#[test]
+fn a_thousand_slow_callers_stay_within_the_budget_and_others_are_served() {
+    const CALLERS: usize = 1_000;
+    const EVENTS: u64 = 600;
+    const BUDGET: u64 = 40 * MEBIBYTE;
+    let all: Vec<(StandIn, Arc<Fates>)> = (0..4).map(|_| insistent(EVENTS)).collect();
+    let back_ends: Vec<&StandIn> = all.iter().map(|(back_end, _)| back_end).collect();
+    let relay = Running::with_memory(&back_ends, BUDGET);
+    let mut callers: Vec<Caller> = (0..CALLERS)
+        .map(|number| {
+            let mut caller = relay.connect_slowly();
+            caller.send("POST", &format!("/patient/{number}"), "", "x");
+            caller
+        })
+        .collect();
+    let over = || all.iter().map(|(_, fates)| fates.over()).sum::<usize>();
+    let sent = || {
+        back_ends
+            .iter()
+            .map(|back_end| back_end.count())
+            .sum::<usize>()
+    };
+    wait_for("not all streams came to an end", || {
+        sent() > 0 && over() == sent()
+    });
+    let mut keen = relay.connect();
+    keen.send("POST", "/patient/keen", "", "x");
+    assert!(
+        is_whole_stream(&keen.answer().body, EVENTS),
+        "others suffer"
+    );
+    let answers: Vec<_> = callers.iter_mut().map(Caller::answer).collect();
+    let is_right = |answer: &&support::Answer| {
+        answer.is_whole && answer.status == 200 && is_whole_stream(&answer.body, EVENTS)
+    };
+    let right = answers.iter().filter(is_right).count();
+    let refused = answers.iter().filter(|answer| answer.status == 503).count();
+    let ended = answers.iter().filter(|answer| !answer.is_whole).count();
+    let peak = relay.memory.highest();
+    println!("{right} whole, {ended} ended, {refused} refused, {peak} bytes held at most");
+    assert_eq!(
+        right + refused + ended,
+        CALLERS,
+        "an answer looks whole and is not"
+    );
+    assert!(peak <= BUDGET, "{peak} bytes were held");
+    assert!(ended > 0, "the budget was never full: this shows nothing");
+    wait_for("bytes stay held", || relay.memory.held() == 0);
+}
+
+#[test]
+fn a_caller_that_leaves_in_the_middle_frees_everything_at_once() {
+    let back_end = StandIn::start(|stream, seen, _| {
+        write(stream, &stream_head(seen, "one"));
+        for id in 1..=LONG_STREAM_EVENTS {
+            write(stream, &chunk(&long_event(id)));
+        }
+        wait_for_close(stream);
+        false
+    });
+    let relay = Running::with_memory(&[&back_end], AMPLE_MEMORY);
+    let mut caller = relay.connect_slowly();
+    caller.send("POST", "/patient/1", "", "x");
+    let held = || relay.memory.held_of(HeldKind::Events);
+    wait_for("nothing is read ahead", || held() > MEBIBYTE);
+    drop(caller);
+    wait_for("the back end's connection stays open", || {
+        back_end.closed.lock().expect("lock").len() == 1
+    });
+    wait_for("bytes stay held", || relay.memory.held() == 0);
+}
+
+#[test]
+fn a_back_end_that_stops_reading_a_body_midway_is_given_up_in_the_routes_time() {
+    let back_end = StandIn::with_small_buffers(|stream, _, _| {
+        // Reads no further than the head.
+        std::thread::sleep(PATIENCE / 4);
+        let _ = stream.flush();
+        false
+    });
+    let relay = Running::with_memory(&[&back_end], AMPLE_MEMORY);
+    let body = "b".repeat(290_000);
+    let begun = Instant::now();
+    let answer = relay.call("POST", "/quick/1", "Test-Answer-Early: 1\r\n", &body);
+    assert_eq!(answer.status, 504);
+    assert!(
+        begun.elapsed() < PATIENCE / 4,
+        "only when the back end left"
+    );
+    assert!(
+        relay.memory.highest() >= 290_000,
+        "the body was not counted"
+    );
+    wait_for("the body stays held", || relay.memory.held() == 0);
+}
+
+/// A back end that answers with the longest answer that is accepted.
+fn longest_answers() -> StandIn {
+    let body = "a".repeat(4 * MEBIBYTE as usize);
+    StandIn::start(move |stream, seen, _| {
+        write(stream, &whole(seen, &body));
+        true
+    })
+}
+
+#[test]
+fn the_longest_answers_to_slow_callers_are_counted_until_they_are_taken() {
+    const CALLERS: usize = 8;
+    let back_end = longest_answers();
+    let relay = Running::with_memory(&[&back_end], AMPLE_MEMORY);
+    let mut callers: Vec<Caller> = (0..CALLERS).map(|_| relay.connect_slowly()).collect();
+    for (number, caller) in callers.iter_mut().enumerate() {
+        caller.send("GET", &format!("/patient-read/{number}"), "", "");
+    }
+    let longest = 4 * MEBIBYTE;
+    wait_for("answers are not held", || {
+        relay.memory.held_of(HeldKind::Answer) == longest * CALLERS as u64
+    });
+    for caller in &mut callers {
+        let answer = caller.answer();
+        assert_eq!(answer.body.len() as u64, longest, "{}", answer.head);
+        assert!(answer.is_whole);
+    }
+    wait_for("bytes stay held", || relay.memory.held() == 0);
+}
+
+#[test]
+fn answers_past_the_budget_end_honestly_and_the_bound_holds() {
+    const CALLERS: usize = 4;
+    const BUDGET: u64 = 10 * MEBIBYTE;
+    let back_end = longest_answers();
+    let relay = Running::with_memory(&[&back_end], BUDGET);
+    let mut callers: Vec<Caller> = (0..CALLERS).map(|_| relay.connect_slowly()).collect();
+    for (number, caller) in callers.iter_mut().enumerate() {
+        caller.send("GET", &format!("/patient-read/{number}"), "", "");
+    }
+    wait_for("not all have run", || back_end.count() == CALLERS);
+    let answers: Vec<_> = callers.iter_mut().map(Caller::answer).collect();
+    let whole = answers.iter().filter(|answer| answer.status == 200);
+    let lost = answers.iter().filter(|answer| answer.status == 502);
+    assert!(whole.clone().all(|answer| answer.is_whole));
+    assert_eq!(whole.count() + lost.count(), CALLERS);
+    assert!(relay.memory.highest() <= BUDGET);
+}
+
+fn send_head(caller: &mut Caller, path: &str, length: usize) {
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: id-{path}\r\n\
+         Authorization: Bearer {KEY}\r\nContent-Length: {length}\r\n\r\n"
+    );
+    write(&mut caller.stream, &head);
+}
+
+/// A back end that keeps what it got until the test ends.
+fn silent() -> StandIn {
+    StandIn::start(|stream, _, _| {
+        wait_for_close(stream);
+        false
+    })
+}
+
+#[test]
+fn a_body_that_does_not_fit_is_refused_before_it_is_read() {
+    let back_end = silent();
+    let relay = Running::with_memory(&[&back_end], 300_000);
+    let mut first = relay.connect();
+    first.send("POST", "/patient/1", "", &"b".repeat(200_000));
+    wait_for("the first did not arrive", || back_end.count() == 1);
+    let mut second = relay.connect();
+    send_head(&mut second, "/patient/2", 100_000);
+    let answer = second.answer();
+    assert_eq!((answer.status, answer.body.as_str()), (503, "memory\n"));
+    let retry_after: f64 = answer
+        .header("retry-after")
+        .and_then(|value| value.parse().ok())
+        .expect("a time to come back");
+    assert!(retry_after > 0.0);
+    assert_eq!(back_end.count(), 1);
+    assert!(relay.memory.highest() <= 300_000);
+    drop(first);
+    wait_for("the body stays held", || relay.memory.held() == 0);
+    let mut third = relay.connect();
+    third.send("POST", "/patient/3", "", &"b".repeat(100_000));
+    wait_for("not taken though there is room", || back_end.count() == 2);
+}
+
+#[test]
+fn without_a_budget_every_body_is_taken() {
+    let back_end = silent();
+    let relay = Running::with_memory(&[&back_end], 0);
+    let callers: Vec<Caller> = (1..=3)
+        .map(|number| {
+            let mut caller = relay.connect();
+            let body = "b".repeat(200_000);
+            caller.send("POST", &format!("/patient/{number}"), "", &body);
+            caller
+        })
+        .collect();
+    wait_for("not all arrived", || back_end.count() == callers.len());
+}
+
+#[test]
+fn bodies_do_not_pile_up_at_a_back_end_that_takes_none() {
+    let back_end = silent();
+    // A quarter of it, 256 KiB, for the bodies at one back end.
+    let relay = Running::with_memory(&[&back_end], MEBIBYTE);
+    let mut first = relay.connect();
+    first.send("POST", "/patient/1", "", &"b".repeat(200_000));
+    wait_for("the first did not arrive", || back_end.count() == 1);
+    let answer = relay.call("POST", "/patient/2", "", &"b".repeat(200_000));
+    assert_eq!(answer.status, 503);
+    assert_eq!(back_end.count(), 1);
+    let mut small = relay.connect();
+    small.send("POST", "/patient/3", "", "b");
+    wait_for("a small one is kept away", || back_end.count() == 2);
+}
--- a/crates/transport/relay/tests/support/mod.rs
+++ b/crates/transport/relay/tests/support/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 use eiderferry_dispatch::{BudgetSettings, Change, ColdBound, Content, DocumentKey, Features};
-use eiderferry_relay::{Relay, RelaySettings, Source, StopSettings, Vocabulary};
+use eiderferry_relay::{MemoryBudget, Relay, RelaySettings, Source, StopSettings, Vocabulary};
 use eiderferry_routing::{
     BackEnd, InstanceId, Limits, NodeName, Pool, PoolName, Route, RouteKind, Split, TableDocument,
     Tenant, ZoneName,
@@ -21,7 +21,11 @@
 
 /// Longest wait of a test for anything.
 pub const PATIENCE: Duration = Duration::from_secs(20);
+/// A budget that no test fills unless it says so.
+pub const AMPLE_MEMORY: u64 = 64 * 1024 * 1024;
 pub const KEY: &str = "key-of-radio";
+/// Buffer of a socket that holds little.
+const SMALL_BUFFER: usize = 8_192;
 pub const HOST: &str = "calls.example";
 
 /// A request as a back end saw it.
@@ -60,6 +64,24 @@
         script: impl Fn(&mut TcpStream, &Seen, usize) -> bool + Send + Sync + 'static,
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        Self::start_on(listener, script)
+    }
+
+    /// The same with small buffers, so that what one side does not read soon stops the other.
+    pub fn with_small_buffers(
+        script: impl Fn(&mut TcpStream, &Seen, usize) -> bool + Send + Sync + 'static,
+    ) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let socket = socket2::SockRef::from(&listener);
+        socket.set_recv_buffer_size(SMALL_BUFFER).expect("a socket");
+        socket.set_send_buffer_size(SMALL_BUFFER).expect("a socket");
+        Self::start_on(listener, script)
+    }
+
+    fn start_on(
+        listener: TcpListener,
+        script: impl Fn(&mut TcpStream, &Seen, usize) -> bool + Send + Sync + 'static,
+    ) -> Self {
         let address = listener.local_addr().expect("bound");
         let seen: Arc<Mutex<Vec<Seen>>> = Arc::default();
         let closed: Arc<Mutex<Vec<Instant>>> = Arc::default();
@@ -231,6 +253,10 @@
     resumable.is_resumable = true;
     let mut quick = route("quick", RouteKind::NotRepeatable, 1);
     quick.timeout = Span::from_milliseconds(400);
+    let mut patient = route("patient", RouteKind::Streaming, 1);
+    patient.timeout = Span::from_milliseconds(60_000);
+    let mut patient_read = route("patient-read", RouteKind::Repeatable, 1);
+    patient_read.timeout = Span::from_milliseconds(60_000);
     let pool = Pool {
         health_path: "/health".to_owned(),
         maximum_connections: 400,
@@ -245,6 +271,8 @@
             route("stream", RouteKind::Streaming, 1),
             resumable,
             quick,
+            patient,
+            patient_read,
         ],
         pools: BTreeMap::from([(PoolName::from("pool"), pool)]),
         limits: Limits {
@@ -291,6 +319,7 @@
 pub struct Running {
     pub listen: SocketAddr,
     pub ready: SocketAddr,
+    pub memory: Arc<MemoryBudget>,
     stop: Option<async_channel::Sender<()>>,
     thread: Option<JoinHandle<()>>,
 }
@@ -318,9 +347,14 @@
 impl Running {
     /// A relay before these back ends.
     pub fn before(back_ends: &[&StandIn]) -> Self {
+        Self::with_memory(back_ends, AMPLE_MEMORY)
+    }
+
+    /// A relay before these back ends with a budget of this many bytes.
+    pub fn with_memory(back_ends: &[&StandIn], bytes: u64) -> Self {
         let addresses: Vec<SocketAddr> =
             back_ends.iter().map(|stand_in| stand_in.address).collect();
-        let running = Self::start(Some(changes(&addresses)), Duration::ZERO);
+        let running = Self::start(Some(changes(&addresses)), Duration::ZERO, bytes);
         let begun = Instant::now();
         while running.readiness() != 200 {
             assert!(begun.elapsed() < PATIENCE, "the relay is not ready");
@@ -331,15 +365,15 @@
 
     /// A relay that knows no configuration.
     pub fn without_configuration() -> Self {
-        Self::start(None, Duration::ZERO)
+        Self::start(None, Duration::ZERO, AMPLE_MEMORY)
     }
 
     /// A relay before a back end that hears of its configuration this late.
     pub fn with_late_configuration(back_end: &StandIn, delay: Duration) -> Self {
-        Self::start(Some(changes(&[back_end.address])), delay)
+        Self::start(Some(changes(&[back_end.address])), delay, AMPLE_MEMORY)
     }
 
-    fn start(documents: Option<Vec<Change>>, delay: Duration) -> Self {
+    fn start(documents: Option<Vec<Change>>, delay: Duration, memory_budget: u64) -> Self {
         let ip = own_ip();
         let listen = SocketAddr::from((ip, CALLERS_PORT));
         let ready = SocketAddr::from((ip, READY_PORT));
@@ -358,6 +392,7 @@
                 window: Span::from_milliseconds(10_000),
             },
             link_mbps: 100,
+            memory_budget,
             apply_within: Span::from_milliseconds(2_000),
             regions: BTreeMap::new(),
             features: Features::ALL,
@@ -384,16 +419,17 @@
         let (started, is_started) = mpsc::channel();
         let thread = std::thread::spawn(move || {
             let relay = Relay::start(settings, source).expect("free addresses");
-            started.send(()).expect("the test waits");
+            started.send(relay.memory()).expect("the test waits");
             let stop = async move {
                 let _ = stopped.recv().await;
             };
             relay.serve(stop).expect("free addresses");
         });
-        is_started.recv_timeout(PATIENCE).expect("started");
+        let memory = is_started.recv_timeout(PATIENCE).expect("started");
         let running = Self {
             listen,
             ready,
+            memory,
             stop: Some(stop),
             thread: Some(thread),
         };
@@ -436,6 +472,17 @@
         caller.answer()
     }
 
+    /// A caller whose machine takes little that it has not read.
+    pub fn connect_slowly(&self) -> Caller {
+        let kind = socket2::Type::STREAM;
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, kind, None).expect("a socket");
+        socket.set_recv_buffer_size(SMALL_BUFFER).expect("a socket");
+        socket.connect(&self.listen.into()).expect("listening");
+        let stream = TcpStream::from(socket);
+        stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
+        Caller { stream }
+    }
+
     pub fn connect(&self) -> Caller {
         let stream = TcpStream::connect(self.listen).expect("listening");
         stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
@@ -480,7 +527,11 @@
 
     /// Reads one answer.
     pub fn answer(&mut self) -> Answer {
-        let mut bytes = Vec::new();
+        self.answer_after(Vec::new())
+    }
+
+    /// Reads the rest of an answer of which `bytes` have been read.
+    pub fn answer_after(&mut self, mut bytes: Vec<u8>) -> Answer {
         let end = loop {
             if let Some(end) = find(&bytes, b"\r\n\r\n") {
                 break end + 4;
