--- a/crates/coordination/dispatch/tests/support/mod.rs
+++ b/crates/coordination/dispatch/tests/support/mod.rs
@@ -204,10 +204,7 @@
 /// A dispatcher with parts switched off that knows one engine, which holds so many calls for
 /// cache events.
 pub fn with_features(features: Features, cache_event_calls: u32) -> Dispatcher {
-    let mut subject = Dispatcher::new(DispatcherSettings {
-        features,
-        ..settings(0, 0, Vec::new(), APPLY_WITHIN)
-    });
+    let mut subject = dispatcher_with_features(0, features);
     subject.apply(table_with(1, cache_event_calls), START);
     subject.apply(back_end_change(back_end("engine-0", 0, 0), 2), START);
     subject.confirm(2, START);
