Relay: the attempt loop, the sending of one attempt and the failover of a stream in modules of their own

Cause: exchange.rs and stream.rs used each other, and replicas of running streams would have added to both. Change: exchange.rs holds a request and what has become of it; sending.rs one attempt's request and the head of its answer; attempts.rs the loop over attempts; stream.rs the relaying of events; failover.rs how a stream goes on elsewhere. No change in behaviour.

--- a/crates/transport/relay/src/exchange.rs
+++ b/crates/transport/relay/src/exchange.rs
@@ -1,48 +1,26 @@
 //! One request from its head to its final answer.
 
 use crate::answer::RelayBody;
-use crate::clock::{Clock, duration};
+use crate::clock::Clock;
 use crate::control::{ControlHandle, SharedTable};
-use crate::forwarding::{
-    ForwardedRequest, Told, answer, forwarded_headers, is_event_stream, path_and_query,
-    read_answer, read_body, request_id,
-};
+use crate::forwarding::ForwardedRequest;
 use crate::lease::Lease;
 use crate::own_answer::OwnAnswer;
 use crate::progress::Progress;
 use crate::request_head::RequestHead;
-use crate::stream::StreamRelay;
-use crate::upstream::{Connection, SendError, Upstream};
+use crate::upstream::Upstream;
 use crate::vocabulary::Vocabulary;
 use crate::{events, metrics};
-use bytes::Bytes;
 use eiderferry_dispatch::{Decision, Demand, Outcome};
-use eiderferry_routing::{InstanceId, PoolName, RouteKind, RoutingTable};
+use eiderferry_routing::{InstanceId, PoolName};
 use eiderferry_types::{Reason, Span, Timestamp};
-use futures_lite::FutureExt;
-use http::{Request, Response, StatusCode, header};
-use hyper::body::Incoming;
+use http::Response;
 use std::rc::Rc;
-use std::sync::Arc;
 
 /// Time after which a request without a configuration is worth sending again.
-const NOT_READY_RETRY: Span = Span::from_milliseconds(300);
-/// Longest wait for the first configuration: other nodes or the store answer a node that
-/// has just started in 0.1 to 0.3 s, and a refusal costs the caller as long.
-const FIRST_TABLE_PATIENCE: Span = Span::from_milliseconds(250);
-/// Time between two looks for it.
-const FIRST_TABLE_CHECK: Span = Span::from_milliseconds(10);
+pub(crate) const NOT_READY_RETRY: Span = Span::from_milliseconds(300);
 /// Back ends tried without a connection coming up.
 const MAXIMUM_UNREACHABLE: u32 = 3;
-/// Attempt's time for an answer that may be asked for again, in targets.
-const ATTEMPT_TARGETS: u64 = 2;
-/// Patience for the first event of a stream, in targets. With one target 88 attempts were
-/// given up as silent in a loaded day of 57 s; what that cost is within the noise of
-/// measurements (docs/design/placement.md).
-const FIRST_EVENT_TARGETS: u64 = 2;
-/// The same besides, in expected times to the first event.
-const EXPECTED_TIMES: u64 = 2;
-
 /// What all requests of a traffic thread share.
 pub(crate) struct Traffic {
     pub upstream: Upstream,
@@ -66,134 +44,27 @@
 pub(crate) struct Exchange {
     pub traffic: Rc<Traffic>,
     pub head: RequestHead,
-    pool: PoolName,
-    request: ForwardedRequest,
+    pub pool: PoolName,
+    pub request: ForwardedRequest,
     pub started: Timestamp,
     pub deadline: Timestamp,
     pub attempts: u32,
-    unreachable: u32,
-    excluded: Vec<InstanceId>,
-    may_have_run: bool,
+    pub unreachable: u32,
+    pub excluded: Vec<InstanceId>,
+    pub may_have_run: bool,
     pub status: u16,
-    progress: Progress,
-    is_over: bool,
-}
-
-/// Serves one request.
-pub(crate) async fn serve(
-    traffic: Rc<Traffic>,
-    request: Request<Incoming>,
-    progress: Progress,
-) -> Response<RelayBody> {
-    let started = traffic.clock.now();
-    match prepare(traffic, request, started, progress).await {
-        Ok(exchange) => exchange.run().await,
-        Err((id, answer)) => {
-            metrics::own_answer(answer.reason());
-            events::answered_here(&id, &answer, Span::ZERO);
-            answer.response()
-        }
-    }
-}
-
-async fn prepare(
-    traffic: Rc<Traffic>,
-    request: Request<Incoming>,
-    started: Timestamp,
-    progress: Progress,
-) -> Result<Exchange, (String, OwnAnswer)> {
-    let (parts, body) = request.into_parts();
-    let id = request_id(&parts, &traffic.vocabulary);
-    let Some(table) = first_table(&traffic).await else {
-        let answer = OwnAnswer::NotRun(Reason::NotReady, NOT_READY_RETRY);
-        return Err((id, answer));
-    };
-    let head = RequestHead::read(&parts, &table, &traffic.vocabulary)
-        .map_err(|answer| (id.clone(), answer))?;
-    let deadline = started + head.remaining;
-    let limit = table.limits().maximum_body_bytes;
-    let body = read_body(body, limit)
-        .await
-        .map_err(|answer| (id, answer))?;
-    let point = rand::random::<f64>();
-    let pool = head.route.pool(point).cloned();
-    let pool = pool.unwrap_or_else(|| PoolName::from(""));
-    let headers = forwarded_headers(&parts.headers, &traffic.vocabulary);
-    Ok(Exchange {
-        traffic,
-        head,
-        pool,
-        request: ForwardedRequest {
-            method: parts.method,
-            uri: path_and_query(parts.uri),
-            headers,
-            body,
-        },
-        started,
-        deadline,
-        attempts: 0,
-        unreachable: 0,
-        excluded: Vec::new(),
-        may_have_run: false,
-        status: 0,
-        progress,
-        is_over: false,
-    })
-}
-
-/// The table in force. A node that has just started waits a little for its first one.
-async fn first_table(traffic: &Traffic) -> Option<Arc<RoutingTable>> {
-    let until = traffic.clock.now() + FIRST_TABLE_PATIENCE;
-    loop {
-        let table = traffic.table.load_full();
-        if table.is_some() || traffic.clock.now() >= until {
-            return table;
-        }
-        smol::Timer::after(duration(FIRST_TABLE_CHECK)).await;
-    }
+    pub progress: Progress,
+    pub is_over: bool,
 }
 
 impl Exchange {
-    async fn run(mut self) -> Response<RelayBody> {
-        let mut fallback = None;
-        loop {
-            let lease = match self.ask().await {
-                Ok(lease) => lease,
-                Err(answer) => return self.conclude(fallback, answer),
-            };
-            let instance = lease.grant.instance.clone();
-            self.excluded.push(instance.clone());
-            let (next, end) = self.attempt(lease).await;
-            let Some(exchange) = next else {
-                return match end {
-                    AttemptEnd::Answer(response) | AttemptEnd::FailedAnswer(response) => response,
-                    AttemptEnd::None(_) => OwnAnswer::AnswerLost.response(),
-                };
-            };
-            self = exchange;
-            let outcome = match end {
-                AttemptEnd::Answer(response) => return self.pass_on(response),
-                AttemptEnd::FailedAnswer(response) => {
-                    fallback = Some(response);
-                    Outcome::Failed
-                }
-                AttemptEnd::None(outcome) => outcome,
-            };
-            events::attempt_failed(&self.head.id, self.attempts, instance.as_str(), outcome);
-            if !self.may_try_again() {
-                let answer = self.final_answer(outcome);
-                return self.conclude(fallback, answer);
-            }
-        }
-    }
-
-    fn pass_on(mut self, response: Response<RelayBody>) -> Response<RelayBody> {
+    pub fn pass_on(mut self, response: Response<RelayBody>) -> Response<RelayBody> {
         self.status = response.status().as_u16();
         self.end("whole");
         response
     }
 
-    fn conclude(
+    pub fn conclude(
         mut self,
         fallback: Option<Response<RelayBody>>,
         answer: OwnAnswer,
@@ -219,11 +90,11 @@
         metrics::request(&self.head.route, self.head.rank, how, elapsed);
     }
 
-    fn elapsed(&self) -> Span {
+    pub fn elapsed(&self) -> Span {
         self.traffic.clock.now().since(self.started)
     }
 
-    fn final_answer(&self, outcome: Outcome) -> OwnAnswer {
+    pub fn final_answer(&self, outcome: Outcome) -> OwnAnswer {
         if self.may_have_run {
             return if self.traffic.clock.now() >= self.deadline {
                 OwnAnswer::TimedOut
@@ -291,172 +162,6 @@
             OwnAnswer::NotRun(reason, retry_after)
         }
     }
-
-    /// Sends the request to a back end and waits for the head of its answer.
-    pub async fn send(
-        &mut self,
-        lease: &Lease,
-        last_event_id: Option<u64>,
-    ) -> Result<(Response<Incoming>, Connection), Outcome> {
-        let told = Told {
-            grant: &lease.grant,
-            left: self.traffic.clock.now().until(self.deadline),
-            urgency: self.head.urgency,
-            tenant: self.head.tenant.as_deref(),
-            last_event_id,
-        };
-        let request = self.request.attempt(&self.traffic.vocabulary, &told);
-        self.progress.note_sent();
-        let may_repeat = self.head.route.may_repeat();
-        let limit = self.head_deadline(lease);
-        let timeout = async {
-            smol::Timer::after(duration(limit)).await;
-            None
-        };
-        let send = self
-            .traffic
-            .upstream
-            .send(&lease.grant, request, may_repeat);
-        let result = async { Some(send.await) }.or(timeout).await;
-        self.judge(result)
-    }
-
-    fn judge(
-        &mut self,
-        result: Option<Result<(Response<Incoming>, Connection), SendError>>,
-    ) -> Result<(Response<Incoming>, Connection), Outcome> {
-        match result {
-            Some(Err(SendError::Unreachable(_) | SendError::NoConnection)) => {
-                self.unreachable += 1;
-                Err(Outcome::Unreachable)
-            }
-            Some(Err(SendError::Broken(_))) => {
-                self.attempts += 1;
-                self.may_have_run = true;
-                Err(Outcome::Broken)
-            }
-            None => {
-                self.attempts += 1;
-                self.may_have_run = true;
-                Err(Outcome::Silent)
-            }
-            Some(Ok((response, connection))) => {
-                self.attempts += 1;
-                self.judge_head(response, connection)
-            }
-        }
-    }
-
-    fn judge_head(
-        &mut self,
-        response: Response<Incoming>,
-        connection: Connection,
-    ) -> Result<(Response<Incoming>, Connection), Outcome> {
-        let vocabulary = &self.traffic.vocabulary;
-        let id = response.headers().get(&vocabulary.request_id);
-        let is_ours = id.is_some_and(|id| id.as_bytes() == self.head.id.as_bytes());
-        if response.status() == StatusCode::MISDIRECTED_REQUEST {
-            return Err(Outcome::Replaced);
-        }
-        if response.headers().contains_key(&vocabulary.not_run) && id.is_none_or(|_| is_ours) {
-            return Err(Outcome::Shed);
-        }
-        self.may_have_run = true;
-        if !is_ours || response.headers().contains_key(header::CONTENT_ENCODING) {
-            return Err(Outcome::Broken);
-        }
-        Ok((response, connection))
-    }
-
-    /// Longest wait for the head: until the request's time is over, or shorter where
-    /// another back end may be asked.
-    fn head_deadline(&self, lease: &Lease) -> Span {
-        let now = self.traffic.clock.now();
-        let left = now.until(self.deadline);
-        let route = &self.head.route;
-        let is_last = self.attempts + 1 >= route.maximum_attempts;
-        if !route.may_repeat() || is_last {
-            return left;
-        }
-        let patience = match route.kind {
-            RouteKind::Streaming => self.first_event_patience(lease.grant.candidate.first_event),
-            _ => Span(route.target.0 * ATTEMPT_TARGETS),
-        };
-        left.min(patience)
-    }
-
-    /// Longest wait for the first event of a stream that may be asked for elsewhere. Where
-    /// many are late the cause is load: asked for again, each prompt would be read twice.
-    pub fn first_event_patience(&self, expected: Span) -> Span {
-        Span(self.head.route.target.0 * FIRST_EVENT_TARGETS + expected.0 * EXPECTED_TIMES)
-    }
-
-    /// One attempt at a back end. The exchange comes back unless a stream holds it.
-    async fn attempt(mut self, lease: Lease) -> (Option<Self>, AttemptEnd) {
-        match self.send(&lease, None).await {
-            Err(outcome) => {
-                metrics::attempt(outcome.as_str());
-                lease.end(outcome);
-                (Some(self), AttemptEnd::None(outcome))
-            }
-            Ok((response, connection)) if is_event_stream(&response) => {
-                StreamRelay::start(self, lease, response, connection).await
-            }
-            Ok((response, connection)) => {
-                let end = self.whole_answer(lease, response, connection).await;
-                (Some(self), end)
-            }
-        }
-    }
-
-    async fn whole_answer(
-        &mut self,
-        lease: Lease,
-        response: Response<Incoming>,
-        connection: Connection,
-    ) -> AttemptEnd {
-        let (parts, body) = response.into_parts();
-        let limit = self.head_deadline(&lease);
-        let timeout = async {
-            smol::Timer::after(duration(limit)).await;
-            Err(Outcome::Silent)
-        };
-        let outcome = match read_answer(body).or(timeout).await {
-            Err(outcome) => outcome,
-            Ok(bytes) => {
-                self.traffic.upstream.keep(connection, &parts.headers);
-                let elapsed = self.elapsed();
-                metrics::first_event(&self.head.route, self.head.rank, elapsed);
-                lease.first_event();
-                return self.judge_answer(lease, &parts, bytes);
-            }
-        };
-        metrics::attempt(outcome.as_str());
-        lease.end(outcome);
-        AttemptEnd::None(outcome)
-    }
-
-    fn judge_answer(
-        &self,
-        lease: Lease,
-        parts: &http::response::Parts,
-        bytes: Bytes,
-    ) -> AttemptEnd {
-        let response = answer(parts, RelayBody::from(bytes));
-        let is_failure = parts.status.is_server_error();
-        let outcome = if is_failure {
-            Outcome::Failed
-        } else {
-            Outcome::Completed
-        };
-        metrics::attempt(outcome.as_str());
-        lease.end(outcome);
-        if is_failure && self.head.route.may_repeat() {
-            AttemptEnd::FailedAnswer(response)
-        } else {
-            AttemptEnd::Answer(response)
-        }
-    }
 }
 
 impl Drop for Exchange {
--- a/crates/transport/relay/src/lib.rs
+++ b/crates/transport/relay/src/lib.rs
@@ -8,12 +8,14 @@
 #![forbid(unsafe_code)]
 
 mod answer;
+mod attempts;
 mod clock;
 mod control;
 mod documents;
 mod event_stream;
 mod events;
 mod exchange;
+mod failover;
 mod forwarding;
 mod gossip;
 mod lease;
@@ -23,6 +25,7 @@
 mod own_answer;
 mod progress;
 mod request_head;
+mod sending;
 mod server;
 mod settings;
 mod stream;
--- /dev/null
+++ b/crates/transport/relay/src/sending.rs
@@ -0,0 +1,124 @@
+//! The sending of one attempt: the request on its way to a back end, and the head of its
+//! answer.
+
+use crate::clock::duration;
+use crate::exchange::Exchange;
+use crate::forwarding::Told;
+use crate::lease::Lease;
+use crate::upstream::{Connection, SendError};
+use eiderferry_dispatch::Outcome;
+use eiderferry_routing::RouteKind;
+use eiderferry_types::Span;
+use futures_lite::FutureExt;
+use http::{Response, StatusCode, header};
+use hyper::body::Incoming;
+
+/// Attempt's time for an answer that may be asked for again, in targets.
+const ATTEMPT_TARGETS: u64 = 2;
+/// Patience for the first event of a stream, in targets. With one target 88 attempts were
+/// given up as silent in a loaded day of 57 s; what that cost is within the noise of
+/// measurements (docs/design/placement.md).
+const FIRST_EVENT_TARGETS: u64 = 2;
+/// The same besides, in expected times to the first event.
+const EXPECTED_TIMES: u64 = 2;
+
+impl Exchange {
+    /// Sends the request to a back end and waits for the head of its answer.
+    pub async fn send(
+        &mut self,
+        lease: &Lease,
+        last_event_id: Option<u64>,
+    ) -> Result<(Response<Incoming>, Connection), Outcome> {
+        let told = Told {
+            grant: &lease.grant,
+            left: self.traffic.clock.now().until(self.deadline),
+            urgency: self.head.urgency,
+            tenant: self.head.tenant.as_deref(),
+            last_event_id,
+        };
+        let request = self.request.attempt(&self.traffic.vocabulary, &told);
+        self.progress.note_sent();
+        let may_repeat = self.head.route.may_repeat();
+        let limit = self.head_deadline(lease);
+        let timeout = async {
+            smol::Timer::after(duration(limit)).await;
+            None
+        };
+        let send = self
+            .traffic
+            .upstream
+            .send(&lease.grant, request, may_repeat);
+        let result = async { Some(send.await) }.or(timeout).await;
+        self.judge(result)
+    }
+
+    fn judge(
+        &mut self,
+        result: Option<Result<(Response<Incoming>, Connection), SendError>>,
+    ) -> Result<(Response<Incoming>, Connection), Outcome> {
+        match result {
+            Some(Err(SendError::Unreachable(_) | SendError::NoConnection)) => {
+                self.unreachable += 1;
+                Err(Outcome::Unreachable)
+            }
+            Some(Err(SendError::Broken(_))) => {
+                self.attempts += 1;
+                self.may_have_run = true;
+                Err(Outcome::Broken)
+            }
+            None => {
+                self.attempts += 1;
+                self.may_have_run = true;
+                Err(Outcome::Silent)
+            }
+            Some(Ok((response, connection))) => {
+                self.attempts += 1;
+                self.judge_head(response, connection)
+            }
+        }
+    }
+
+    fn judge_head(
+        &mut self,
+        response: Response<Incoming>,
+        connection: Connection,
+    ) -> Result<(Response<Incoming>, Connection), Outcome> {
+        let vocabulary = &self.traffic.vocabulary;
+        let id = response.headers().get(&vocabulary.request_id);
+        let is_ours = id.is_some_and(|id| id.as_bytes() == self.head.id.as_bytes());
+        if response.status() == StatusCode::MISDIRECTED_REQUEST {
+            return Err(Outcome::Replaced);
+        }
+        if response.headers().contains_key(&vocabulary.not_run) && id.is_none_or(|_| is_ours) {
+            return Err(Outcome::Shed);
+        }
+        self.may_have_run = true;
+        if !is_ours || response.headers().contains_key(header::CONTENT_ENCODING) {
+            return Err(Outcome::Broken);
+        }
+        Ok((response, connection))
+    }
+
+    /// Longest wait for the head: until the request's time is over, or shorter where
+    /// another back end may be asked.
+    pub fn head_deadline(&self, lease: &Lease) -> Span {
+        let now = self.traffic.clock.now();
+        let left = now.until(self.deadline);
+        let route = &self.head.route;
+        let is_last = self.attempts + 1 >= route.maximum_attempts;
+        if !route.may_repeat() || is_last {
+            return left;
+        }
+        let patience = match route.kind {
+            RouteKind::Streaming => self.first_event_patience(lease.grant.candidate.first_event),
+            _ => Span(route.target.0 * ATTEMPT_TARGETS),
+        };
+        left.min(patience)
+    }
+
+    /// Longest wait for the first event of a stream that may be asked for elsewhere. Where
+    /// many are late the cause is load: asked for again, each prompt would be read twice.
+    pub fn first_event_patience(&self, expected: Span) -> Span {
+        Span(self.head.route.target.0 * FIRST_EVENT_TARGETS + expected.0 * EXPECTED_TIMES)
+    }
+}
--- a/crates/transport/relay/src/server.rs
+++ b/crates/transport/relay/src/server.rs
@@ -1,7 +1,8 @@
 //! Callers' connections, readiness and metrics.
 
 use crate::answer::RelayBody;
-use crate::exchange::{self, Traffic};
+use crate::attempts;
+use crate::exchange::Traffic;
 use crate::own_answer::OwnAnswer;
 use crate::progress::Progress;
 use eiderferry_types::{Reason, Span};
@@ -138,7 +139,7 @@
             progress.last_answer().response()
         };
         let traffic = Rc::clone(&self.traffic);
-        let response = exchange::serve(traffic, request, progress.clone())
+        let response = attempts::serve(traffic, request, progress.clone())
             .or(ending)
             .await;
         let response = response.map(|body| hold_open(body, open));
--- a/crates/transport/relay/src/stream.rs
+++ b/crates/transport/relay/src/stream.rs
@@ -14,7 +14,7 @@
 use futures_lite::FutureExt;
 use futures_lite::stream::unfold;
 use http::response::Parts;
-use http::{HeaderMap, Response, StatusCode};
+use http::{HeaderMap, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
@@ -32,20 +32,20 @@
 }
 
 /// The source of a stream: one back end's answer.
-struct Source {
-    lease: Lease,
-    connection: Connection,
-    headers: HeaderMap,
-    body: Incoming,
-    pacing: StreamPacing,
+pub(crate) struct Source {
+    pub lease: Lease,
+    pub connection: Connection,
+    pub headers: HeaderMap,
+    pub body: Incoming,
+    pub pacing: StreamPacing,
 }
 
 /// A stream on its way to the caller.
 pub(crate) struct StreamRelay {
-    exchange: Exchange,
-    source: Option<Source>,
-    splitter: EventSplitter,
-    ready: Option<Bytes>,
+    pub exchange: Exchange,
+    pub source: Option<Source>,
+    pub splitter: EventSplitter,
+    pub ready: Option<Bytes>,
 }
 
 impl StreamRelay {
@@ -216,38 +216,4 @@
         events::stream_paced(&exchange.head.id, &source.pacing, exchange.started);
         source.lease.end_stream(outcome, source.pacing);
     }
-
-    /// Takes the stream up at another back end.
-    async fn resume(&mut self) -> bool {
-        while self.exchange.may_try_again() {
-            let Ok(lease) = self.exchange.ask().await else {
-                return false;
-            };
-            let last_id = self.splitter.last_id();
-            let sent = self.exchange.send(&lease, last_id).await;
-            match sent {
-                Ok((response, connection)) if response.status() == StatusCode::OK => {
-                    let back_end = lease.grant.instance.as_str();
-                    events::resumed(&self.exchange.head.id, back_end, last_id.unwrap_or(0));
-                    self.take_source(lease, response, connection);
-                    return true;
-                }
-                Ok(_) => lease.end(Outcome::Failed),
-                Err(outcome) => lease.end(outcome),
-            }
-        }
-        false
-    }
-
-    fn take_source(&mut self, lease: Lease, response: Response<Incoming>, connection: Connection) {
-        let (parts, body) = response.into_parts();
-        self.splitter = EventSplitter::after(self.splitter.last_id());
-        self.source = Some(Source {
-            lease,
-            connection,
-            headers: parts.headers,
-            body,
-            pacing: StreamPacing::default(),
-        });
-    }
 }
