--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -5,6 +5,7 @@
 mod granting;
 mod messages;
 mod reading;
+mod replicating;
 mod turns;
 mod unknown_names;
 mod zone_digest;
@@ -17,6 +18,7 @@
 use granting::Lease;
 
 use crate::load::registry::Registry;
+use crate::placement::replication::LossChances;
 use crate::{
     Applied, BudgetSettings, Change, ColdBound, ColdDuty, Content, DocumentKey, Envelope, Features,
     Gossip, Knowledge, LeaseId, PeerChange, Peers, Placement, RetryBudget, WarmthChange,
@@ -158,6 +160,8 @@
     silent_zones: BTreeSet<ZoneName>,
     /// Zones whose back ends get nothing new.
     evacuated: BTreeSet<ZoneName>,
+    /// How likely a stream of each pool is to be lost.
+    losses: LossChances,
     random: ChaCha8Rng,
 }
 
@@ -195,6 +199,7 @@
             aggregation: Aggregation::default(),
             silent_zones: BTreeSet::new(),
             evacuated: BTreeSet::new(),
+            losses: LossChances::default(),
             random,
         }
     }
--- a/crates/coordination/dispatch/src/dispatcher/granting.rs
+++ b/crates/coordination/dispatch/src/dispatcher/granting.rs
@@ -1,10 +1,12 @@
 //! Places at back ends: granted, refused and given back.
 
+use super::replicating::KeptReplica;
 use super::{Dispatcher, PLACEMENTS_PER_MESSAGE};
 use crate::load::health::HealthChange;
 use crate::load::registry::BackEndState;
 use crate::placement::eligibility::refusal;
 use crate::placement::planning::{Plan, plans};
+use crate::placement::replication::may_take_over;
 use crate::placement::view::View;
 use crate::{
     Candidate, Decision, Demand, Grant, LeaseId, Outcome, Placement, PromptPart, RetryBudget,
@@ -43,6 +45,7 @@
 pub(super) struct Lease {
     pub(super) instance: InstanceId,
     pool: PoolName,
+    replica: Option<KeptReplica>,
 }
 
 impl Dispatcher {
@@ -60,15 +63,19 @@
 
     /// Chooses a back end for a request, or refuses it.
     pub fn ask(&mut self, demand: &Demand, now: Timestamp) -> Decision {
-        let cold_start = self.cold_start(&demand.pool);
         let view = View {
             zone: &self.settings.zone,
             silent_zones: &self.silent_zones,
             regions: &self.settings.regions,
             evacuated: &self.evacuated,
-            cold_start,
+            cold_start: self.cold_start(&demand.pool),
             now,
         };
+        if let Some(holder) = &demand.only
+            && !may_take_over(&self.back_ends, &view, demand, holder)
+        {
+            return Decision::Refuse(Reason::NoBackEnd, NO_BACK_END_RETRY);
+        }
         let mut plans = plans(&self.back_ends, &view, demand, &mut self.random);
         let candidates: Vec<Candidate> = plans.iter().map(|plan| plan.candidate).collect();
         let Some(index) = choose(&candidates) else {
@@ -76,7 +83,9 @@
             return Decision::Refuse(reason, retry_after(reason));
         };
         let candidate = candidates[index];
-        if candidate.running >= self.most_running(demand, candidate.slots) {
+        // An engine admits the request whose replica it holds before all others.
+        let is_takeover = demand.only.is_some();
+        if !is_takeover && candidate.running >= self.most_running(demand, candidate.slots) {
             return Decision::Refuse(Reason::QueueFull, OVERLOAD_RETRY);
         }
         if demand.is_repeat {
@@ -122,9 +131,12 @@
         if self.collects_placements() {
             self.zone_digests.note_placements(&self.placements[known..]);
         }
+        let kept = self.replicate(demand, &plan.instance, now);
+        let replica = kept.as_ref().map(|kept| Box::new(kept.target.clone()));
         let record = Lease {
             instance: plan.instance.clone(),
             pool: demand.pool.clone(),
+            replica: kept,
         };
         self.leases.insert(lease, record);
         Some(Grant {
@@ -134,6 +146,7 @@
             connections,
             uncached_tokens: plan.footprint.uncached_tokens,
             copy_from: plan.copy_from,
+            replica,
             candidate: plan.candidate,
             revision,
             list_age,
@@ -178,6 +191,9 @@
         let Some(record) = self.leases.remove(&lease) else {
             return Vec::new();
         };
+        if let Some(kept) = &record.replica {
+            self.release_replica(kept);
+        }
         let pool_share = self.pool_failure_share(&record);
         self.ended_lately.insert(record.instance.clone(), now);
         let Some(state) = self.back_ends.get_mut(&record.instance) else {
--- a/crates/coordination/dispatch/src/dispatcher/messages.rs
+++ b/crates/coordination/dispatch/src/dispatcher/messages.rs
@@ -58,6 +58,7 @@
             .retain(|_, ended| now.since(*ended) < OUTCOME_LIFETIME);
         if self.ticks.is_multiple_of(SPLIT_TICKS) {
             self.back_ends.renew_streams_apart(now);
+            self.losses.renew(&self.back_ends, now);
         }
         let mut messages = self.messages_to_zone(now);
         messages.extend(self.zone_digest(now));
--- /dev/null
+++ b/crates/coordination/dispatch/src/dispatcher/replicating.rs
@@ -0,0 +1,76 @@
+//! Replicas of running streams: begun with a place, released with it.
+
+use super::Dispatcher;
+use crate::placement::replication::{holder, is_worth_replica, replica_tokens};
+use crate::placement::view::View;
+use crate::{Demand, LeaseId, ReplicaTarget};
+use eiderferry_routing::{InstanceId, PoolName};
+use eiderferry_types::Timestamp;
+
+/// A replica that is counted at its holder.
+#[derive(Clone, Debug)]
+pub(super) struct KeptReplica {
+    pub(super) target: ReplicaTarget,
+    lease: LeaseId,
+}
+
+impl Dispatcher {
+    /// Chooses the holder of a run's replica, and counts the replica there.
+    pub(super) fn replicate(
+        &mut self,
+        demand: &Demand,
+        source: &InstanceId,
+        now: Timestamp,
+    ) -> Option<KeptReplica> {
+        // A run that was taken over once is not replicated again.
+        if demand.only.is_some() || !self.settings.features.run_replicas {
+            return None;
+        }
+        if !self.keeps_replicas(&demand.pool) {
+            return None;
+        }
+        let view = View {
+            zone: &self.settings.zone,
+            silent_zones: &self.silent_zones,
+            regions: &self.settings.regions,
+            evacuated: &self.evacuated,
+            cold_start: self.cold_start(&demand.pool),
+            now,
+        };
+        let state = self.back_ends.get(source)?;
+        if !is_worth_replica(demand, state.load.failure_share(now), &self.losses) {
+            return None;
+        }
+        let target = holder(&self.back_ends, &view, demand, state, &mut self.random)?;
+        let lease = LeaseId(self.next_lease);
+        self.next_lease += 1;
+        let held_by = self.back_ends.get_mut(&target.instance)?;
+        held_by
+            .load
+            .begin_replica(lease, replica_tokens(demand), now);
+        Some(KeptReplica { target, lease })
+    }
+
+    fn keeps_replicas(&self, pool: &PoolName) -> bool {
+        let table = self.knowledge.table();
+        let pool = table.and_then(|table| table.pool(pool));
+        let engine = pool.and_then(|pool| pool.engine.as_ref());
+        engine.is_some_and(|engine| engine.replicas.is_some())
+    }
+
+    /// The run has ended here: its replica is no longer counted.
+    pub(super) fn release_replica(&mut self, kept: &KeptReplica) {
+        if let Some(state) = self.back_ends.get_mut(&kept.target.instance) {
+            state.load.end_replica(kept.lease);
+        }
+    }
+
+    /// Whether nothing shows that an engine still works: its zone is not heard, it gets no work
+    /// for its failures, or it is listed no longer.
+    pub fn is_unheard(&self, instance: &InstanceId, now: Timestamp) -> bool {
+        let Some(state) = self.back_ends.get(instance) else {
+            return true;
+        };
+        state.health.is_ejected(now) || self.silent_zones.contains(&state.back_end.zone)
+    }
+}
--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -34,4 +34,4 @@
 pub use load::outcomes::{OutcomeCounts, RecentOutcomes};
 pub use load::pacing::StreamPacing;
 pub use placement::candidate::{Candidate, choose};
-pub use placement::demand::{Decision, Demand, Grant, LeaseId, Outcome, PromptPart};
+pub use placement::demand::{Decision, Demand, Grant, LeaseId, Outcome, PromptPart, ReplicaTarget};
--- a/crates/coordination/dispatch/src/load/back_end_load.rs
+++ b/crates/coordination/dispatch/src/load/back_end_load.rs
@@ -48,6 +48,9 @@
     pending_before: u64,
     started: Timestamp,
     begun: Option<Timestamp>,
+    /// Whether only a replica of a request that runs elsewhere is here: it takes memory,
+    /// and no place in the batch.
+    is_replica: bool,
 }
 
 impl Running {
@@ -55,6 +58,14 @@
     fn had_begun(&self, at: Timestamp) -> bool {
         self.begun.is_some_and(|begun| begun <= at)
     }
+
+    fn add_to(&self, occupancy: &mut Occupancy, has_begun: bool) {
+        if self.is_replica {
+            occupancy.single_tokens += u64::from(self.footprint.single_tokens);
+        } else {
+            occupancy.add(&self.footprint, has_begun);
+        }
+    }
 }
 
 /// What all nodes' requests take of a back end together.
@@ -250,7 +261,8 @@
 
     /// Requests of this node there.
     pub fn own_running(&self) -> u32 {
-        self.running.len() as u32
+        let running = self.running.values();
+        running.filter(|running| !running.is_replica).count() as u32
     }
 
     /// Prompt tokens of this node's requests that are still to be read there.
@@ -275,7 +287,7 @@
         let mut own = Occupancy::default();
         for running in self.running.values() {
             // What waits is reckoned with what has been read since, below.
-            own.add(&running.footprint, true);
+            running.add_to(&mut own, true);
         }
         own.pending_tokens = self.own_pending_tokens(now);
         own
@@ -301,7 +313,7 @@
         let mut part = Occupancy::default();
         for running in self.running.values() {
             if sum.at.since(running.started) >= REPORTED_AFTER {
-                part.add(&running.footprint, running.had_begun(sum.at));
+                running.add_to(&mut part, running.had_begun(sum.at));
             }
         }
         part
@@ -405,10 +417,32 @@
             pending_before: self.occupancy(now).pending_tokens,
             started: now,
             begun: None,
+            is_replica: false,
+        };
+        self.running.insert(lease, running);
+    }
+
+    /// A replica of a request that runs elsewhere is kept up here.
+    pub(crate) fn begin_replica(&mut self, lease: LeaseId, tokens: u32, now: Timestamp) {
+        self.own_placed += u64::from(tokens);
+        let running = Running {
+            footprint: Footprint {
+                single_tokens: tokens,
+                ..Footprint::default()
+            },
+            pending_before: 0,
+            started: now,
+            begun: Some(now),
+            is_replica: true,
         };
         self.running.insert(lease, running);
     }
 
+    /// A replica is no longer kept.
+    pub(crate) fn end_replica(&mut self, lease: LeaseId) {
+        self.running.remove(&lease);
+    }
+
     /// The first event of a request came.
     pub(crate) fn first_event(&mut self, lease: LeaseId, now: Timestamp) {
         let Some(running) = self.running.get_mut(&lease) else {
@@ -437,15 +471,19 @@
         self.outcomes.counts(now)
     }
 
-    /// Share of failures among what all nodes have seen end there lately.
-    pub fn failure_share(&self, now: Timestamp) -> f64 {
+    /// What all nodes have seen end there lately.
+    pub(crate) fn recent_outcomes(&self, now: Timestamp) -> OutcomeCounts {
         if let Some(sum) = self.fresh_sum(now) {
             // Its own outcomes count twice: they are a small part, and the newest.
-            return sum.outcomes.plus(self.own_outcomes(now)).failure_share();
+            return sum.outcomes.plus(self.own_outcomes(now));
         }
         let reports = self.fresh(now).map(|report| report.outcomes);
-        let all = reports.fold(self.own_outcomes(now), OutcomeCounts::plus);
-        all.failure_share()
+        reports.fold(self.own_outcomes(now), OutcomeCounts::plus)
+    }
+
+    /// Share of failures among what all nodes have seen end there lately.
+    pub fn failure_share(&self, now: Timestamp) -> f64 {
+        self.recent_outcomes(now).failure_share()
     }
 
     pub(crate) fn end(&mut self, lease: LeaseId, outcome: Outcome, now: Timestamp) {
--- a/crates/coordination/dispatch/src/load/registry.rs
+++ b/crates/coordination/dispatch/src/load/registry.rs
@@ -154,6 +154,11 @@
         }
     }
 
+    /// Names of the pools that have, or had, back ends.
+    pub fn pool_names(&self) -> impl Iterator<Item = &PoolName> {
+        self.pools.keys()
+    }
+
     /// What is learned of a pool's engines; `None` before one of them is listed.
     pub fn model(&self, pool: &PoolName) -> Option<&PoolModel> {
         self.models.get(pool)
--- a/crates/coordination/dispatch/src/placement.rs
+++ b/crates/coordination/dispatch/src/placement.rs
@@ -5,5 +5,6 @@
 pub(crate) mod demand;
 pub(crate) mod eligibility;
 pub(crate) mod planning;
+pub(crate) mod replication;
 pub(crate) mod streams_apart;
 pub(crate) mod view;
--- a/crates/coordination/dispatch/src/placement/candidate.rs
+++ b/crates/coordination/dispatch/src/placement/candidate.rs
@@ -28,7 +28,7 @@
 /// microseconds: the room it takes from other prompts, and the work done twice.
 const READ_AGAIN_PER_TOKEN: u64 = 70;
 /// The same for a token copied from another engine.
-const COPY_PER_TOKEN: u64 = 30;
+pub(crate) const COPY_PER_TOKEN: u64 = 30;
 /// Part of an engine's memory beyond which requests begin to push each other out:
 /// what is known of the others is some hundred milliseconds old.
 const MEMORY_PRESSURE_FROM: f64 = 0.75;
@@ -38,7 +38,7 @@
 
 /// What a failure costs a request that may be sent again, and one that may not.
 const FAILURE: Span = Span::from_milliseconds(800);
-const FAILURE_FOR_GOOD: Span = Span::from_milliseconds(4_000);
+pub(crate) const FAILURE_FOR_GOOD: Span = Span::from_milliseconds(4_000);
 
 /// A back end that could take a request.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/crates/coordination/dispatch/src/placement/demand.rs
+++ b/crates/coordination/dispatch/src/placement/demand.rs
@@ -45,6 +45,19 @@
     pub may_repeat: bool,
     /// Whether an earlier attempt of the same request has reached a back end.
     pub is_repeat: bool,
+    /// Whether it is answered by a stream of events.
+    pub is_stream: bool,
+    /// The only back end that can take it: the holder of its replica.
+    pub only: Option<InstanceId>,
+}
+
+/// The engine that holds a replica of a running request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplicaTarget {
+    /// Engine.
+    pub instance: InstanceId,
+    /// Its address.
+    pub address: SocketAddr,
 }
 
 /// A place on a back end.
@@ -62,6 +75,8 @@
     pub uncached_tokens: u32,
     /// Engine from which it is to copy what it lacks of the prompt.
     pub copy_from: Option<SocketAddr>,
+    /// Engine at which a replica of the run is kept up.
+    pub replica: Option<Box<ReplicaTarget>>,
     /// What was expected of the back end when it was chosen.
     pub candidate: Candidate,
     /// Revision of the list of back ends that the choice rests on.
@@ -101,6 +116,12 @@
 }
 
 impl Demand {
+    /// Whether a back end has not failed it and is not ruled out.
+    pub(crate) fn may_go_to(&self, instance: &InstanceId) -> bool {
+        let is_meant = self.only.as_ref().is_none_or(|only| only == instance);
+        is_meant && !self.excluded.contains(instance)
+    }
+
     /// The parts of the prompt that other requests may share: all but the last.
     pub fn shared_parts(&self) -> &[PromptPart] {
         let count = self.parts.len().saturating_sub(1);
--- a/crates/coordination/dispatch/src/placement/planning.rs
+++ b/crates/coordination/dispatch/src/placement/planning.rs
@@ -105,7 +105,7 @@
     demand: &Demand,
     random: &mut impl Rng,
 ) -> Vec<&'a BackEndState> {
-    let open = |state: &&&BackEndState| !demand.excluded.contains(&state.back_end.instance);
+    let open = |state: &&&BackEndState| demand.may_go_to(&state.back_end.instance);
     let healthy = |state: &&&BackEndState| !state.health.is_ejected(view.now);
     let mut usable: Vec<&BackEndState> = staying
         .iter()
--- a/crates/coordination/dispatch/tests/engine_model.rs
+++ b/crates/coordination/dispatch/tests/engine_model.rs
@@ -11,6 +11,7 @@
 
 fn specification(tokens_per_event: u32) -> EngineSpecification {
     EngineSpecification {
+        replicas: None,
         slots: 64,
         cache_tokens: 300_000,
         tokens_per_event,
--- /dev/null
+++ b/crates/coordination/dispatch/tests/run_replicas.rs
@@ -0,0 +1,306 @@
+//! Which running streams get a replica, where it is held, and who may take a run over.
+
+mod support;
+
+use eiderferry_dispatch::{
+    Change, Content, Decision, Demand, Dispatcher, Features, Grant, Outcome, TICK,
+};
+use eiderferry_routing::{InstanceId, PoolName, RegionName, ReplicaOffer, ZoneName};
+use eiderferry_types::{Span, Timestamp};
+use support::{
+    ENGINES, START, back_end, back_end_change, demand, dispatcher_with_features, granted,
+    table_change, zone,
+};
+
+/// A table whose engines keep replicas for each other.
+fn offering(revision: u64) -> Change {
+    let mut change = table_change(revision);
+    if let Content::Table(table) = &mut change.content {
+        let pool = table.pools.get_mut(&PoolName::from(ENGINES));
+        let engine = pool.and_then(|pool| pool.engine.as_mut());
+        engine.expect("a pool of engines").replicas = Some(ReplicaOffer {
+            lifetime: Span::from_milliseconds(5_000),
+            bytes_per_token: 163_840,
+        });
+    }
+    change
+}
+
+/// Engines 0, 3, 6, ... in zone 0, 1, 4, ... in zone 1 and 2, 5, ... in zone 2, which lies in
+/// another region.
+fn with_table(count: usize, table: Change, features: Features) -> Dispatcher {
+    let mut subject = dispatcher_with_features(features);
+    subject.apply(table, START);
+    for number in 0..count {
+        let name = format!("engine-{number}");
+        subject.apply(
+            back_end_change(back_end(&name, number, number % 3), 2),
+            START,
+        );
+    }
+    subject.confirm(2, START);
+    subject
+}
+
+fn with_zones(count: usize) -> Dispatcher {
+    with_table(count, offering(1), Features::ALL)
+}
+
+/// A stream whose loss no other attempt mends, so short that it is always replicated.
+fn stream(thing: u64) -> Demand {
+    Demand {
+        may_repeat: false,
+        output_tokens: 150,
+        ..demand(thing, 100, 100)
+    }
+}
+
+/// The same with a prompt whose replica only pays where streams are lost.
+fn longer_stream(thing: u64) -> Demand {
+    Demand {
+        may_repeat: false,
+        output_tokens: 290,
+        ..demand(thing, 400, 1_400)
+    }
+}
+
+fn zone_of(instance: &InstanceId) -> ZoneName {
+    let number = &instance.as_str()["engine-".len()..];
+    zone(number.parse::<usize>().expect("a number") % 3)
+}
+
+fn holder(grant: &Grant) -> Option<InstanceId> {
+    grant
+        .replica
+        .as_ref()
+        .map(|replica| replica.instance.clone())
+}
+
+#[test]
+fn a_stream_that_no_other_attempt_mends_is_replicated_in_another_zone_of_its_region() {
+    let mut subject = with_zones(30);
+    for thing in 0..40 {
+        let grant = granted(subject.ask(&stream(thing), START));
+        let holder = holder(&grant).expect("a replica");
+        let (source, held) = (zone_of(&grant.instance), zone_of(&holder));
+        let far = zone(2);
+        if source == far {
+            assert_eq!(held, far, "the only zone of its region");
+        } else {
+            assert!(held != source && held != far, "{source:?} {held:?}");
+        }
+    }
+}
+
+#[test]
+fn nothing_is_replicated_where_it_is_switched_off_or_not_offered() {
+    let off = Features {
+        run_replicas: false,
+        ..Features::ALL
+    };
+    let mut switched_off = with_table(30, offering(1), off);
+    let mut not_offered = with_table(30, table_change(1), Features::ALL);
+    for thing in 0..20 {
+        for subject in [&mut switched_off, &mut not_offered] {
+            assert_eq!(granted(subject.ask(&stream(thing), START)).replica, None);
+        }
+    }
+}
+
+#[test]
+fn what_another_attempt_mends_or_ends_at_once_is_not_replicated() {
+    let mut subject = with_zones(30);
+    let may_repeat = demand(1, 100, 100);
+    let no_stream = Demand {
+        is_stream: false,
+        ..stream(2)
+    };
+    let short = Demand {
+        output_tokens: 20,
+        ..stream(3)
+    };
+    for demand in [may_repeat, no_stream, short] {
+        assert_eq!(granted(subject.ask(&demand, START)).replica, None);
+    }
+}
+
+#[test]
+fn a_longer_stream_is_replicated_while_streams_are_lost_and_some_seconds_longer() {
+    let mut subject = with_zones(12);
+    assert_eq!(granted(subject.ask(&longer_stream(0), START)).replica, None);
+    for thing in 1..=60 {
+        let grant = granted(subject.ask(&longer_stream(thing), START));
+        let outcome = if thing % 5 == 0 {
+            Outcome::Broken
+        } else {
+            Outcome::Completed
+        };
+        subject.end(grant.lease, outcome, START);
+    }
+    let mut now = START;
+    let mut is_replicated_after = |subject: &mut Dispatcher, ticks: u64| {
+        for _ in 0..ticks {
+            now = now + TICK;
+            subject.tick(now);
+        }
+        let grant = granted(subject.ask(&longer_stream(100), now));
+        subject.end(grant.lease, Outcome::Abandoned, now);
+        grant.replica.is_some()
+    };
+    assert!(is_replicated_after(&mut subject, 10));
+    assert!(is_replicated_after(&mut subject, 60));
+    assert!(!is_replicated_after(&mut subject, 400));
+}
+
+#[test]
+fn leaving_and_evacuated_engines_and_forbidden_regions_hold_nothing() {
+    let mut subject = with_zones(4);
+    let mut leaving = back_end("engine-1", 1, 1);
+    leaving.draining = true;
+    subject.apply(back_end_change(leaving, 3), START);
+    // Engines 0 and 3 in zone 0 are left in the region.
+    for thing in 0..20 {
+        let demand = Demand {
+            allowed_regions: eiderferry_routing::AllowedRegions::of(
+                &[RegionName::from("west")],
+                &[],
+            ),
+            ..stream(thing)
+        };
+        let grant = granted(subject.ask(&demand, START));
+        let holder = holder(&grant).expect("a replica");
+        assert_eq!(
+            (zone_of(&grant.instance), zone_of(&holder)),
+            (zone(0), zone(0))
+        );
+        assert_ne!(grant.instance, holder);
+    }
+}
+
+#[test]
+fn replicas_fill_no_engine_beyond_its_part() {
+    let mut subject = with_zones(2);
+    // Of 520,000 tokens 0.6 may be taken with a replica.
+    let large = |thing| Demand {
+        output_tokens: 100_000,
+        ..stream(thing)
+    };
+    // A loss is certain enough that bytes don't matter.
+    for thing in 0..30 {
+        let grant = granted(subject.ask(&stream(thing), START));
+        subject.end(grant.lease, Outcome::Broken, START);
+    }
+    let now = START + Span::from_milliseconds(500);
+    for _ in 0..5 {
+        subject.tick(now);
+    }
+    let replicas = (100..110).filter(|thing| {
+        let decision = subject.ask(&large(*thing), now);
+        matches!(decision, Decision::Grant(grant) if grant.replica.is_some())
+    });
+    let count = replicas.count();
+    assert!(count <= 6, "{count} replicas of 100,000 tokens");
+}
+
+#[test]
+fn a_replica_is_released_with_its_run() {
+    let mut subject = with_zones(2);
+    for thing in 0..3_000 {
+        let grant = granted(subject.ask(&stream(thing), START));
+        assert!(grant.replica.is_some(), "{thing}");
+        subject.end(grant.lease, Outcome::Completed, START);
+    }
+}
+
+fn takeover(holder: &InstanceId) -> Demand {
+    Demand {
+        only: Some(holder.clone()),
+        is_repeat: true,
+        ..stream(1)
+    }
+}
+
+fn lost(subject: &mut Dispatcher, now: Timestamp) -> InstanceId {
+    let grant = granted(subject.ask(&stream(1), now));
+    subject.end(grant.lease, Outcome::Broken, now);
+    holder(&grant).expect("a replica")
+}
+
+#[test]
+fn the_holder_takes_a_lost_run_over_and_is_not_replicated_again() {
+    let mut subject = with_zones(30);
+    let holder = lost(&mut subject, START);
+    let grant = granted(subject.ask(&takeover(&holder), START));
+    assert_eq!((grant.instance, grant.replica), (holder, None));
+}
+
+#[test]
+fn a_holder_that_is_gone_leaving_or_ejected_takes_nothing_over() {
+    let refused = |subject: &mut Dispatcher, holder: &InstanceId| {
+        matches!(subject.ask(&takeover(holder), START), Decision::Refuse(..))
+    };
+    let mut subject = with_zones(30);
+    let holder = lost(&mut subject, START);
+    let number: usize = holder.as_str()["engine-".len()..]
+        .parse()
+        .expect("a number");
+    let mut leaving = back_end(holder.as_str(), number, number % 3);
+    leaving.draining = true;
+    subject.apply(back_end_change(leaving, 9), START);
+    assert!(refused(&mut subject, &holder));
+
+    let mut subject = with_zones(30);
+    let holder = lost(&mut subject, START);
+    let grant = granted(subject.ask(&takeover(&holder), START));
+    subject.end(grant.lease, Outcome::Unreachable, START);
+    assert!(refused(&mut subject, &holder), "ejected");
+
+    let mut subject = with_zones(30);
+    assert!(refused(&mut subject, &InstanceId::from("engine-99")));
+}
+
+#[test]
+fn an_engine_is_unheard_once_it_is_ejected_or_not_listed() {
+    let mut subject = with_zones(30);
+    let grant = granted(subject.ask(&stream(1), START));
+    let instance = grant.instance.clone();
+    assert!(!subject.is_unheard(&instance, START));
+    subject.end(grant.lease, Outcome::Unreachable, START);
+    assert!(subject.is_unheard(&instance, START));
+    assert!(subject.is_unheard(&InstanceId::from("engine-99"), START));
+}
+
+#[test]
+fn an_engine_at_which_nothing_ends_well_holds_no_replica_while_others_do() {
+    let mut subject = with_zones(6);
+    let dead = InstanceId::from("engine-4");
+    for number in 0..60 {
+        let engine = InstanceId::from(format!("engine-{}", number % 6));
+        let only = Demand {
+            only: Some(engine.clone()),
+            ..stream(number)
+        };
+        let Decision::Grant(grant) = subject.ask(&only, START) else {
+            continue;
+        };
+        let outcome = if engine == dead {
+            Outcome::Broken
+        } else {
+            Outcome::Completed
+        };
+        subject.end(grant.lease, outcome, START);
+    }
+    // Its ejection is over, and it looks empty.
+    let later = START + Span::from_milliseconds(1_500);
+    let holders = (400..440).filter_map(|thing| {
+        let grant = granted(subject.ask(&stream(thing), later));
+        let found = holder(&grant);
+        subject.end(grant.lease, Outcome::Completed, later);
+        found
+    });
+    let holders: Vec<InstanceId> = holders.collect();
+    assert!(
+        !holders.is_empty() && !holders.contains(&dead),
+        "{holders:?}"
+    );
+}
--- a/crates/coordination/dispatch/tests/support/mod.rs
+++ b/crates/coordination/dispatch/tests/support/mod.rs
@@ -65,6 +65,7 @@
             slots: 64,
             cache_tokens: 520_000,
             tokens_per_event: 4,
+            replicas: None,
         }),
         cold_start: None,
     };
@@ -127,6 +128,14 @@
     Dispatcher::new(settings(number, zone_number, seeds, apply_within))
 }
 
+/// A dispatcher of node 0 with some parts switched off.
+pub fn dispatcher_with_features(features: Features) -> Dispatcher {
+    Dispatcher::new(DispatcherSettings {
+        features,
+        ..settings(0, 0, Vec::new(), APPLY_WITHIN)
+    })
+}
+
 fn settings(
     number: usize,
     zone_number: usize,
@@ -191,6 +200,8 @@
         excluded: Vec::new(),
         may_repeat: true,
         is_repeat: false,
+        is_stream: true,
+        only: None,
     }
 }
 
--- a/crates/state/routing/src/lib.rs
+++ b/crates/state/routing/src/lib.rs
@@ -19,7 +19,7 @@
 pub use identity::{InstanceId, NodeName, PartId, PoolName, RegionName, ZoneName};
 pub use regions::{AllowedRegions, RegionOfZone};
 pub use table::{
-    EngineSpecification, Limits, Pool, Route, RouteKind, RouteMatch, RoutingTable, Split,
-    TableDocument, Tenant,
+    EngineSpecification, Limits, Pool, ReplicaOffer, Route, RouteKind, RouteMatch, RoutingTable,
+    Split, TableDocument, Tenant,
 };
 pub use urgency::URGENCY_LEVELS;
--- a/crates/state/routing/src/table.rs
+++ b/crates/state/routing/src/table.rs
@@ -97,6 +97,17 @@
     pub cache_tokens: u64,
     /// Tokens that one event of a stream holds.
     pub tokens_per_event: u32,
+    /// Replicas of running requests that engines keep for each other, where they do.
+    pub replicas: Option<ReplicaOffer>,
+}
+
+/// How the engines of a pool keep replicas of each other's running requests.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaOffer {
+    /// Time after its last growth for which a replica that nobody uses is kept.
+    pub lifetime: Span,
+    /// Bytes that one token takes on the way.
+    pub bytes_per_token: u32,
 }
 
 /// A pool of interchangeable back ends.
--- a/crates/transport/relay/src/attempts.rs
+++ b/crates/transport/relay/src/attempts.rs
@@ -85,6 +85,7 @@
         unreachable: 0,
         excluded: Vec::new(),
         may_have_run: false,
+        replica: None,
         status: 0,
         progress,
         is_over: false,
@@ -139,11 +140,12 @@
 
     /// One attempt at a back end. The exchange comes back unless a stream holds it.
     async fn attempt(mut self, lease: Lease) -> (Option<Self>, AttemptEnd) {
-        match self.send(&lease, None).await {
+        self.replica = lease.grant.replica.clone();
+        match self.send(&lease).await {
             Err(outcome) => {
                 metrics::attempt(outcome.as_str());
                 lease.end(outcome);
-                (Some(self), AttemptEnd::None(outcome))
+                self.attempt_lost(outcome).await
             }
             Ok((response, connection)) if is_event_stream(&response) => {
                 StreamRelay::start(self, lease, response, connection).await
@@ -155,6 +157,20 @@
         }
     }
 
+    /// An attempt that got no head of an answer: a run that broke off may go on from its
+    /// replica.
+    async fn attempt_lost(mut self, outcome: Outcome) -> (Option<Self>, AttemptEnd) {
+        if outcome != Outcome::Broken {
+            return (Some(self), AttemptEnd::None(outcome));
+        }
+        match self.take_over(None).await {
+            Some((lease, response, connection)) => {
+                StreamRelay::start(self, lease, response, connection).await
+            }
+            None => (Some(self), AttemptEnd::None(outcome)),
+        }
+    }
+
     async fn whole_answer(
         &mut self,
         lease: Lease,
--- a/crates/transport/relay/src/control.rs
+++ b/crates/transport/relay/src/control.rs
@@ -10,7 +10,7 @@
     Applied, Change, Decision, Demand, Dispatcher, DocumentKey, Envelope, LeaseId, Outcome,
     ReadingDuty, StreamPacing, TICK, TakenNews,
 };
-use eiderferry_routing::{RoutingTable, ZoneName};
+use eiderferry_routing::{InstanceId, RoutingTable, ZoneName};
 use eiderferry_types::{Span, Timestamp};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
@@ -45,6 +45,11 @@
     FirstEvent(LeaseId),
     /// A place is given back.
     End(LeaseId, Outcome, StreamPacing),
+    /// Whether nothing shows that a back end still works.
+    IsUnheard {
+        instance: InstanceId,
+        reply: async_channel::Sender<bool>,
+    },
     /// A planned stop has begun.
     Stop,
 }
@@ -72,6 +77,13 @@
         answer.recv().await.ok()
     }
 
+    /// Whether nothing shows that a back end still works.
+    pub async fn is_unheard(&self, instance: InstanceId) -> bool {
+        let (reply, answer) = async_channel::bounded(1);
+        let asked = self.commands.send(Command::IsUnheard { instance, reply });
+        asked.await.is_ok() && answer.recv().await.unwrap_or(false)
+    }
+
     pub fn first_event(&self, lease: LeaseId) {
         self.tell(Command::FirstEvent(lease));
     }
@@ -167,6 +179,9 @@
                     events::back_end_standing(&instance, change, outcome);
                 }
             }
+            Command::IsUnheard { instance, reply } => {
+                let _ = reply.try_send(dispatcher.is_unheard(&instance, now));
+            }
             Command::Stop => dispatcher.stop(),
         }
     }
--- a/crates/transport/relay/src/events.rs
+++ b/crates/transport/relay/src/events.rs
@@ -175,7 +175,8 @@
         own_late_percent = percent(candidate.own_late_event),
         others_late_percent = percent(candidate.others_late),
         memory_percent = percent(candidate.memory), revision = grant.revision,
-        list_age_ms = grant.list_age.milliseconds();
+        list_age_ms = grant.list_age.milliseconds(),
+        replica_at = grant.replica.as_ref().map_or("", |replica| replica.instance.as_str());
         "granted"
     );
 }
@@ -206,6 +207,24 @@
     );
 }
 
+/// A lost run goes on at the engine that holds its replica.
+pub(crate) fn taken_over(id: &str, back_end: &str, after_event: u64, waited: Span) {
+    log::warn!(
+        event = "taken_over", request = id, back_end = back_end, after_event = after_event,
+        waited_ms = waited.milliseconds();
+        "run continued from its replica"
+    );
+}
+
+/// A lost run could not go on from its replica.
+pub(crate) fn replica_refused(id: &str, back_end: &str, reason: &str, waited: Span) {
+    log::warn!(
+        event = "replica_refused", request = id, back_end = back_end, reason = reason,
+        waited_ms = waited.milliseconds();
+        "replica not used"
+    );
+}
+
 /// A back end's part of a stream is over.
 pub(crate) fn stream_paced(id: &str, pacing: &StreamPacing, started: Timestamp) {
     let spacing = pacing.spacing().unwrap_or_default();
--- a/crates/transport/relay/src/exchange.rs
+++ b/crates/transport/relay/src/exchange.rs
@@ -11,8 +11,8 @@
 use crate::upstream::Upstream;
 use crate::vocabulary::Vocabulary;
 use crate::{events, metrics};
-use eiderferry_dispatch::{Decision, Demand, Outcome};
-use eiderferry_routing::{InstanceId, PoolName};
+use eiderferry_dispatch::{Decision, Demand, Outcome, ReplicaTarget};
+use eiderferry_routing::{InstanceId, PoolName, RouteKind};
 use eiderferry_types::{Reason, Span, Timestamp};
 use http::Response;
 use std::rc::Rc;
@@ -52,6 +52,8 @@
     pub unreachable: u32,
     pub excluded: Vec<InstanceId>,
     pub may_have_run: bool,
+    /// Engine that holds a replica of the run, until it has been asked for it.
+    pub replica: Option<Box<ReplicaTarget>>,
     pub status: u16,
     pub progress: Progress,
     pub is_over: bool,
@@ -120,6 +122,11 @@
 
     /// Asks for a place.
     pub async fn ask(&mut self) -> Result<Lease, OwnAnswer> {
+        self.ask_at(None).await
+    }
+
+    /// Asks for a place at any back end, or at one alone.
+    pub async fn ask_at(&mut self, only: Option<InstanceId>) -> Result<Lease, OwnAnswer> {
         let now = self.traffic.clock.now();
         let demand = Demand {
             pool: self.pool.clone(),
@@ -134,6 +141,8 @@
             excluded: self.excluded.clone(),
             may_repeat: self.head.route.may_repeat(),
             is_repeat: self.attempts > 0,
+            is_stream: self.head.route.kind == RouteKind::Streaming,
+            only,
         };
         let is_first = self.attempts == 0 && self.unreachable == 0;
         let decision = self.traffic.control.ask(demand, is_first).await;
@@ -144,6 +153,9 @@
                 events::granted(&head.id, &head.route.name, head.rank, attempt, &grant);
                 let kept = head.prompt_tokens.saturating_sub(grant.uncached_tokens);
                 metrics::prompt(kept, grant.uncached_tokens);
+                if grant.replica.is_some() {
+                    metrics::replica_begun();
+                }
                 let control = self.traffic.control.clone();
                 Ok(Lease::new(grant, control, self.traffic.clock.now()))
             }
--- a/crates/transport/relay/src/failover.rs
+++ b/crates/transport/relay/src/failover.rs
@@ -1,23 +1,129 @@
-//! Streams that break off and go on at another back end.
+//! Streams that break off and go on at another back end: from a replica of their run, or by
+//! a new run where their route may be resumed.
+//!
+//! A run is taken over once at most, and only after the connection to its engine was closed.
 
 use crate::event_stream::EventSplitter;
-use crate::events;
+use crate::exchange::Exchange;
+use crate::forwarding::is_event_stream;
 use crate::lease::Lease;
+use crate::sending::After;
 use crate::stream::{Source, StreamRelay};
 use crate::upstream::Connection;
+use crate::{events, metrics};
 use eiderferry_dispatch::{Outcome, StreamPacing};
+use eiderferry_types::Span;
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
 
+/// Longest pause of a stream before it goes on elsewhere, in its targets for pauses; and the
+/// longest wait for the holder of a replica.
+const PAUSE_TARGETS: u64 = 3;
+/// Shortest pause that makes a stream go on elsewhere. Callers give a stream up after 2 s
+/// without an event, or more.
+const MINIMUM_PAUSE: Span = Span::from_milliseconds(1_500);
+
+/// A back end's answer: its place, its head with its body, and its connection.
+type Answering = (Lease, Response<Incoming>, Connection);
+
+impl Exchange {
+    /// Longest pause between two events before a stream goes on elsewhere.
+    pub(crate) fn pause_patience(&self) -> Span {
+        let pause = self.head.route.pause_target.unwrap_or(MINIMUM_PAUSE);
+        Span(pause.0 * PAUSE_TARGETS).max(MINIMUM_PAUSE)
+    }
+
+    /// Continues a lost run at the engine that holds its replica, if there is one.
+    pub(crate) async fn take_over(&mut self, last_id: Option<u64>) -> Option<Answering> {
+        let holder = self.replica.take()?;
+        let begun = self.traffic.clock.now();
+        if begun >= self.deadline {
+            return None;
+        }
+        let result = match self.ask_at(Some(holder.instance.clone())).await {
+            Ok(lease) => self.continue_at(lease, last_id).await,
+            Err(_) => Err("holder_not_eligible"),
+        };
+        let waited = self.traffic.clock.now().since(begun);
+        let (id, engine) = (&self.head.id, holder.instance.as_str());
+        match result {
+            Ok(answering) => {
+                metrics::takeover("taken_over", waited);
+                events::taken_over(id, engine, last_id.unwrap_or(0), waited);
+                Some(answering)
+            }
+            Err(reason) => {
+                metrics::takeover(reason, waited);
+                events::replica_refused(id, engine, reason, waited);
+                None
+            }
+        }
+    }
+
+    async fn continue_at(
+        &mut self,
+        lease: Lease,
+        last_id: Option<u64>,
+    ) -> Result<Answering, &'static str> {
+        let replica = format!("{}/{}", lease.grant.address, self.head.id);
+        let after = After {
+            last_event_id: Some(last_id.unwrap_or(0)),
+            resume_from: Some(replica),
+            patience: self.pause_patience(),
+        };
+        match self.send_after(&lease, after).await {
+            Ok((response, connection))
+                if response.status() == StatusCode::OK && is_event_stream(&response) =>
+            {
+                Ok((lease, response, connection))
+            }
+            Ok(_) => {
+                lease.end(Outcome::Failed);
+                Err(Outcome::Failed.as_str())
+            }
+            Err(Outcome::Shed) => {
+                // It has no replica, which says nothing of its health.
+                lease.end(Outcome::Abandoned);
+                Err("no_replica")
+            }
+            Err(outcome) => {
+                lease.end(outcome);
+                Err(outcome.as_str())
+            }
+        }
+    }
+}
+
 impl StreamRelay {
+    /// Goes on after its source was lost; whether it does.
+    pub(crate) async fn go_on(&mut self) -> bool {
+        self.take_over().await || self.resume().await
+    }
+
+    /// Continues from the replica of its run; whether it does.
+    pub(crate) async fn take_over(&mut self) -> bool {
+        let last_id = self.splitter.last_id();
+        match self.exchange.take_over(last_id).await {
+            Some((lease, response, connection)) => {
+                self.take_source(lease, response, connection);
+                true
+            }
+            None => false,
+        }
+    }
+
     /// Takes the stream up at another back end.
-    pub(crate) async fn resume(&mut self) -> bool {
+    async fn resume(&mut self) -> bool {
         while self.exchange.may_try_again() {
             let Ok(lease) = self.exchange.ask().await else {
                 return false;
             };
             let last_id = self.splitter.last_id();
-            let sent = self.exchange.send(&lease, last_id).await;
+            let after = After {
+                last_event_id: last_id,
+                ..After::default()
+            };
+            let sent = self.exchange.send_after(&lease, after).await;
             match sent {
                 Ok((response, connection)) if response.status() == StatusCode::OK => {
                     let back_end = lease.grant.instance.as_str();
--- a/crates/transport/relay/src/forwarding.rs
+++ b/crates/transport/relay/src/forwarding.rs
@@ -44,6 +44,8 @@
     pub urgency: u8,
     pub tenant: Option<&'a str>,
     pub last_event_id: Option<u64>,
+    /// Replica from which the run is continued.
+    pub resume_from: Option<String>,
 }
 
 impl ForwardedRequest {
@@ -67,6 +69,12 @@
         if let Some(address) = told.grant.copy_from {
             set(&vocabulary.copy_from, &address.to_string());
         }
+        if let Some(replica) = &told.grant.replica {
+            set(&vocabulary.replica_at, &replica.address.to_string());
+        }
+        if let Some(replica) = &told.resume_from {
+            set(&vocabulary.resume_from, replica);
+        }
         if let Some(id) = told.last_event_id {
             set(&vocabulary.last_event_id, &id.to_string());
         }
--- a/crates/transport/relay/src/metrics.rs
+++ b/crates/transport/relay/src/metrics.rs
@@ -73,6 +73,18 @@
     metrics::counter!("eiderferry_attempts_total", "outcome" => outcome).increment(1);
 }
 
+/// A run got a replica.
+pub(crate) fn replica_begun() {
+    metrics::counter!("eiderferry_run_replicas_total").increment(1);
+}
+
+/// A lost run was, or was not, continued from its replica; the wait for the holder's word.
+pub(crate) fn takeover(outcome: &'static str, waited: Span) {
+    metrics::counter!("eiderferry_takeovers_total", "outcome" => outcome).increment(1);
+    metrics::histogram!("eiderferry_takeover_seconds", "outcome" => outcome)
+        .record(waited.seconds());
+}
+
 /// A message between nodes was lost here.
 pub(crate) fn message_lost(step: &'static str) {
     metrics::counter!("eiderferry_messages_lost_total", "step" => step).increment(1);
--- a/crates/transport/relay/src/sending.rs
+++ b/crates/transport/relay/src/sending.rs
@@ -22,24 +22,53 @@
 /// The same besides, in expected times to the first event.
 const EXPECTED_TIMES: u64 = 2;
 
+/// How far a run had come elsewhere.
+pub(crate) struct After {
+    /// Number of the last event that was passed on.
+    pub last_event_id: Option<u64>,
+    /// Replica from which it is continued.
+    pub resume_from: Option<String>,
+    /// Longest wait for the head of the answer.
+    pub patience: Span,
+}
+
+impl Default for After {
+    fn default() -> Self {
+        Self {
+            last_event_id: None,
+            resume_from: None,
+            patience: Span(u64::MAX),
+        }
+    }
+}
+
 impl Exchange {
     /// Sends the request to a back end and waits for the head of its answer.
     pub async fn send(
         &mut self,
         lease: &Lease,
-        last_event_id: Option<u64>,
+    ) -> Result<(Response<Incoming>, Connection), Outcome> {
+        self.send_after(lease, After::default()).await
+    }
+
+    /// The same for a run that has begun elsewhere.
+    pub async fn send_after(
+        &mut self,
+        lease: &Lease,
+        after: After,
     ) -> Result<(Response<Incoming>, Connection), Outcome> {
         let told = Told {
             grant: &lease.grant,
             left: self.traffic.clock.now().until(self.deadline),
             urgency: self.head.urgency,
             tenant: self.head.tenant.as_deref(),
-            last_event_id,
+            last_event_id: after.last_event_id,
+            resume_from: after.resume_from,
         };
         let request = self.request.attempt(&self.traffic.vocabulary, &told);
         self.progress.note_sent();
         let may_repeat = self.head.route.may_repeat();
-        let limit = self.head_deadline(lease);
+        let limit = self.head_deadline(lease).min(after.patience);
         let timeout = async {
             smol::Timer::after(duration(limit)).await;
             None
--- a/crates/transport/relay/src/stream.rs
+++ b/crates/transport/relay/src/stream.rs
@@ -18,11 +18,6 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-/// Longest pause of a resumable stream, in its targets for pauses.
-const PAUSE_TARGETS: u64 = 3;
-/// Shortest pause that makes a resumable stream go on elsewhere.
-const MINIMUM_PAUSE: Span = Span::from_milliseconds(1_500);
-
 /// What came next of a stream.
 enum Piece {
     Events(Bytes),
@@ -69,7 +64,18 @@
             splitter: EventSplitter::default(),
             ready: None,
         };
-        match relay.next_piece(true).await {
+        let mut piece = relay.next_piece(true).await;
+        if let Piece::Broken(outcome) = piece
+            && relay.exchange.replica.is_some()
+        {
+            relay.note_break(outcome);
+            relay.finish_source(outcome);
+            if !relay.take_over().await {
+                return (Some(relay.exchange), AttemptEnd::None(outcome));
+            }
+            piece = relay.next_piece(true).await;
+        }
+        match piece {
             Piece::Events(events) => {
                 relay.note_first_event();
                 relay.ready = Some(events);
@@ -127,7 +133,7 @@
                 Piece::Broken(outcome) => {
                     self.note_break(outcome);
                     self.finish_source(outcome);
-                    if !self.resume().await {
+                    if !self.go_on().await {
                         self.exchange.end("broken_off");
                         return Some((Err(BrokenAnswer::BackEnd), self));
                     }
@@ -150,7 +156,11 @@
             };
             let frame = async { Some(source.body.frame().await) }.or(timeout).await;
             match frame {
-                None if limit < left => return Piece::Broken(Outcome::Silent),
+                None if limit < left => {
+                    if self.is_given_up().await {
+                        return Piece::Broken(Outcome::Silent);
+                    }
+                }
                 None => return Piece::TimedOut,
                 Some(Some(Err(_))) => return Piece::Broken(Outcome::Broken),
                 Some(None) if self.splitter.has_partial_event() => {
@@ -180,8 +190,7 @@
 
     /// Longest silence before the stream goes on elsewhere.
     fn patience(&self, is_first: bool) -> Span {
-        let route = &self.exchange.head.route;
-        if !self.exchange.may_try_again() {
+        if !self.exchange.may_try_again() && self.exchange.replica.is_none() {
             return Span(u64::MAX);
         }
         let expected = self.source.as_ref().map_or(Span::ZERO, |source| {
@@ -190,8 +199,21 @@
         if is_first {
             return self.exchange.first_event_patience(expected);
         }
-        let pause = route.pause_target.unwrap_or(MINIMUM_PAUSE);
-        Span(pause.0 * PAUSE_TARGETS).max(MINIMUM_PAUSE)
+        self.exchange.pause_patience()
+    }
+
+    /// Whether a silent source is left. One whose run has a replica, and can't be asked for
+    /// again otherwise, is left only if nothing else shows that it works: a slow engine is
+    /// no faster for being changed.
+    async fn is_given_up(&self) -> bool {
+        if self.exchange.may_try_again() {
+            return true;
+        }
+        let Some(source) = &self.source else {
+            return true;
+        };
+        let instance = source.lease.grant.instance.clone();
+        self.exchange.traffic.control.is_unheard(instance).await
     }
 
     fn note_break(&self, outcome: Outcome) {
--- a/crates/transport/relay/src/vocabulary.rs
+++ b/crates/transport/relay/src/vocabulary.rs
@@ -26,6 +26,10 @@
     pub length_hint: HeaderName,
     /// Engine from which a back end copies what it lacks of a prompt.
     pub copy_from: HeaderName,
+    /// Engine at which a replica of the run is to be kept up.
+    pub replica_at: HeaderName,
+    /// Replica from which a run is continued: `ADDRESS/REQUEST`.
+    pub resume_from: HeaderName,
     /// Where a stream is taken up.
     pub last_event_id: HeaderName,
     /// Model that a request asks for.
@@ -44,6 +48,8 @@
             &self.expected_instance,
             &self.urgency,
             &self.copy_from,
+            &self.replica_at,
+            &self.resume_from,
         ];
         told.into_iter().chain(&self.commands)
     }
--- a/crates/transport/relay/tests/support/mod.rs
+++ b/crates/transport/relay/tests/support/mod.rs
@@ -199,6 +199,8 @@
         prompt_parts: HeaderName::from_static("prompt-parts"),
         length_hint: HeaderName::from_static("length-hint"),
         copy_from: HeaderName::from_static("copy-from"),
+        replica_at: HeaderName::from_static("replica-at"),
+        resume_from: HeaderName::from_static("resume-from"),
         last_event_id: HeaderName::from_static("last-event-id"),
         model: HeaderName::from_static("model"),
         commands: vec![HeaderName::from_static("reserve")],
