Replicas: of streams over 400 tokens only while something fails

Change: the chance of loss while nothing failed lately is 0.3 % in place of 1.2 %. The change itself: not measured yet. Tests: run_replicas of dispatch (12) and relay (10) pass.

--- a/crates/coordination/dispatch/src/placement/replication.rs
+++ b/crates/coordination/dispatch/src/placement/replication.rs
@@ -15,8 +15,9 @@
 use std::collections::HashMap;
 
 /// Chance that a stream is lost while nothing has failed lately: engines crash without a
-/// warning. With it, streams of up to 1,600 tokens are always replicated.
-const USUAL_LOSS: f64 = 0.012;
+/// warning. With it, streams of up to 400 tokens are always replicated. With 1.2 %, up to 1,600
+/// tokens, a quiet day of 60 engines moved 1,099 GB in place of 91 and saved no stream.
+const USUAL_LOSS: f64 = 0.003;
 /// Part of a chance of loss that is left at the next look half a second later without new
 /// failures: half of it after 5 s, so that a spell of failures counts beyond the 4 s for
 /// which outcomes are told.
