--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -8,6 +8,7 @@
 mod home_scopes;
 mod messages;
 mod reading;
+mod replicating;
 mod turns;
 mod unknown_names;
 mod zone_digest;
@@ -27,6 +28,7 @@
 use crate::load::registry::Registry;
 use crate::placement::places::RoundTrips;
 use crate::placement::pool_split::LongSilent;
+use crate::placement::replication::LossChances;
 use crate::{
     Applied, Border, BudgetSettings, Change, ColdBound, ColdDuty, Content, DocumentKey, Envelope,
     Features, Gossip, Knowledge, LeaseId, PeerChange, Peers, Placement, RetryBudget, SplitChange,
@@ -185,6 +187,8 @@
     long_silent: LongSilent,
     /// Zones whose back ends get nothing new.
     evacuated: BTreeSet<ZoneName>,
+    /// How likely a stream of each pool is to be lost.
+    losses: LossChances,
     random: ChaCha8Rng,
 }
 
@@ -228,6 +232,7 @@
             home_scopes: HomeScopes::default(),
             long_silent: LongSilent::default(),
             evacuated: BTreeSet::new(),
+            losses: LossChances::default(),
             random,
         }
     }
--- a/crates/coordination/dispatch/src/dispatcher/granting.rs
+++ b/crates/coordination/dispatch/src/dispatcher/granting.rs
@@ -1,10 +1,12 @@
 //! Places at back ends: granted, refused and given back.
 
 use super::Dispatcher;
+use super::replicating::KeptReplica;
 use crate::load::health::HealthChange;
 use crate::load::registry::BackEndState;
 use crate::placement::eligibility::refusal;
 use crate::placement::planning::{Plan, plans};
+use crate::placement::replication::may_take_over;
 use crate::placement::view::View;
 use crate::{
     Candidate, Decision, Demand, Grant, LeaseId, Outcome, Placement, PromptPart, RetryBudget,
@@ -43,6 +45,7 @@
 pub(super) struct Lease {
     pub(super) instance: InstanceId,
     pool: PoolName,
+    replica: Option<KeptReplica>,
 }
 
 impl Dispatcher {
@@ -75,6 +78,11 @@
             costs_places: self.settings.features.place_costs,
             now,
         };
+        if let Some(holder) = &demand.only
+            && !may_take_over(&self.back_ends, &view, demand, holder)
+        {
+            return Decision::Refuse(Reason::NoBackEnd, NO_BACK_END_RETRY);
+        }
         let mut plans = plans(&self.back_ends, &view, demand, &mut self.random);
         let candidates: Vec<Candidate> = plans.iter().map(|plan| plan.candidate).collect();
         let Some(index) = choose(&candidates) else {
@@ -82,7 +90,9 @@
             return Decision::Refuse(reason, retry_after(reason));
         };
         let candidate = candidates[index];
-        if candidate.running >= self.most_running(demand, candidate.slots) {
+        // An engine admits the request whose replica it holds before all others.
+        let is_takeover = demand.only.is_some();
+        if !is_takeover && candidate.running >= self.most_running(demand, candidate.slots) {
             return Decision::Refuse(Reason::QueueFull, OVERLOAD_RETRY);
         }
         if demand.is_repeat {
@@ -129,9 +139,12 @@
         let address = state.back_end.address;
         let placements = placements(state.digest, demand.shared_parts());
         self.tell_placements(&placements);
+        let kept = self.replicate(demand, &plan.instance, now);
+        let replica = kept.as_ref().map(|kept| Box::new(kept.target.clone()));
         let record = Lease {
             instance: plan.instance.clone(),
             pool: demand.pool.clone(),
+            replica: kept,
         };
         self.leases.insert(lease, record);
         Some(Grant {
@@ -142,7 +155,8 @@
             uncached_tokens: plan.footprint.uncached_tokens,
             cache_known,
             copy_from: plan.copy_from,
-            candidate: plan.candidate,
+            replica,
+            candidate: Box::new(plan.candidate),
             revision,
             list_age,
         })
@@ -186,6 +200,9 @@
         let Some(record) = self.leases.remove(&lease) else {
             return Vec::new();
         };
+        if let Some(kept) = &record.replica {
+            self.release_replica(kept);
+        }
         let pool_share = self.pool_failure_share(&record);
         self.ended_lately.insert(record.instance.clone(), now);
         let Some(state) = self.back_ends.get_mut(&record.instance) else {
--- a/crates/coordination/dispatch/src/dispatcher/messages.rs
+++ b/crates/coordination/dispatch/src/dispatcher/messages.rs
@@ -40,6 +40,8 @@
 /// What a message may take on its way, the rounding of ages included: without it a
 /// confirmation that is passed on and back grows younger.
 const ON_THE_WAY: Span = Span::from_milliseconds(10);
+/// Ticks between two looks at how likely streams are to be lost.
+const LOSS_TICKS: u64 = 5;
 /// Ticks between two looks at whether streams are placed apart.
 const SPLIT_TICKS: u64 = 5;
 /// Most changes that one message carries.
@@ -60,6 +62,9 @@
             .retain(|_, ended| now.since(*ended) < OUTCOME_LIFETIME);
         self.expire_home_scopes();
         let split_changes = self.renew_splits(now);
+        if self.ticks.is_multiple_of(LOSS_TICKS) {
+            self.losses.renew(&self.back_ends, now);
+        }
         let mut messages = self.messages_to_zone(now);
         messages.extend(self.zone_digest(now));
         if self.ticks.is_multiple_of(FAR_TICKS) {
--- a/crates/coordination/dispatch/tests/support/mod.rs
+++ b/crates/coordination/dispatch/tests/support/mod.rs
@@ -73,6 +73,7 @@
             cache_tokens: 520_000,
             tokens_per_event: 4,
             cache_event_calls,
+            replicas: None,
         }),
         cold_start: None,
     };
@@ -236,6 +237,8 @@
         excluded: Vec::new(),
         may_repeat: true,
         is_repeat: false,
+        is_stream: true,
+        only: None,
     }
 }
 
--- a/crates/transport/relay/src/control.rs
+++ b/crates/transport/relay/src/control.rs
@@ -50,6 +50,11 @@
     End(LeaseId, Outcome, StreamPacing),
     /// A connection to a back end came up within so long.
     Connected(InstanceId, Span),
+    /// Whether nothing shows that a back end still works.
+    IsUnheard {
+        instance: InstanceId,
+        reply: async_channel::Sender<bool>,
+    },
     /// A planned stop has begun.
     Stop,
 }
@@ -77,6 +82,13 @@
         answer.recv().await.ok()
     }
 
+    /// Whether nothing shows that a back end still works.
+    pub async fn is_unheard(&self, instance: InstanceId) -> bool {
+        let (reply, answer) = async_channel::bounded(1);
+        let asked = self.commands.send(Command::IsUnheard { instance, reply });
+        asked.await.is_ok() && answer.recv().await.unwrap_or(false)
+    }
+
     pub fn first_event(&self, lease: LeaseId) {
         self.tell(Command::FirstEvent(lease));
     }
@@ -179,6 +191,9 @@
             Command::Connected(instance, round_trip) => {
                 dispatcher.note_round_trip(&instance, round_trip);
             }
+            Command::IsUnheard { instance, reply } => {
+                let _ = reply.try_send(dispatcher.is_unheard(&instance, now));
+            }
             Command::Stop => dispatcher.stop(),
         }
     }
--- a/crates/transport/relay/src/lib.rs
+++ b/crates/transport/relay/src/lib.rs
@@ -8,6 +8,7 @@
 #![forbid(unsafe_code)]
 
 mod answer;
+mod attempts;
 mod cache_follower;
 mod caller_socket;
 mod clock;
@@ -16,6 +17,7 @@
 mod event_stream;
 mod events;
 mod exchange;
+mod failover;
 mod forwarding;
 mod gossip;
 mod lease;
@@ -28,6 +30,7 @@
 mod read_ahead;
 mod request_head;
 mod request_memory;
+mod sending;
 mod server;
 mod settings;
 mod stream;
--- a/crates/transport/relay/src/server.rs
+++ b/crates/transport/relay/src/server.rs
@@ -1,8 +1,9 @@
 //! Callers' connections, readiness and metrics.
 
 use crate::answer::RelayBody;
+use crate::attempts;
 use crate::caller_socket::{CallerSocket, Sending, SentBody};
-use crate::exchange::{self, Traffic};
+use crate::exchange::Traffic;
 use crate::own_answer::OwnAnswer;
 use crate::progress::Progress;
 use crate::read_ahead::{CurrentStream, ReadAhead, SentStream, poll_current};
@@ -162,7 +163,7 @@
             progress.last_answer().response()
         };
         let traffic = Rc::clone(&self.traffic);
-        let response = exchange::serve(traffic, request, progress.clone())
+        let response = attempts::serve(traffic, request, progress.clone())
             .or(ending)
             .await;
         let response = response.map(|body| match body {
--- a/crates/transport/relay/tests/support/mod.rs
+++ b/crates/transport/relay/tests/support/mod.rs
@@ -11,8 +11,8 @@
     Vocabulary,
 };
 use eiderferry_routing::{
-    BackEnd, EngineSpecification, InstanceId, Limits, NodeName, PartId, Pool, PoolName, Route,
-    RouteKind, Split, TableDocument, Tenant, ZoneName,
+    BackEnd, EngineSpecification, InstanceId, Limits, NodeName, PartId, Pool, PoolName,
+    ReplicaOffer, Route, RouteKind, Split, TableDocument, Tenant, ZoneName,
 };
 use eiderferry_types::Span;
 use http::HeaderName;
@@ -227,6 +227,8 @@
         prompt_parts: HeaderName::from_static("prompt-parts"),
         length_hint: HeaderName::from_static("length-hint"),
         copy_from: HeaderName::from_static("copy-from"),
+        replica_at: HeaderName::from_static("replica-at"),
+        resume_from: HeaderName::from_static("resume-from"),
         last_event_id: HeaderName::from_static("last-event-id"),
         model: HeaderName::from_static("model"),
         commands: vec![HeaderName::from_static("reserve")],
@@ -238,6 +240,7 @@
     cache_tokens: 500_000,
     tokens_per_event: 1,
     cache_event_calls: 4,
+    replicas: None,
 };
 
 fn numbers(body: &[u8]) -> Result<Vec<Vec<u64>>, UnreadableAnswer> {
@@ -314,7 +317,21 @@
     }
 }
 
-fn table() -> TableDocument {
+/// Engines that keep replicas of each other's running requests.
+fn engine() -> EngineSpecification {
+    EngineSpecification {
+        slots: 64,
+        cache_tokens: 400_000,
+        tokens_per_event: 4,
+        cache_event_calls: 0,
+        replicas: Some(ReplicaOffer {
+            lifetime: Span::from_milliseconds(5_000),
+            bytes_per_token: 163_840,
+        }),
+    }
+}
+
+fn table(engine: Option<EngineSpecification>) -> TableDocument {
     let mut resumable = route("resumable", RouteKind::Streaming, 2);
     resumable.is_resumable = true;
     let mut quick = route("quick", RouteKind::NotRepeatable, 1);
@@ -327,10 +344,12 @@
     patient_urgent.rank = 1;
     let mut patient_read = route("patient-read", RouteKind::Repeatable, 1);
     patient_read.timeout = Span::from_milliseconds(60_000);
+    let mut paced = route("paced", RouteKind::Streaming, 1);
+    paced.pause_target = Some(Span::from_milliseconds(100));
     let pool = Pool {
         health_path: "/health".to_owned(),
         maximum_connections: 400,
-        engine: None,
+        engine,
         cold_start: None,
     };
     TableDocument {
@@ -344,6 +363,7 @@
             patient,
             patient_urgent,
             patient_read,
+            paced,
         ],
         pools: BTreeMap::from([(PoolName::from("pool"), pool)]),
         limits: Limits {
@@ -361,7 +381,7 @@
     }
 }
 
-fn changes(back_ends: &[SocketAddr]) -> Vec<Change> {
+fn changes(back_ends: &[SocketAddr], engine: Option<EngineSpecification>) -> Vec<Change> {
     let listed = back_ends.iter().enumerate().map(|(number, address)| {
         let instance = InstanceId::from(format!("i-{number}"));
         Change {
@@ -381,7 +401,7 @@
     let table = Change {
         key: DocumentKey::Table,
         revision: 1,
-        content: Content::Table(table()),
+        content: Content::Table(table(engine)),
     };
     listed.chain([table]).collect()
 }
@@ -415,6 +435,25 @@
     )
 }
 
+/// How a relay of the tests is started.
+#[derive(Clone, Copy)]
+struct Options {
+    /// When it hears of its configuration.
+    delay: Duration,
+    memory_budget: u64,
+    features: Features,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            delay: Duration::ZERO,
+            memory_budget: AMPLE_MEMORY,
+            features: Features::ALL,
+        }
+    }
+}
+
 impl Running {
     /// A relay before these back ends.
     pub fn before(back_ends: &[&StandIn]) -> Self {
@@ -423,9 +462,33 @@
 
     /// A relay before these back ends with a budget of this many bytes.
     pub fn with_memory(back_ends: &[&StandIn], bytes: u64) -> Self {
+        let options = Options {
+            memory_budget: bytes,
+            ..Options::default()
+        };
+        Self::ready_before(back_ends, None, options)
+    }
+
+    /// A relay before engines that keep replicas for each other.
+    pub fn before_engines(engines: &[&StandIn]) -> Self {
+        Self::ready_before(engines, Some(engine()), Options::default())
+    }
+
+    /// The same with replicas switched off.
+    pub fn before_engines_without_replicas(engines: &[&StandIn]) -> Self {
+        let mut options = Options::default();
+        options.features.run_replicas = false;
+        Self::ready_before(engines, Some(engine()), options)
+    }
+
+    fn ready_before(
+        back_ends: &[&StandIn],
+        engine: Option<EngineSpecification>,
+        options: Options,
+    ) -> Self {
         let addresses: Vec<SocketAddr> =
             back_ends.iter().map(|stand_in| stand_in.address).collect();
-        let running = Self::start(Some(changes(&addresses)), Duration::ZERO, bytes);
+        let running = Self::start(Some(changes(&addresses, engine)), options);
         let begun = Instant::now();
         while running.readiness() != 200 {
             assert!(begun.elapsed() < PATIENCE, "the relay is not ready");
@@ -436,27 +499,25 @@
 
     /// A relay before an engine that tells what it keeps.
     pub fn before_engine(engine: &StandIn) -> Self {
-        let mut documents = changes(&[engine.address]);
-        for change in &mut documents {
-            if let Content::Table(table) = &mut change.content {
-                let pools = table.pools.values_mut();
-                pools.for_each(|pool| pool.engine = Some(ENGINE));
-            }
-        }
-        Self::start(Some(documents), Duration::ZERO, AMPLE_MEMORY)
+        let documents = changes(&[engine.address], Some(ENGINE));
+        Self::start(Some(documents), Options::default())
     }
 
     /// A relay that knows no configuration.
     pub fn without_configuration() -> Self {
-        Self::start(None, Duration::ZERO, AMPLE_MEMORY)
+        Self::start(None, Options::default())
     }
 
     /// A relay before a back end that hears of its configuration this late.
     pub fn with_late_configuration(back_end: &StandIn, delay: Duration) -> Self {
-        Self::start(Some(changes(&[back_end.address])), delay, AMPLE_MEMORY)
+        let options = Options {
+            delay,
+            ..Options::default()
+        };
+        Self::start(Some(changes(&[back_end.address], None)), options)
     }
 
-    fn start(documents: Option<Vec<Change>>, delay: Duration, memory_budget: u64) -> Self {
+    fn start(documents: Option<Vec<Change>>, options: Options) -> Self {
         let ip = own_ip();
         let listen = SocketAddr::from((ip, CALLERS_PORT));
         let ready = SocketAddr::from((ip, READY_PORT));
@@ -475,10 +536,10 @@
                 window: Span::from_milliseconds(10_000),
             },
             link_mbps: 100,
-            memory_budget,
+            memory_budget: options.memory_budget,
             apply_within: Span::from_milliseconds(2_000),
             regions: BTreeMap::new(),
-            features: Features::ALL,
+            features: options.features,
             cold_bound: ColdBound {
                 overage: 1.5,
                 slack: 5.0,
@@ -493,7 +554,7 @@
         let source: Source = Box::new(move |feed| {
             Box::pin(async move {
                 if let Some(documents) = documents {
-                    smol::Timer::after(delay).await;
+                    smol::Timer::after(options.delay).await;
                     feed.take(documents, 2);
                 }
                 std::future::pending::<()>().await;
