--- a/crates/coordination/dispatch/src/placement/pool_split.rs
+++ b/crates/coordination/dispatch/src/placement/pool_split.rs
@@ -21,6 +21,12 @@
 /// times as many streams came late split as not (207 and 63 of 2,000, load played).
 const FULL_FROM: f64 = 1.15;
 const FULL_TO: f64 = 1.0;
+/// Part of a pool's slots in use from which on it is split no more, and down to which it stays
+/// so. An engine that reads keeps its requests several times as long: long prompts on few
+/// engines fill their slots first where slots are what is short. With 90 engines of 16 slots
+/// and 0.62 of them in use 551 of 4,804 streams came late split, 419 not.
+const SLOTS_FULL_FROM: f64 = 0.45;
+const SLOTS_FULL_TO: f64 = 0.35;
 /// Engines that each side has at least, so that one that fails does not take all along.
 const FEWEST_ON_A_SIDE: f64 = 2.0;
 /// Part of the engines that each kind has at least, for a burst that no sum tells of yet.
@@ -272,8 +278,13 @@
     }
 
     fn has_room(&mut self, load: &PoolLoad, need: &EngineNeed) -> bool {
-        let limit = if self.is_full { FULL_TO } else { FULL_FROM };
-        self.is_full = need.prompts + need.streams >= limit * f64::from(load.engines);
+        let (engines, slots) = if self.is_full {
+            (FULL_TO, SLOTS_FULL_TO)
+        } else {
+            (FULL_FROM, SLOTS_FULL_FROM)
+        };
+        self.is_full = need.prompts + need.streams >= engines * f64::from(load.engines)
+            || f64::from(load.running) >= slots * f64::from(load.slots);
         !self.is_full
     }
 
