Sight: what a request asks, and whether a back end crashed under it

Cause: logs could not tell whether two attempts under different ids were the same request, nor whether a broken connection meant a crashed back end, so that three explanations of the repeats (no memory of requests, failover that multiplies, blame of the wrong back ends) looked alike. Change: a digest of method, address, caller and body on granted and attempt_failed; after a break a connection is tried, and crashed_run says when none comes up.

--- a/crates/state/types/src/lib.rs
+++ b/crates/state/types/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod identity;
 mod rendezvous;
+mod request_digest;
 mod time;
 mod verdict;
 
@@ -14,5 +15,6 @@
     BackEndId, CellId, ClassId, Incarnation, NodeId, PoolId, RequestId, TenantId, Tier, ZoneId,
 };
 pub use rendezvous::{Rendezvous, rendezvous_score};
+pub use request_digest::RequestDigest;
 pub use time::{MICROSECONDS_PER_MILLISECOND, MICROSECONDS_PER_SECOND, Span, Timestamp};
 pub use verdict::{Reason, Refusal, Verdict};
--- a/crates/transport/relay/src/attempts.rs
+++ b/crates/transport/relay/src/attempts.rs
@@ -72,9 +72,11 @@
     let pool = head.route.pool(point).cloned();
     let pool = pool.unwrap_or_else(|| PoolName::from(""));
     let headers = forwarded_headers(&parts.headers, &traffic.vocabulary);
+    let digest = head.digest(&parts, &body);
     Ok(Exchange {
         traffic,
         head,
+        digest,
         pool,
         request: ForwardedRequest {
             method: parts.method,
@@ -116,6 +118,7 @@
                 Err(answer) => return self.conclude(fallback, answer),
             };
             let instance = lease.grant.instance.clone();
+            let address = lease.grant.address;
             self.excluded.push(instance.clone());
             let (next, end) = self.attempt(lease).await;
             let Some(exchange) = next else {
@@ -133,7 +136,7 @@
                 }
                 AttemptEnd::None(outcome) => outcome,
             };
-            events::attempt_failed(&self.head.id, self.attempts, instance.as_str(), outcome);
+            self.note_failed_attempt(&instance, address, outcome).await;
             if !self.may_try_again() {
                 let answer = self.final_answer(outcome);
                 return self.conclude(fallback, answer);
--- /dev/null
+++ b/crates/transport/relay/src/crash.rs
@@ -0,0 +1,34 @@
+//! Whether a back end went down with the run that broke off there.
+//!
+//! A broken connection alone proves little: connections are reset, answers are cut short by
+//! back ends that go on serving. A back end that has crashed refuses new connections until it
+//! is back, which takes it seconds.
+
+use crate::exchange::Exchange;
+use crate::upstream::{ConnectionCheck, check_connection};
+use crate::{events, metrics};
+use eiderferry_dispatch::Outcome;
+use eiderferry_routing::InstanceId;
+use std::net::SocketAddr;
+
+impl Exchange {
+    /// Notes that an attempt at a back end failed, and whether the back end crashed under it.
+    pub(crate) async fn note_failed_attempt(
+        &self,
+        back_end: &InstanceId,
+        address: SocketAddr,
+        outcome: Outcome,
+    ) {
+        let (id, attempt) = (&self.head.id, self.attempts);
+        events::attempt_failed(id, attempt, back_end, outcome, self.digest);
+        if outcome != Outcome::Broken {
+            return;
+        }
+        let check = check_connection(address).await;
+        if check == ConnectionCheck::Listening {
+            return;
+        }
+        metrics::crashed_run(check.as_str());
+        events::crashed_run(id, back_end, self.digest, check);
+    }
+}
--- a/crates/transport/relay/src/events.rs
+++ b/crates/transport/relay/src/events.rs
@@ -7,12 +7,13 @@
 use crate::documents::FetchError;
 use crate::metrics;
 use crate::own_answer::OwnAnswer;
+use crate::upstream::ConnectionCheck;
 use eiderferry_dispatch::{
     Applied, CacheNews, ColdDuty, DocumentKey, Grant, HealthChange, Outcome, PeerChange,
     SplitChange, StreamPacing, TakenNews, UnknownName, WarmthChange,
 };
 use eiderferry_routing::InstanceId;
-use eiderferry_types::{Reason, Span, Timestamp};
+use eiderferry_types::{Reason, RequestDigest, Span, Timestamp};
 use std::net::SocketAddr;
 
 /// A node serves callers from now on.
@@ -212,10 +213,17 @@
 }
 
 /// A request got a place on a back end.
-pub(crate) fn granted(id: &str, route: &str, rank: u8, attempt: u32, grant: &Grant) {
+pub(crate) fn granted(
+    id: &str,
+    route: &str,
+    rank: u8,
+    attempt: u32,
+    digest: RequestDigest,
+    grant: &Grant,
+) {
     let candidate = &grant.candidate;
     log::info!(
-        event = "granted", request = id, route = route, rank = rank, attempt = attempt,
+        event = "granted", request = id, route = route, rank = rank, attempt = attempt, digest:% = digest,
         back_end = grant.instance.as_str(), expected_ms = candidate.first_event.milliseconds(),
         uncached = grant.uncached_tokens, read_again = candidate.read_again,
         copied = candidate.copied, cache = if grant.cache_known.is_some() { "known" } else { "believed" },
@@ -240,14 +248,34 @@
 }
 
 /// An attempt at a back end failed.
-pub(crate) fn attempt_failed(id: &str, attempt: u32, back_end: &str, outcome: Outcome) {
+pub(crate) fn attempt_failed(
+    id: &str,
+    attempt: u32,
+    back_end: &InstanceId,
+    outcome: Outcome,
+    digest: RequestDigest,
+) {
     log::warn!(
-        event = "attempt_failed", request = id, attempt = attempt, back_end = back_end,
-        outcome = outcome.as_str();
+        event = "attempt_failed", request = id, attempt = attempt, back_end = back_end.as_str(),
+        outcome = outcome.as_str(), digest:% = digest;
         "attempt failed"
     );
 }
 
+/// A back end crashed under a run: its connection broke and no new one comes up.
+pub(crate) fn crashed_run(
+    id: &str,
+    back_end: &InstanceId,
+    digest: RequestDigest,
+    check: ConnectionCheck,
+) {
+    log::warn!(
+        event = "crashed_run", request = id, back_end = back_end.as_str(), digest:% = digest,
+        connection = check.as_str();
+        "a back end crashed under a run"
+    );
+}
+
 /// A stream goes on at another back end.
 pub(crate) fn resumed(id: &str, back_end: &str, after_event: u64) {
     log::warn!(
--- a/crates/transport/relay/src/exchange.rs
+++ b/crates/transport/relay/src/exchange.rs
@@ -14,7 +14,7 @@
 use crate::{events, metrics};
 use eiderferry_dispatch::{Decision, Demand, Outcome, ReplicaTarget};
 use eiderferry_routing::{InstanceId, PoolName, RouteKind};
-use eiderferry_types::{Reason, Span, Timestamp};
+use eiderferry_types::{Reason, RequestDigest, Span, Timestamp};
 use http::Response;
 use std::rc::Rc;
 
@@ -57,6 +57,8 @@
 pub(crate) struct Exchange {
     pub traffic: Rc<Traffic>,
     pub head: RequestHead,
+    /// What the request asks, alike each time that its caller sends it.
+    pub digest: RequestDigest,
     pub pool: PoolName,
     pub request: ForwardedRequest,
     pub started: Timestamp,
@@ -164,7 +166,15 @@
             Some(Decision::Grant(grant)) => {
                 let head = &self.head;
                 let attempt = self.attempts + 1;
-                events::granted(&head.id, &head.route.name, head.rank, attempt, &grant);
+                let digest = self.digest;
+                events::granted(
+                    &head.id,
+                    &head.route.name,
+                    head.rank,
+                    attempt,
+                    digest,
+                    &grant,
+                );
                 let kept = head.prompt_tokens.saturating_sub(grant.uncached_tokens);
                 metrics::prompt(kept, grant.uncached_tokens);
                 if grant.replica.is_some() {
--- a/crates/transport/relay/src/lib.rs
+++ b/crates/transport/relay/src/lib.rs
@@ -13,6 +13,7 @@
 mod caller_socket;
 mod clock;
 mod control;
+mod crash;
 mod documents;
 mod event_stream;
 mod events;
--- a/crates/transport/relay/src/metrics.rs
+++ b/crates/transport/relay/src/metrics.rs
@@ -75,6 +75,11 @@
     metrics::counter!("eiderferry_attempts_total", "outcome" => outcome).increment(1);
 }
 
+/// A back end crashed under a run.
+pub(crate) fn crashed_run(connection: &'static str) {
+    metrics::counter!("eiderferry_crashed_runs_total", "connection" => connection).increment(1);
+}
+
 /// A run got a replica.
 pub(crate) fn replica_begun() {
     metrics::counter!("eiderferry_run_replicas_total").increment(1);
--- a/crates/transport/relay/src/request_head.rs
+++ b/crates/transport/relay/src/request_head.rs
@@ -4,7 +4,7 @@
 use crate::own_answer::OwnAnswer;
 use eiderferry_dispatch::PromptPart;
 use eiderferry_routing::{AllowedRegions, PartId, Route, RouteMatch, RoutingTable, Tenant};
-use eiderferry_types::Span;
+use eiderferry_types::{RequestDigest, Span};
 use http::header::{AUTHORIZATION, HOST};
 use http::request::Parts;
 use http::{HeaderMap, HeaderName};
@@ -64,6 +64,25 @@
     }
 }
 
+impl RequestHead {
+    /// What the request asks: method, address, caller and body. Neither its id nor how long its
+    /// caller waits belong to it.
+    pub fn digest(&self, parts: &Parts, body: &[u8]) -> RequestDigest {
+        let target = parts
+            .uri
+            .path_and_query()
+            .map_or("", |target| target.as_str());
+        let caller = self.tenant.as_deref().unwrap_or_default();
+        RequestDigest::of([
+            parts.method.as_str().as_bytes(),
+            self.route.host.as_bytes(),
+            target.as_bytes(),
+            caller.as_bytes(),
+            body,
+        ])
+    }
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok().map(str::trim)
 }
--- a/crates/transport/relay/src/stream.rs
+++ b/crates/transport/relay/src/stream.rs
@@ -120,7 +120,7 @@
                     return Some((Err(BrokenAnswer::TimedOut), self));
                 }
                 Piece::Broken(outcome) => {
-                    self.note_break(outcome);
+                    self.note_break(outcome).await;
                     self.finish_source(outcome);
                     if !self.go_on().await {
                         self.exchange.end("broken_off");
@@ -206,13 +206,16 @@
         self.exchange.traffic.control.is_unheard(instance).await
     }
 
-    fn note_break(&self, outcome: Outcome) {
+    async fn note_break(&self, outcome: Outcome) {
         let Some(source) = &self.source else {
             return;
         };
-        let back_end = source.lease.grant.instance.as_str();
-        let exchange = &self.exchange;
-        events::attempt_failed(&exchange.head.id, exchange.attempts, back_end, outcome);
+        let grant = &source.lease.grant;
+        let (back_end, address) = (&grant.instance, grant.address);
+        let noted = self
+            .exchange
+            .note_failed_attempt(back_end, address, outcome);
+        noted.await;
     }
 
     fn finish_source(&mut self, outcome: Outcome) {
--- a/crates/transport/relay/src/upstream.rs
+++ b/crates/transport/relay/src/upstream.rs
@@ -18,6 +18,7 @@
 use smol_hyper::rt::FuturesIo;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -303,7 +304,7 @@
 /// `an_answer_before_the_whole_body_was_read_spoils_no_later_request` lost a request that way.
 fn is_open(connection: &Connection) -> bool {
     let peeked = connection.socket.get_ref().peek(&mut [0]);
-    peeked.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+    peeked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
 }
 
 /// How long a connection may rest; `None` if it may not be kept.
@@ -326,10 +327,41 @@
     Some(limit.min(MAXIMUM_REST))
 }
 
+/// What a new connection to a back end met.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ConnectionCheck {
+    /// It came up: the back end serves.
+    Listening,
+    /// It was refused: the machine is there, its process is not.
+    Refused,
+    /// Nothing answered.
+    Silent,
+}
+
+impl ConnectionCheck {
+    /// The word used in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            ConnectionCheck::Listening => "listening",
+            ConnectionCheck::Refused => "refused",
+            ConnectionCheck::Silent => "silent",
+        }
+    }
+}
+
+/// Opens a connection to a back end and closes it again.
+pub(crate) async fn check_connection(address: SocketAddr) -> ConnectionCheck {
+    match connect_stream(address).await {
+        Ok(_) => ConnectionCheck::Listening,
+        Err(error) if error.kind() == ErrorKind::TimedOut => ConnectionCheck::Silent,
+        Err(_) => ConnectionCheck::Refused,
+    }
+}
+
 async fn connect_stream(address: SocketAddr) -> std::io::Result<TcpStream> {
     let timeout = async {
         Timer::after(CONNECT_TIMEOUT).await;
-        Err(std::io::ErrorKind::TimedOut.into())
+        Err(ErrorKind::TimedOut.into())
     };
     let stream = Async::<std::net::TcpStream>::connect(address)
         .or(timeout)
