--- /dev/null
+++ b/crates/transport/relay/tests/support/fragile.rs
@@ -0,0 +1,94 @@
+//! A back end that some requests crash.
+
+use super::{Seen, read_request, reset, whole, write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Time between two looks at whether it has crashed.
+const CHECK: Duration = Duration::from_millis(2);
+/// Time for which a sound request runs.
+const RUN_TIME: Duration = Duration::from_millis(30);
+
+/// Crashes under each request whose body says so, and is back at the same address after a
+/// while. All others get a whole answer.
+pub struct Fragile {
+    pub address: SocketAddr,
+    /// Bodies of the requests under which it crashed.
+    pub crashes: Arc<Mutex<Vec<Vec<u8>>>>,
+}
+
+type Streams = Arc<Mutex<Vec<TcpStream>>>;
+
+impl Fragile {
+    /// A back end that this body crashes, and that is back after `down`.
+    pub fn start(fatal: &'static str, down: Duration) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        let crashes: Arc<Mutex<Vec<Vec<u8>>>> = Arc::default();
+        let all = Arc::clone(&crashes);
+        std::thread::spawn(move || {
+            let mut listener = listener;
+            loop {
+                run_until_crash(listener, fatal, &all);
+                std::thread::sleep(down);
+                listener = TcpListener::bind(address).expect("its own port");
+            }
+        });
+        Self { address, crashes }
+    }
+
+    pub fn crash_count(&self) -> usize {
+        self.crashes.lock().expect("lock").len()
+    }
+}
+
+fn run_until_crash(listener: TcpListener, fatal: &'static str, crashes: &Arc<Mutex<Vec<Vec<u8>>>>) {
+    listener.set_nonblocking(true).expect("a socket");
+    let has_crashed = Arc::new(AtomicBool::new(false));
+    let open: Streams = Arc::default();
+    while !has_crashed.load(Ordering::SeqCst) {
+        let Ok((stream, _)) = listener.accept() else {
+            std::thread::sleep(CHECK);
+            continue;
+        };
+        stream.set_nonblocking(false).expect("a socket");
+        let kept = stream.try_clone().expect("a socket");
+        open.lock().expect("lock").push(kept);
+        let (has_crashed, crashes) = (Arc::clone(&has_crashed), Arc::clone(crashes));
+        std::thread::spawn(move || serve(stream, fatal, &has_crashed, &crashes));
+    }
+    drop(listener);
+    for mut stream in open.lock().expect("lock").drain(..) {
+        reset(&mut stream);
+        let _ = stream.shutdown(std::net::Shutdown::Both);
+    }
+}
+
+fn serve(
+    mut stream: TcpStream,
+    fatal: &'static str,
+    has_crashed: &AtomicBool,
+    crashes: &Mutex<Vec<Vec<u8>>>,
+) {
+    while let Some(seen) = read_request(&mut stream) {
+        if seen.body == fatal.as_bytes() {
+            // One crash takes all that runs along; it counts once.
+            if !has_crashed.swap(true, Ordering::SeqCst) {
+                crashes.lock().expect("lock").push(seen.body);
+            }
+            std::thread::sleep(RUN_TIME);
+            return;
+        }
+        std::thread::sleep(RUN_TIME);
+        if has_crashed.load(Ordering::SeqCst) {
+            return;
+        }
+        answer(&mut stream, &seen);
+    }
+}
+
+fn answer(stream: &mut TcpStream, seen: &Seen) {
+    write(stream, &whole(seen, "sound"));
+}
--- a/crates/transport/relay/tests/support/mod.rs
+++ b/crates/transport/relay/tests/support/mod.rs
@@ -25,6 +25,11 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+mod fragile;
+
+#[allow(unused_imports, reason = "each test file uses its own part")]
+pub use fragile::Fragile;
+
 /// Longest wait of a test for anything.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 /// A budget that no test fills unless it says so.
@@ -132,7 +137,7 @@
     }
 }
 
-fn read_request(stream: &mut TcpStream) -> Option<Seen> {
+pub fn read_request(stream: &mut TcpStream) -> Option<Seen> {
     let mut bytes = Vec::new();
     let mut buffer = [0; 4096];
     let end = loop {
@@ -410,6 +415,8 @@
 pub struct Running {
     pub listen: SocketAddr,
     pub ready: SocketAddr,
+    /// Where it hears other relays.
+    pub peer: SocketAddr,
     pub memory: Arc<MemoryBudget>,
     stop: Option<async_channel::Sender<()>>,
     thread: Option<JoinHandle<()>>,
@@ -436,12 +443,16 @@
 }
 
 /// How a relay of the tests is started.
-#[derive(Clone, Copy)]
+#[derive(Clone)]
 struct Options {
     /// When it hears of its configuration.
     delay: Duration,
     memory_budget: u64,
     features: Features,
+    /// Tells it from the other relays of a fleet.
+    number: usize,
+    /// Addresses of other relays for messages.
+    seeds: Vec<SocketAddr>,
 }
 
 impl Default for Options {
@@ -450,11 +461,27 @@
             delay: Duration::ZERO,
             memory_budget: AMPLE_MEMORY,
             features: Features::ALL,
+            number: 1,
+            seeds: Vec::new(),
         }
     }
 }
 
 impl Running {
+    /// Relays before these back ends that know each other.
+    pub fn fleet_before(count: usize, back_ends: &[SocketAddr]) -> Vec<Self> {
+        let mut fleet: Vec<Self> = Vec::new();
+        for number in 1..=count {
+            let options = Options {
+                number,
+                seeds: fleet.first().map(|first| first.peer).into_iter().collect(),
+                ..Options::default()
+            };
+            fleet.push(Self::ready_before_addresses(back_ends, None, options));
+        }
+        fleet
+    }
+
     /// A relay before these back ends.
     pub fn before(back_ends: &[&StandIn]) -> Self {
         Self::with_memory(back_ends, AMPLE_MEMORY)
@@ -488,7 +515,15 @@
     ) -> Self {
         let addresses: Vec<SocketAddr> =
             back_ends.iter().map(|stand_in| stand_in.address).collect();
-        let running = Self::start(Some(changes(&addresses, engine)), options);
+        Self::ready_before_addresses(&addresses, engine, options)
+    }
+
+    fn ready_before_addresses(
+        back_ends: &[SocketAddr],
+        engine: Option<EngineSpecification>,
+        options: Options,
+    ) -> Self {
+        let running = Self::start(Some(changes(back_ends, engine)), options);
         let begun = Instant::now();
         while running.readiness() != 200 {
             assert!(begun.elapsed() < PATIENCE, "the relay is not ready");
@@ -521,15 +556,16 @@
         let ip = own_ip();
         let listen = SocketAddr::from((ip, CALLERS_PORT));
         let ready = SocketAddr::from((ip, READY_PORT));
+        let peer = SocketAddr::from((ip, PEER_PORT));
         let settings = RelaySettings {
-            node: NodeName::from("node-1"),
+            node: NodeName::from(format!("node-{}", options.number)),
             zone: ZoneName::from("a"),
             listen,
             ready,
             ready_path: "/ready".to_owned(),
             metrics: None,
-            peer: SocketAddr::from((ip, PEER_PORT)),
-            seeds: Vec::new(),
+            peer,
+            seeds: options.seeds,
             budget: BudgetSettings {
                 ratio: 0.2,
                 allowance: 400.0,
@@ -574,6 +610,7 @@
         let running = Self {
             listen,
             ready,
+            peer,
             memory,
             stop: Some(stop),
             thread: Some(thread),
