Quarantine of requests that crash back ends, over all nodes

Cause: what a request does to back ends was remembered of the back ends alone. An exchange forgets its failures when it ends, nodes told each other of back ends only, so each repeat cost as many back ends as its route allows, for ever. Change: crate eiderferry-quarantine (no I/O). A run whose connection breaks, and whose back end takes no new one, is a crash under the digest of the request. Nodes tell each other crashes and whole ends with the messages that they send anyway; from the third crash without a whole end since, every node answers 500 crashes_back_ends at once, for ten minutes, after which one crash brings it back. 4,096 requests at most are kept. features.quarantine switches it off. explain-logs names the back ends that crashed under whichever id. After a loss of all nodes it costs three back ends, as a first time. Failed on the way: reports sorted by crashes starved those that tell of a whole end (innocent requests refused in a test); half of a message is now kept for what others act on.

--- a/bins/eiderferry/src/log_story.rs
+++ b/bins/eiderferry/src/log_story.rs
@@ -153,12 +153,42 @@
             && nodes.contains(&line.node.as_str())
             && span.contains(&line.seconds)
     };
+    let digests: Vec<String> = own.iter().map(|line| line.text("digest")).collect();
+    let is_quarantine = |line: &&Line| {
+        let digest = line.text("digest");
+        QUARANTINE_EVENTS.contains(&line.event.as_str())
+            && !digest.is_empty()
+            && digests.contains(&digest)
+    };
     let chosen = lines
         .iter()
-        .filter(|line| line.is_about(request) || is_context(line));
+        .filter(|line| line.is_about(request) || is_context(line) || is_quarantine(line));
     chosen.cloned().collect()
 }
 
+/// Lines that tell why a request is refused: under whichever id it was sent, back ends crashed.
+const QUARANTINE_EVENTS: [&str; 4] = [
+    "crashed_run",
+    "request_quarantined",
+    "quarantine_cleared",
+    "quarantine_expired",
+];
+
+/// The back ends that crashed under what a request asks, however often it was sent.
+fn crashes(story: &[Line], digest: &str) -> Vec<String> {
+    let lines = story.iter();
+    let crashed = lines.filter(|line| line.event == "crashed_run" && line.text("digest") == digest);
+    crashed
+        .map(|line| {
+            format!(
+                "{} (request {})",
+                line.text("back_end"),
+                line.text("request")
+            )
+        })
+        .collect()
+}
+
 /// What a line tells of a request's way over back ends.
 fn step(line: &Line) -> Option<String> {
     let back_end = line.text("back_end");
@@ -191,11 +221,16 @@
     let Some(end) = end else {
         return "the request has not ended in these logs: its node may have died".to_owned();
     };
-    let before = if failures.is_empty() {
+    let mut before = if failures.is_empty() {
         String::new()
     } else {
         format!(", after: {}", failures.join(", "))
     };
+    let crashes = crashes(story, &end.text("digest"));
+    if !crashes.is_empty() {
+        before.push_str("; back ends crashed under it: ");
+        before.push_str(&crashes.join(", "));
+    }
     match end.event.as_str() {
         "answered_here" => format!(
             "answered here with {} because of {}; {}{before}",
--- a/bins/eiderferry/tests/explain_logs.rs
+++ b/bins/eiderferry/tests/explain_logs.rs
@@ -114,3 +114,32 @@
     let message = String::from_utf8_lossy(&output.stderr).into_owned();
     assert!(message.contains("/nowhere/x.log"), "{message}");
 }
+
+const CRASHING_ELSEWHERE: &str = r#"{"timestamp":"2026-12-02T10:00:01.000000+00:00","level":"INFO","kvs":{"event":"started","node":"edge-b","zone":"z"}}
+{"timestamp":"2026-12-02T10:00:05.180000+00:00","level":"WARN","kvs":{"back_end":"i-1","connection":"refused","digest":"00ab","event":"crashed_run","request":"first"}}
+{"timestamp":"2026-12-02T10:00:06.180000+00:00","level":"WARN","kvs":{"back_end":"i-2","connection":"refused","digest":"00ab","event":"crashed_run","request":"second"}}
+{"timestamp":"2026-12-02T10:00:06.280000+00:00","level":"WARN","kvs":{"back_end":"i-9","connection":"refused","digest":"00cd","event":"crashed_run","request":"another"}}
+{"timestamp":"2026-12-02T10:00:07.180000+00:00","level":"WARN","kvs":{"crashes":3,"digest":"00ab","event":"request_quarantined","for_ms":600000,"source":"own"}}
+"#;
+const REFUSED_HERE: &str = r#"{"timestamp":"2026-12-02T10:00:01.000000+00:00","level":"INFO","kvs":{"event":"started","node":"edge-a","zone":"z"}}
+{"timestamp":"2026-12-02T10:02:00.000000+00:00","level":"WARN","kvs":{"event":"not_granted","reason":"crashes_back_ends","request":"late","retry_after_ms":480000}}
+{"timestamp":"2026-12-02T10:02:00.001000+00:00","level":"WARN","kvs":{"digest":"00ab","elapsed_ms":1,"event":"answered_here","reason":"crashes_back_ends","request":"late","status":500,"verdict":"not_run"}}
+"#;
+
+#[test]
+fn of_a_request_that_crashes_back_ends_it_is_told_which_and_where() {
+    let (here, elsewhere) = (
+        file("refused", REFUSED_HERE),
+        file("crashes", CRASHING_ELSEWHERE),
+    );
+    let output = command("late")
+        .args([here, elsewhere])
+        .output()
+        .expect("the program runs");
+    let story = text(&output);
+    let cause = "cause: answered here with 500 because of crashes_back_ends; not_run; back ends \
+                 crashed under it: i-1 (request first), i-2 (request second)";
+    assert!(story.contains(cause), "{story}");
+    assert!(story.contains("request_quarantined"), "{story}");
+    assert!(!story.contains("i-9"), "{story}");
+}
--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -7,6 +7,7 @@
 mod granting;
 mod home_scopes;
 mod messages;
+mod quarantining;
 mod reading;
 mod replicating;
 mod turns;
@@ -14,6 +15,7 @@
 mod zone_digest;
 
 pub use cache_index::{CacheNews, CacheOrder};
+pub use granting::Ended;
 pub(crate) use messages::{FAR_FANOUT, FAR_TICKS, NEAR_FANOUT, SPARSE_FAR_FANOUT};
 pub use reading::ReadingDuty;
 pub use unknown_names::UnknownName;
@@ -31,9 +33,10 @@
 use crate::placement::replication::LossChances;
 use crate::{
     Applied, Border, BudgetSettings, Change, ColdBound, ColdDuty, Content, DocumentKey, Envelope,
-    Features, Gossip, Knowledge, LeaseId, PeerChange, Peers, Placement, RetryBudget, SplitChange,
-    SplitFigures, WarmthChange,
+    Features, Gossip, Knowledge, LeaseId, PeerChange, Peers, Placement, QuarantineChange,
+    QuarantineCounts, RetryBudget, SplitChange, SplitFigures, WarmthChange,
 };
+use eiderferry_quarantine::Quarantine;
 use eiderferry_routing::{InstanceId, NodeName, PoolName, RegionOfZone, ZoneName};
 use eiderferry_types::{Span, Timestamp};
 use rand::{Rng, SeedableRng};
@@ -88,6 +91,8 @@
     pub warmth_changes: Vec<WarmthChange>,
     /// Pools whose engines are split in another way than before.
     pub split_changes: Vec<SplitChange>,
+    /// Requests that are no longer refused.
+    pub quarantine_changes: Vec<QuarantineChange>,
 }
 
 /// What a message asks for.
@@ -101,6 +106,8 @@
     pub is_newer: bool,
     /// Changes that the message carried.
     pub taken: Vec<TakenNews>,
+    /// Requests that are refused from now on, or no longer.
+    pub quarantine_changes: Vec<QuarantineChange>,
 }
 
 /// A change that came with a message.
@@ -151,6 +158,8 @@
     pub caches_followed: usize,
     /// What following caches came to since the start.
     pub cache_counts: FollowCounts,
+    /// Requests under which back ends crashed.
+    pub quarantine: QuarantineCounts,
 }
 
 /// Decides for one node.
@@ -189,6 +198,7 @@
     evacuated: BTreeSet<ZoneName>,
     /// How likely a stream of each pool is to be lost.
     losses: LossChances,
+    quarantine: Quarantine,
     random: ChaCha8Rng,
 }
 
@@ -233,6 +243,7 @@
             long_silent: LongSilent::default(),
             evacuated: BTreeSet::new(),
             losses: LossChances::default(),
+            quarantine: Quarantine::default(),
             random,
         }
     }
@@ -340,6 +351,7 @@
         self.take_zone_digests(address, message, now);
         self.back_ends.take_placements(&message.placements, now);
         let taken = self.take_news(message, now);
+        let quarantine_changes = self.take_crashing_requests(message, now);
         let knows_all = message.complete_to <= self.knowledge.complete_to()
             || (self.has_taken_all(message) && message.news.is_some());
         if let Some(age) = message.confirmed_ms
@@ -353,6 +365,7 @@
             wants_answer: message.wants_answer,
             is_newer: !knows_all,
             taken,
+            quarantine_changes,
         }
     }
 
@@ -436,6 +449,7 @@
             split: self.largest_split(),
             caches_followed,
             cache_counts,
+            quarantine: self.quarantine.counts(),
         }
     }
 }
--- a/crates/coordination/dispatch/src/dispatcher/granting.rs
+++ b/crates/coordination/dispatch/src/dispatcher/granting.rs
@@ -9,11 +9,11 @@
 use crate::placement::replication::may_take_over;
 use crate::placement::view::View;
 use crate::{
-    Candidate, Decision, Demand, Grant, LeaseId, Outcome, Placement, PromptPart, RetryBudget,
-    StreamPacing, choose,
+    Candidate, Decision, Demand, Grant, LeaseId, Outcome, Placement, PromptPart, QuarantineChange,
+    RetryBudget, StreamPacing, choose,
 };
 use eiderferry_routing::{InstanceId, PoolName, ZoneName};
-use eiderferry_types::{Reason, Span, Timestamp};
+use eiderferry_types::{Reason, RequestDigest, Span, Timestamp};
 
 /// Part of a back end's connections that all nodes together use.
 const CONNECTION_PART: f64 = 0.8;
@@ -46,6 +46,18 @@
     pub(super) instance: InstanceId,
     pool: PoolName,
     replica: Option<KeptReplica>,
+    request: RequestDigest,
+    /// Whether anything of its answer has come, as far as it comes in pieces.
+    has_events: bool,
+}
+
+/// What changed when a place was given back.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Ended {
+    /// Back ends whose standing changed.
+    pub standings: Vec<(InstanceId, HealthChange)>,
+    /// The request, if it was held to crash back ends.
+    pub quarantine_change: Option<QuarantineChange>,
 }
 
 impl Dispatcher {
@@ -63,6 +75,9 @@
 
     /// Chooses a back end for a request, or refuses it.
     pub fn ask(&mut self, demand: &Demand, now: Timestamp) -> Decision {
+        if let Some(refusal) = self.refuse_crashing(demand, now) {
+            return refusal;
+        }
         let shared = demand.shared_parts().iter().map(|part| part.id);
         self.recall_kept(shared, now);
         let cold_start = self.cold_start(&demand.pool);
@@ -145,6 +160,8 @@
             instance: plan.instance.clone(),
             pool: demand.pool.clone(),
             replica: kept,
+            request: demand.digest,
+            has_events: !demand.is_stream,
         };
         self.leases.insert(lease, record);
         Some(Grant {
@@ -180,7 +197,8 @@
 
     /// How the events of a stream came, told before its place is given back.
     pub fn note_pacing(&mut self, lease: LeaseId, pacing: &StreamPacing) {
-        if let Some(lease) = self.leases.get(&lease) {
+        if let Some(lease) = self.leases.get_mut(&lease) {
+            lease.has_events |= pacing.events() > 0;
             self.back_ends.learn(&lease.instance, pacing);
         }
     }
@@ -190,20 +208,34 @@
         self.back_ends.get_mut(&lease.instance)
     }
 
-    /// A place is given back. Returns the back ends whose standing changed.
-    pub fn end(
+    /// A place is given back.
+    pub fn end(&mut self, lease: LeaseId, outcome: Outcome, now: Timestamp) -> Ended {
+        let Some(record) = self.leases.remove(&lease) else {
+            return Ended::default();
+        };
+        // A stream that ends without an event may be one that a crash cut short.
+        let ended_well = outcome == Outcome::Completed && record.has_events;
+        let quarantine_change = ended_well
+            .then(|| self.quarantine.note_completed(record.request, now))
+            .flatten();
+        Ended {
+            standings: self.judge_back_end(&record, outcome, lease, now),
+            quarantine_change,
+        }
+    }
+
+    /// Returns the back ends whose standing an outcome has changed.
+    fn judge_back_end(
         &mut self,
-        lease: LeaseId,
+        record: &Lease,
         outcome: Outcome,
+        lease: LeaseId,
         now: Timestamp,
     ) -> Vec<(InstanceId, HealthChange)> {
-        let Some(record) = self.leases.remove(&lease) else {
-            return Vec::new();
-        };
         if let Some(kept) = &record.replica {
             self.release_replica(kept);
         }
-        let pool_share = self.pool_failure_share(&record);
+        let pool_share = self.pool_failure_share(record);
         self.ended_lately.insert(record.instance.clone(), now);
         let Some(state) = self.back_ends.get_mut(&record.instance) else {
             return Vec::new();
@@ -214,7 +246,7 @@
         let zone = state.back_end.zone.clone();
         let mut changes: Vec<(InstanceId, HealthChange)> = own.into_iter().collect();
         if outcome == Outcome::Unreachable && zone != self.settings.zone {
-            changes.extend(self.note_unreachable(zone, record.instance, now));
+            changes.extend(self.note_unreachable(zone, record.instance.clone(), now));
         }
         changes
     }
--- a/crates/coordination/dispatch/src/dispatcher/messages.rs
+++ b/crates/coordination/dispatch/src/dispatcher/messages.rs
@@ -62,6 +62,7 @@
             .retain(|_, ended| now.since(*ended) < OUTCOME_LIFETIME);
         self.expire_home_scopes();
         let split_changes = self.renew_splits(now);
+        let quarantine_changes = self.quarantine.expire(now);
         if self.ticks.is_multiple_of(LOSS_TICKS) {
             self.losses.renew(&self.back_ends, now);
         }
@@ -88,6 +89,7 @@
             peer_changes,
             warmth_changes,
             split_changes,
+            quarantine_changes,
         }
     }
 
@@ -187,6 +189,9 @@
     pub fn answer(&mut self, to: SocketAddr, now: Timestamp) -> Gossip {
         let mut answer = self.gossip(false, now);
         let zone = self.peers.zone_of(to).cloned();
+        if self.settings.features.quarantine {
+            answer.crashing_requests = self.quarantine.reports_at_start(now);
+        }
         answer.members = self.peers.sample_for(zone.as_ref(), now, &mut self.random);
         answer
     }
@@ -228,6 +233,7 @@
             placements: Vec::new(),
             members,
             news: None,
+            crashing_requests: self.crashing_requests(now),
         }
     }
 
--- a/crates/coordination/dispatch/src/features.rs
+++ b/crates/coordination/dispatch/src/features.rs
@@ -15,6 +15,8 @@
     pub place_costs: bool,
     /// Few nodes speak for a large zone to others, and documents come from the own zone first.
     pub zone_speakers: bool,
+    /// Requests under which back ends crashed are refused on all nodes.
+    pub quarantine: bool,
 }
 
 impl Features {
@@ -25,6 +27,7 @@
         pool_split: true,
         place_costs: true,
         zone_speakers: true,
+        quarantine: true,
     };
 }
 
--- a/crates/coordination/dispatch/src/fleet/message.rs
+++ b/crates/coordination/dispatch/src/fleet/message.rs
@@ -2,6 +2,7 @@
 
 use crate::Change;
 use crate::fleet::traffic::MessageKind;
+use eiderferry_quarantine::RequestReport;
 use eiderferry_routing::{NodeName, PartId, ZoneName};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -140,6 +141,8 @@
     pub members: Vec<Member>,
     /// The latest changes, where they are few and small.
     pub news: Option<News>,
+    /// Requests under which back ends crashed.
+    pub crashing_requests: Vec<RequestReport>,
 }
 
 impl LoadReport {
--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -15,11 +15,14 @@
 mod placement;
 
 pub use dispatcher::{
-    CacheNews, CacheOrder, Dispatcher, DispatcherSettings, ReadingDuty, Received, Snapshot, TICK,
-    TakenNews, TickOutput, UnknownName,
+    CacheNews, CacheOrder, Dispatcher, DispatcherSettings, Ended, ReadingDuty, Received, Snapshot,
+    TICK, TakenNews, TickOutput, UnknownName,
 };
 pub use documents::document_service::{Admission, DocumentService, TransferId};
 pub use documents::knowledge::{Applied, Change, Content, DocumentKey, Knowledge};
+pub use eiderferry_quarantine::{
+    Change as QuarantineChange, Counts as QuarantineCounts, CrashReport, RequestReport,
+};
 pub use features::Features;
 pub use fleet::message::{
     Envelope, FleetSummary, Gossip, HeardZone, LoadReport, Member, News, Placement, ZoneDigest,
--- a/crates/coordination/dispatch/src/placement/demand.rs
+++ b/crates/coordination/dispatch/src/placement/demand.rs
@@ -2,7 +2,7 @@
 
 use crate::Candidate;
 use eiderferry_routing::{AllowedRegions, InstanceId, PartId, PoolName};
-use eiderferry_types::{Reason, Span};
+use eiderferry_types::{Reason, RequestDigest, Span};
 use std::net::SocketAddr;
 
 /// Names a granted place on a back end within one dispatcher.
@@ -21,6 +21,8 @@
 /// A request that wants a back end.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Demand {
+    /// What it asks, alike each time that its caller sends it.
+    pub digest: RequestDigest,
     /// Pool it goes to.
     pub pool: PoolName,
     /// Rank of its route; 0 is the most urgent.
--- a/crates/coordination/dispatch/tests/support/mod.rs
+++ b/crates/coordination/dispatch/tests/support/mod.rs
@@ -11,7 +11,7 @@
     AllowedRegions, BackEnd, EngineSpecification, InstanceId, Limits, NodeName, PartId, Pool,
     PoolName, RegionName, RegionOfZone, TableDocument, ZoneName,
 };
-use eiderferry_types::{Span, Timestamp};
+use eiderferry_types::{RequestDigest, Span, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -215,6 +215,7 @@
 /// A demand whose prompt begins with the shared part `thing`.
 pub fn demand(thing: u64, shared: u32, own: u32) -> Demand {
     Demand {
+        digest: RequestDigest(thing.rotate_left(20) ^ u64::from(own)),
         pool: PoolName::from(ENGINES),
         rank: 2,
         parts: vec![
--- a/crates/state/types/src/verdict.rs
+++ b/crates/state/types/src/verdict.rs
@@ -78,6 +78,8 @@
     KeyFinished,
     /// The table of idempotency keys is full.
     KeyTableFull,
+    /// Back ends crashed under the request each time that it ran.
+    CrashesBackEnds,
     /// The node paused and can no longer vouch for what it knew.
     Paused,
 }
@@ -105,6 +107,7 @@
             Reason::KeyInProgress => "key_in_progress",
             Reason::KeyFinished => "key_finished",
             Reason::KeyTableFull => "key_table_full",
+            Reason::CrashesBackEnds => "crashes_back_ends",
             Reason::Paused => "paused",
         }
     }
--- a/crates/transport/relay/src/control.rs
+++ b/crates/transport/relay/src/control.rs
@@ -9,10 +9,10 @@
 use arc_swap::ArcSwapOption;
 use eiderferry_dispatch::{
     Applied, Change, Decision, Demand, Dispatcher, DocumentKey, Envelope, LeaseId, MessageKind,
-    Outcome, ReadingDuty, StreamPacing, TICK, TakenNews,
+    Outcome, QuarantineChange, ReadingDuty, StreamPacing, TICK, TakenNews,
 };
 use eiderferry_routing::{InstanceId, RoutingTable, ZoneName};
-use eiderferry_types::{Span, Timestamp};
+use eiderferry_types::{RequestDigest, Span, Timestamp};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -48,6 +48,8 @@
     FirstEvent(LeaseId),
     /// A place is given back.
     End(LeaseId, Outcome, StreamPacing),
+    /// A back end crashed under a request.
+    Crashed(RequestDigest, InstanceId),
     /// A connection to a back end came up within so long.
     Connected(InstanceId, Span),
     /// Whether nothing shows that a back end still works.
@@ -97,6 +99,10 @@
         self.tell(Command::End(lease, outcome, pacing));
     }
 
+    pub fn crashed(&self, request: RequestDigest, instance: InstanceId) {
+        self.tell(Command::Crashed(request, instance));
+    }
+
     pub fn connected(&self, instance: InstanceId, round_trip: Span) {
         self.tell(Command::Connected(instance, round_trip));
     }
@@ -111,6 +117,12 @@
     }
 }
 
+fn log_quarantine<'a>(changes: impl IntoIterator<Item = &'a QuarantineChange>) {
+    for change in changes {
+        events::quarantine(change);
+    }
+}
+
 /// State of the control thread, shared by its tasks.
 pub(crate) struct Control {
     pub dispatcher: RefCell<Dispatcher>,
@@ -184,9 +196,14 @@
             Command::FirstEvent(lease) => dispatcher.first_event(lease, now),
             Command::End(lease, outcome, pacing) => {
                 dispatcher.note_pacing(lease, &pacing);
-                for (instance, change) in dispatcher.end(lease, outcome, now) {
-                    events::back_end_standing(&instance, change, outcome);
+                let ended = dispatcher.end(lease, outcome, now);
+                for (instance, change) in &ended.standings {
+                    events::back_end_standing(instance, *change, outcome);
                 }
+                log_quarantine(&ended.quarantine_change);
+            }
+            Command::Crashed(request, instance) => {
+                log_quarantine(&dispatcher.note_crash(request, &instance, now));
             }
             Command::Connected(instance, round_trip) => {
                 dispatcher.note_round_trip(&instance, round_trip);
@@ -234,6 +251,7 @@
         for change in &output.split_changes {
             events::pool_split(change);
         }
+        log_quarantine(&output.quarantine_changes);
         for envelope in &output.messages {
             self.send(envelope);
         }
@@ -265,6 +283,7 @@
                 events::peer(change);
             }
             self.follow_news(&received.taken);
+            log_quarantine(&received.quarantine_changes);
             if received.wants_answer {
                 let message = self.dispatcher.borrow_mut().answer(from, now);
                 self.send(&Envelope {
--- a/crates/transport/relay/src/crash.rs
+++ b/crates/transport/relay/src/crash.rs
@@ -30,5 +30,6 @@
         }
         metrics::crashed_run(check.as_str());
         events::crashed_run(id, back_end, self.digest, check);
+        self.traffic.control.crashed(self.digest, back_end.clone());
     }
 }
--- a/crates/transport/relay/src/events.rs
+++ b/crates/transport/relay/src/events.rs
@@ -10,7 +10,7 @@
 use crate::upstream::ConnectionCheck;
 use eiderferry_dispatch::{
     Applied, CacheNews, ColdDuty, DocumentKey, Grant, HealthChange, Outcome, PeerChange,
-    SplitChange, StreamPacing, TakenNews, UnknownName, WarmthChange,
+    QuarantineChange, SplitChange, StreamPacing, TakenNews, UnknownName, WarmthChange,
 };
 use eiderferry_routing::InstanceId;
 use eiderferry_types::{Reason, RequestDigest, Span, Timestamp};
@@ -276,6 +276,30 @@
     );
 }
 
+/// A request is refused from now on because back ends crash under it, or no longer.
+pub(crate) fn quarantine(change: &QuarantineChange) {
+    match change {
+        QuarantineChange::Began {
+            request,
+            crashes,
+            lasts,
+            source,
+        } => log::warn!(
+            event = "request_quarantined", digest:% = request, crashes = *crashes as u64,
+            for_ms = lasts.milliseconds(), source = source.as_str();
+            "back ends crash under a request"
+        ),
+        QuarantineChange::Cleared { request, source } => log::warn!(
+            event = "quarantine_cleared", digest:% = request, source = source.as_str();
+            "a request ended well after all"
+        ),
+        QuarantineChange::Expired { request } => log::info!(
+            event = "quarantine_expired", digest:% = request;
+            "a request is no longer refused"
+        ),
+    }
+}
+
 /// A stream goes on at another back end.
 pub(crate) fn resumed(id: &str, back_end: &str, after_event: u64) {
     log::warn!(
@@ -319,6 +343,7 @@
     log::warn!(
         event = "answered_here", request = id, status = answer.status().as_u16(),
         reason = answer.reason(), verdict = answer.verdict().as_str(),
+        digest:% = answer.digest().map(|digest| digest.to_string()).unwrap_or_default(),
         elapsed_ms = elapsed.milliseconds();
         "answered here"
     );
--- a/crates/transport/relay/src/exchange.rs
+++ b/crates/transport/relay/src/exchange.rs
@@ -5,7 +5,7 @@
 use crate::control::{ControlHandle, SharedTable};
 use crate::forwarding::ForwardedRequest;
 use crate::lease::Lease;
-use crate::own_answer::OwnAnswer;
+use crate::own_answer::{CrashVerdict, OwnAnswer};
 use crate::progress::Progress;
 use crate::request_head::RequestHead;
 use crate::request_memory::Memory;
@@ -14,7 +14,7 @@
 use crate::{events, metrics};
 use eiderferry_dispatch::{Decision, Demand, Outcome, ReplicaTarget};
 use eiderferry_routing::{InstanceId, PoolName, RouteKind};
-use eiderferry_types::{Reason, RequestDigest, Span, Timestamp};
+use eiderferry_types::{Reason, RequestDigest, Span, Timestamp, Verdict};
 use http::Response;
 use std::rc::Rc;
 
@@ -144,6 +144,7 @@
     pub async fn ask_at(&mut self, only: Option<InstanceId>) -> Result<Lease, OwnAnswer> {
         let now = self.traffic.clock.now();
         let demand = Demand {
+            digest: self.digest,
             pool: self.pool.clone(),
             rank: self.head.route.rank,
             parts: self.head.parts.clone(),
@@ -191,6 +192,14 @@
         }
     }
 
+    fn verdict(&self) -> Verdict {
+        if self.may_have_run {
+            Verdict::MayHaveRun
+        } else {
+            Verdict::NotRun
+        }
+    }
+
     /// Bytes of the request, and about as many as its answer takes.
     fn transferred_bytes(&self) -> u32 {
         let answer = u64::from(self.head.output_tokens) * ASSUMED_BYTES_PER_TOKEN;
@@ -199,6 +208,13 @@
     }
 
     fn refusal(&self, reason: Reason, retry_after: Span) -> OwnAnswer {
+        if reason == Reason::CrashesBackEnds {
+            return OwnAnswer::CrashesBackEnds(CrashVerdict {
+                digest: self.digest,
+                lasts: retry_after,
+                verdict: self.verdict(),
+            });
+        }
         if self.may_have_run {
             OwnAnswer::AnswerLost
         } else {
--- a/crates/transport/relay/src/metrics.rs
+++ b/crates/transport/relay/src/metrics.rs
@@ -170,6 +170,10 @@
     metrics::gauge!("eiderferry_documents_revision").set(snapshot.complete_to as f64);
     metrics::gauge!("eiderferry_table_version").set(snapshot.table_version as f64);
     metrics::gauge!("eiderferry_confirmation_age_seconds").set(snapshot.confirmed_age_seconds);
+    let quarantine = &snapshot.quarantine;
+    metrics::gauge!("eiderferry_requests_suspected").set(quarantine.suspected as f64);
+    metrics::gauge!("eiderferry_requests_quarantined").set(quarantine.quarantined as f64);
+    metrics::counter!("eiderferry_requests_crowded_out_total").absolute(quarantine.crowded_out);
     set_split_gauges(&snapshot.split);
 }
 
--- a/crates/transport/relay/src/own_answer.rs
+++ b/crates/transport/relay/src/own_answer.rs
@@ -1,7 +1,7 @@
 //! Answers that this node gives by itself.
 
 use crate::answer::RelayBody;
-use eiderferry_types::{Reason, Span, Verdict};
+use eiderferry_types::{Reason, RequestDigest, Span, Verdict};
 use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderValue, Response, StatusCode};
 
@@ -26,6 +26,18 @@
     AnswerLost,
     /// The time of the request's route has passed; it may have run.
     TimedOut,
+    /// Back ends crash under the request; it is not sent to any more of them.
+    CrashesBackEnds(CrashVerdict),
+}
+
+/// What is said of a request that crashes back ends.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct CrashVerdict {
+    pub digest: RequestDigest,
+    /// Time for which it is refused.
+    pub lasts: Span,
+    /// Whether this attempt of the caller's had reached a back end before.
+    pub verdict: Verdict,
 }
 
 impl OwnAnswer {
@@ -38,6 +50,9 @@
             OwnAnswer::NotRun(..) | OwnAnswer::NoMemory(_) => StatusCode::SERVICE_UNAVAILABLE,
             OwnAnswer::AnswerLost => StatusCode::BAD_GATEWAY,
             OwnAnswer::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            // Neither 503, which asks the caller to come again, nor 4xx, which says that the
+            // request breaks a rule of the interface.
+            OwnAnswer::CrashesBackEnds(_) => StatusCode::INTERNAL_SERVER_ERROR,
         }
     }
 
@@ -52,12 +67,14 @@
             OwnAnswer::NoMemory(_) => "memory",
             OwnAnswer::AnswerLost => "answer_lost",
             OwnAnswer::TimedOut => "timed_out",
+            OwnAnswer::CrashesBackEnds(_) => Reason::CrashesBackEnds.as_str(),
         }
     }
 
     pub fn verdict(&self) -> Verdict {
         match self {
             OwnAnswer::AnswerLost | OwnAnswer::TimedOut => Verdict::MayHaveRun,
+            OwnAnswer::CrashesBackEnds(crashes) => crashes.verdict,
             _ => Verdict::NotRun,
         }
     }
@@ -69,8 +86,29 @@
         )
     }
 
+    /// What the request asks, where the answer is about that.
+    pub fn digest(&self) -> Option<RequestDigest> {
+        match self {
+            OwnAnswer::CrashesBackEnds(crashes) => Some(crashes.digest),
+            _ => None,
+        }
+    }
+
+    fn text(&self) -> String {
+        match self {
+            OwnAnswer::CrashesBackEnds(crashes) => format!(
+                "{}: back ends crashed each time that this request ran; it is refused for {:.0} s \
+                 (digest {})\n",
+                self.reason(),
+                crashes.lasts.seconds(),
+                crashes.digest
+            ),
+            _ => format!("{}\n", self.reason()),
+        }
+    }
+
     pub fn response(&self) -> Response<RelayBody> {
-        let text = format!("{}\n", self.reason());
+        let text = self.text();
         let mut response = Response::new(RelayBody::from(text));
         *response.status_mut() = self.status();
         let headers = response.headers_mut();
--- a/crates/transport/relay/tests/crashing_requests.rs
+++ b/crates/transport/relay/tests/crashing_requests.rs
@@ -18,9 +18,10 @@
 
 mod support;
 
+use rstest::rstest;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
-use support::{Answer, Fragile, PATIENCE, Running};
+use support::{Answer, Fragile, PATIENCE, Running, StandIn};
 
 /// A body that crashes back ends.
 const FATAL: &str = "fatal";
@@ -43,41 +44,135 @@
     fn start() -> Self {
         let starts = (0..8).map(|_| Fragile::start(FATAL, DOWN));
         let back_ends: Vec<Fragile> = starts.collect();
-        let addresses: Vec<SocketAddr> = back_ends.iter().map(|it| it.address).collect();
-        let nodes = Running::fleet_before(NODES, &addresses);
-        Self { back_ends, nodes }
+        let mut system = Self {
+            back_ends,
+            nodes: Vec::new(),
+        };
+        system.nodes = Running::fleet_before(NODES, &system.addresses());
+        system
+    }
+
+    fn addresses(&self) -> Vec<SocketAddr> {
+        self.back_ends.iter().map(|it| it.address).collect()
     }
 
     fn crashes(&self) -> usize {
         self.back_ends.iter().map(Fragile::crash_count).sum()
     }
 
-    fn send(&self, number: usize, body: &str) -> Answer {
-        let node = &self.nodes[number % NODES];
-        node.call("POST", "/read/check", "", body)
+    fn send(&self, number: usize, path: &str, body: &str) -> Answer {
+        let node = &self.nodes[number % self.nodes.len()];
+        node.call("POST", path, "", body)
     }
 
-    /// Sends the fatal request to one node after the other until it has crashed three.
-    fn crash_three(&self) {
+    /// Sends the fatal request to one node after the other until it has crashed three, and
+    /// waits until all nodes may know.
+    fn crash_three(&self, path: &str) {
         let begun = Instant::now();
         let mut number = 0;
         while self.crashes() < CRASHES {
             assert!(begun.elapsed() < PATIENCE, "no three crashes");
-            self.send(number, FATAL);
+            self.send(number, path, FATAL);
             number += 1;
         }
+        std::thread::sleep(KNOWN_WITHIN);
     }
 }
 
-#[test]
-fn a_request_that_crashed_three_back_ends_is_sent_to_hardly_any_more() {
+#[rstest]
+#[case::answered_whole("/read/check")]
+#[case::answered_by_a_stream("/resumable/check")]
+#[case::not_repeatable("/write/check")]
+fn a_request_that_crashed_three_back_ends_is_sent_to_hardly_any_more(#[case] path: &str) {
     let system = System::start();
-    system.crash_three();
-    std::thread::sleep(KNOWN_WITHIN);
+    system.crash_three(path);
     let before = system.crashes();
     for number in 0..24 {
-        system.send(number, FATAL);
+        system.send(number, path, FATAL);
     }
     let after = system.crashes() - before;
     assert!(after <= MOST_AFTER, "{after} more back ends crashed");
 }
+
+#[test]
+fn its_caller_gets_a_final_answer_that_says_why() {
+    let system = System::start();
+    system.crash_three("/read/check");
+    let answer = system.send(1, "/read/check", FATAL);
+    assert_eq!(answer.status, 500);
+    assert_eq!(answer.header("retry-after"), None);
+    assert_eq!(answer.header("stamp"), None);
+    assert!(
+        answer.body.starts_with("crashes_back_ends: "),
+        "{}",
+        answer.body
+    );
+    assert!(answer.body.contains("(digest "), "{}", answer.body);
+}
+
+/// The same body elsewhere, another body, or another method is another request.
+#[test]
+fn other_requests_are_served() {
+    let system = System::start();
+    system.crash_three("/read/check");
+    for number in 0..12 {
+        let body = format!("sound {number}");
+        assert_eq!(system.send(number, "/read/check", &body).status, 200);
+    }
+}
+
+/// What breaks off with a crash is sent elsewhere, and never taken for its cause.
+#[test]
+fn requests_that_run_beside_it_are_served() {
+    let system = System::start();
+    let answers = std::thread::scope(|scope| {
+        let beside = scope.spawn(|| {
+            let numbers = 0..60;
+            let send = |number| system.send(number, "/read/beside", &format!("sound {number}"));
+            numbers.map(send).collect::<Vec<Answer>>()
+        });
+        system.crash_three("/read/check");
+        beside.join().expect("no panic")
+    });
+    for (number, answer) in answers.iter().enumerate() {
+        assert!(
+            !answer.body.starts_with("crashes_back_ends"),
+            "{}",
+            answer.body
+        );
+        if answer.status != 200 {
+            let body = format!("sound {number}");
+            let again = system.send(number, "/read/beside", &body);
+            assert_eq!(again.status, 200, "after {}", answer.status);
+        }
+    }
+}
+
+/// Connections break for many reasons; only a back end that is gone has crashed.
+#[test]
+fn a_request_whose_connections_break_is_not_blamed_while_back_ends_serve() {
+    let breaking = || StandIn::start(|_, _, _| false);
+    let back_ends = [breaking(), breaking(), breaking(), breaking()];
+    let listed: Vec<&StandIn> = back_ends.iter().collect();
+    let relay = Running::before(&listed);
+    for _ in 0..6 {
+        let answer = relay.call("POST", "/read/check", "", "x");
+        assert!(
+            !answer.body.starts_with("crashes_back_ends"),
+            "{}",
+            answer.body
+        );
+    }
+}
+
+#[test]
+fn a_node_that_starts_later_refuses_it() {
+    let mut system = System::start();
+    system.crash_three("/read/check");
+    let before = system.crashes();
+    let joining = Running::joining(&system.nodes, &system.addresses());
+    system.nodes.push(joining);
+    std::thread::sleep(KNOWN_WITHIN);
+    assert_eq!(system.send(NODES, "/read/check", FATAL).status, 500);
+    assert_eq!(system.crashes(), before);
+}
--- a/crates/transport/relay/tests/support/fragile.rs
+++ b/crates/transport/relay/tests/support/fragile.rs
@@ -1,6 +1,6 @@
 //! A back end that some requests crash.
 
-use super::{Seen, read_request, reset, whole, write};
+use super::{Seen, chunk, event, read_request, reset, stream_head, whole, write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -11,6 +11,9 @@
 /// Time for which a sound request runs.
 const RUN_TIME: Duration = Duration::from_millis(30);
 
+/// Where requests are answered by a stream, of which an event comes before the crash.
+const STREAM_PATH: &str = "/resumable/";
+
 /// Crashes under each request whose body says so, and is back at the same address after a
 /// while. All others get a whole answer.
 pub struct Fragile {
@@ -76,7 +79,11 @@
         if seen.body == fatal.as_bytes() {
             // One crash takes all that runs along; it counts once.
             if !has_crashed.swap(true, Ordering::SeqCst) {
-                crashes.lock().expect("lock").push(seen.body);
+                crashes.lock().expect("lock").push(seen.body.clone());
+            }
+            if seen.head.contains(STREAM_PATH) {
+                write(&mut stream, &stream_head(&seen, "fragile"));
+                write(&mut stream, &chunk(&event(1)));
             }
             std::thread::sleep(RUN_TIME);
             return;
--- a/crates/transport/relay/tests/support/mod.rs
+++ b/crates/transport/relay/tests/support/mod.rs
@@ -471,17 +471,22 @@
     /// Relays before these back ends that know each other.
     pub fn fleet_before(count: usize, back_ends: &[SocketAddr]) -> Vec<Self> {
         let mut fleet: Vec<Self> = Vec::new();
-        for number in 1..=count {
-            let options = Options {
-                number,
-                seeds: fleet.first().map(|first| first.peer).into_iter().collect(),
-                ..Options::default()
-            };
-            fleet.push(Self::ready_before_addresses(back_ends, None, options));
+        for _ in 0..count {
+            fleet.push(Self::joining(&fleet, back_ends));
         }
         fleet
     }
 
+    /// One relay more that knows the first of a fleet.
+    pub fn joining(fleet: &[Self], back_ends: &[SocketAddr]) -> Self {
+        let options = Options {
+            number: fleet.len() + 1,
+            seeds: fleet.first().map(|first| first.peer).into_iter().collect(),
+            ..Options::default()
+        };
+        Self::ready_before_addresses(back_ends, None, options)
+    }
+
     /// A relay before these back ends.
     pub fn before(back_ends: &[&StandIn]) -> Self {
         Self::with_memory(back_ends, AMPLE_MEMORY)
