One clock that counts the time for which the machine was suspended

Cause: deadlines, leases, ages and rests were read off the monotonic clock, which stands still while a machine is suspended: after it a request's time, a kept connection and the list of back ends looked as fresh as before, and the pause was not noticed.

--- a/crates/transport/entry/src/lib.rs
+++ b/crates/transport/entry/src/lib.rs
@@ -11,7 +11,6 @@
 mod bulk;
 mod callers;
 mod chat;
-mod clock;
 mod control;
 mod control_loop;
 mod metrics_text;
@@ -25,7 +24,7 @@
 mod upstream;
 mod view;
 
-pub use clock::Clock;
 pub use control::{ControlHandle, ControlStopped};
+pub use eiderferry_clock::Clock;
 pub use server::{EntryNode, StartError, start};
 pub use view::TrafficView;
--- a/crates/transport/entry/src/server.rs
+++ b/crates/transport/entry/src/server.rs
@@ -12,7 +12,7 @@
 use arc_swap::ArcSwap;
 use eiderferry_config::Settings;
 use eiderferry_node::{Identity, Node, NodeLimits};
-use eiderferry_types::Incarnation;
+use eiderferry_types::{Incarnation, Span};
 use quick_error::quick_error;
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
@@ -74,7 +74,7 @@
         Some(operator) => Some((listen_tcp("operator.listen", operator.listen)?, operator)),
     };
     let listen = callers.local_addr().unwrap_or(settings.listen);
-    let clock = Clock::start();
+    let clock = Clock::start(Span::ZERO);
     let (sender, commands) = async_channel::unbounded();
     let control = ControlHandle {
         commands: sender.clone(),
--- a/crates/transport/relay/src/attempts.rs
+++ b/crates/transport/relay/src/attempts.rs
@@ -1,7 +1,6 @@
 //! The attempts of one request at back ends, from its head to its final answer.
 
 use crate::answer::RelayBody;
-use crate::clock::duration;
 use crate::exchange::{AttemptEnd, Exchange, NOT_READY_RETRY, RunReplica, Traffic};
 use crate::forwarding::{
     ForwardedRequest, answer, forwarded_headers, is_event_stream, path_and_query, read_answer,
@@ -15,6 +14,7 @@
 use crate::upstream::Connection;
 use crate::{events, metrics};
 use bytes::Bytes;
+use eiderferry_clock::duration;
 use eiderferry_dispatch::Outcome;
 use eiderferry_routing::{PoolName, RoutingTable};
 use eiderferry_types::{Reason, Span, Timestamp};
@@ -174,7 +174,7 @@
         let (parts, body) = response.into_parts();
         let limit = self.head_deadline(&lease);
         let timeout = async {
-            smol::Timer::after(duration(limit)).await;
+            self.traffic.clock.sleep(limit).await;
             Err(Outcome::Silent)
         };
         let outcome = match read_answer(body, &self.progress.memory).or(timeout).await {
--- a/crates/transport/relay/src/cache_follower.rs
+++ b/crates/transport/relay/src/cache_follower.rs
@@ -1,10 +1,10 @@
 //! Follows what engines tell of their caches: carries the dispatcher's calls out and hands
 //! it the answers. What the calls look like is told by a [`CacheProtocol`].
 
-use crate::clock::duration;
 use crate::control::Control;
 use crate::events;
 use bytes::Bytes;
+use eiderferry_clock::duration;
 use eiderferry_dispatch::{CacheAnswer, CacheCall, CacheEvents, CacheListing, CacheOrder};
 use eiderferry_routing::InstanceId;
 use eiderferry_types::Span;
--- a/crates/transport/relay/src/control.rs
+++ b/crates/transport/relay/src/control.rs
@@ -1,12 +1,12 @@
 //! The control thread: the one place that touches the dispatcher.
 
 use crate::cache_follower::CacheFollower;
-use crate::clock::Clock;
 use crate::documents::FetchError;
 use crate::events;
 use crate::gossip::PeerSocket;
 use crate::metrics;
 use arc_swap::ArcSwapOption;
+use eiderferry_clock::Clock;
 use eiderferry_dispatch::{
     Applied, Change, Decision, Demand, Dispatcher, DocumentKey, Envelope, LeaseId, MessageKind,
     Outcome, QuarantineChange, ReadingDuty, StreamPacing, TICK, TakenNews,
@@ -221,7 +221,7 @@
         let mut count: u64 = 0;
         self.tick(previous);
         loop {
-            smol::Timer::after(crate::clock::duration(TICK)).await;
+            smol::Timer::after(eiderferry_clock::duration(TICK)).await;
             let now = self.clock.now();
             let gap = now.since(previous);
             previous = now;
@@ -301,7 +301,7 @@
     /// Looks for ever whether documents are to be fetched that were left to others at first.
     pub async fn run_fetches(self: &Rc<Self>, executor: &smol::LocalExecutor<'static>) {
         loop {
-            smol::Timer::after(crate::clock::duration(FETCH_CHECK)).await;
+            smol::Timer::after(eiderferry_clock::duration(FETCH_CHECK)).await;
             self.fetch_wanted(None, executor);
         }
     }
@@ -334,7 +334,7 @@
         if let Err(FetchError::Busy(_)) = &result {
             let part = rand::random::<f64>();
             let pause = FETCH_PAUSE + FETCH_PAUSE.scaled(part);
-            smol::Timer::after(crate::clock::duration(pause)).await;
+            smol::Timer::after(eiderferry_clock::duration(pause)).await;
         }
         self.fetching.set(false);
         if let Err(error) = &result {
@@ -427,7 +427,7 @@
             } else {
                 DUTY_CHECK
             };
-            smol::Timer::after(crate::clock::duration(pause)).await;
+            smol::Timer::after(eiderferry_clock::duration(pause)).await;
         }
     }
 
--- a/crates/transport/relay/src/documents.rs
+++ b/crates/transport/relay/src/documents.rs
@@ -1,9 +1,9 @@
 //! Documents passed on between nodes, by `tarpc`.
 
-use crate::clock::Clock;
 use crate::control::Control;
 use crate::metrics;
 use async_compat::Compat;
+use eiderferry_clock::Clock;
 use eiderferry_dispatch::{Admission, Change, DocumentService, MessageKind, TransferId};
 use eiderferry_peer::{Documents, DocumentsClient};
 use eiderferry_types::Timestamp;
--- a/crates/transport/relay/src/exchange.rs
+++ b/crates/transport/relay/src/exchange.rs
@@ -1,7 +1,6 @@
 //! One request from its head to its final answer.
 
 use crate::answer::RelayBody;
-use crate::clock::Clock;
 use crate::control::{ControlHandle, SharedTable};
 use crate::forwarding::ForwardedRequest;
 use crate::lease::Lease;
@@ -12,6 +11,7 @@
 use crate::upstream::Upstream;
 use crate::vocabulary::Vocabulary;
 use crate::{events, metrics};
+use eiderferry_clock::Clock;
 use eiderferry_dispatch::{Decision, Demand, Outcome, ReplicaTarget};
 use eiderferry_routing::{InstanceId, PoolName, RouteKind};
 use eiderferry_types::{Reason, RequestDigest, Span, Timestamp, Verdict};
--- a/crates/transport/relay/src/lib.rs
+++ b/crates/transport/relay/src/lib.rs
@@ -11,7 +11,6 @@
 mod attempts;
 mod cache_follower;
 mod caller_socket;
-mod clock;
 mod control;
 mod crash;
 mod documents;
@@ -40,8 +39,8 @@
 mod whole_body;
 
 pub use cache_follower::{CacheProtocol, UnreadableAnswer};
-pub use clock::Clock;
 pub use control::DocumentFeed;
+pub use eiderferry_clock::Clock;
 pub use event_stream::EventSplitter;
 pub use events::{document_doubtful, reloaded, source_lost, source_regained};
 pub use logging::{LogBudget, LogQueue, start as start_logging};
--- a/crates/transport/relay/src/node.rs
+++ b/crates/transport/relay/src/node.rs
@@ -1,7 +1,6 @@
 //! Threads and sockets of a relay.
 
 use crate::cache_follower::{CacheFollower, CacheProtocol};
-use crate::clock::{Clock, duration};
 use crate::control::{Control, ControlHandle, DocumentFeed, SharedTable};
 use crate::documents;
 use crate::exchange::Traffic;
@@ -13,7 +12,9 @@
 use crate::upstream::Upstream;
 use crate::{events, metrics};
 use arc_swap::ArcSwapOption;
+use eiderferry_clock::{Clock, duration};
 use eiderferry_dispatch::{Dispatcher, DispatcherSettings};
+use eiderferry_types::Span;
 use metrics_exporter_prometheus::PrometheusHandle;
 use quick_error::quick_error;
 use smol::net::TcpListener;
@@ -27,6 +28,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Age that the clock has at the start, so that moments before it can be named: how long ago
+/// a peer heard of something.
+const HEAD_START: Span = Span::from_milliseconds(3_600_000);
 /// Time between two looks for rested connections.
 const CLEANING_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Bytes that the kernel holds for one caller (it takes twice this, for its own records
@@ -70,7 +74,7 @@
 impl Relay {
     /// Starts the control thread.
     pub fn start(settings: RelaySettings, source: Source) -> Result<Self, StartError> {
-        let clock = Clock::start();
+        let clock = Clock::start(HEAD_START);
         let table: SharedTable = Arc::new(ArcSwapOption::empty());
         let (sender, commands) = async_channel::unbounded();
         let socket = bind_datagrams(settings.peer)?;
--- a/crates/transport/relay/src/sending.rs
+++ b/crates/transport/relay/src/sending.rs
@@ -1,7 +1,6 @@
 //! The sending of one attempt: the request on its way to a back end, and the head of its
 //! answer.
 
-use crate::clock::duration;
 use crate::exchange::Exchange;
 use crate::forwarding::Told;
 use crate::lease::Lease;
@@ -70,7 +69,7 @@
         let may_repeat = self.head.route.may_repeat();
         let limit = self.head_deadline(lease).min(after.patience);
         let timeout = async {
-            smol::Timer::after(duration(limit)).await;
+            self.traffic.clock.sleep(limit).await;
             None
         };
         let send = self
--- a/crates/transport/relay/src/server.rs
+++ b/crates/transport/relay/src/server.rs
@@ -103,7 +103,7 @@
         let limits = self.traffic.table.load_full();
         let limits = limits.as_ref().map(|table| table.limits());
         let idle = limits.map_or(ASSUMED_IDLE, |limits| {
-            crate::clock::duration(limits.idle_timeout.max(limits.header_timeout)) * IDLE_FACTOR
+            eiderferry_clock::duration(limits.idle_timeout.max(limits.header_timeout)) * IDLE_FACTOR
         });
         let head_bytes = limits.map_or(MINIMUM_HEAD_BYTES, |limits| limits.maximum_header_bytes);
         let server = Rc::clone(&self);
--- a/crates/transport/relay/src/stream.rs
+++ b/crates/transport/relay/src/stream.rs
@@ -1,7 +1,6 @@
 //! Streams of events, passed on as they come and taken up elsewhere when they break.
 
 use crate::answer::{BrokenAnswer, RelayBody};
-use crate::clock::duration;
 use crate::event_stream::EventSplitter;
 use crate::exchange::{AttemptEnd, Exchange};
 use crate::forwarding::answer;
@@ -139,8 +138,9 @@
             let Some(source) = &mut self.source else {
                 return Piece::Broken(Outcome::Broken);
             };
+            let clock = self.exchange.traffic.clock;
             let timeout = async {
-                smol::Timer::after(duration(limit.min(left))).await;
+                clock.sleep(limit.min(left)).await;
                 None
             };
             let frame = async { Some(source.body.frame().await) }.or(timeout).await;
--- a/crates/transport/relay/src/upstream.rs
+++ b/crates/transport/relay/src/upstream.rs
@@ -2,6 +2,7 @@
 
 use crate::control::ControlHandle;
 use bytes::Bytes;
+use eiderferry_clock::boot_time;
 use eiderferry_dispatch::Grant;
 use eiderferry_routing::InstanceId;
 use eiderferry_types::Span;
@@ -71,10 +72,17 @@
 
 struct Idle {
     connection: Connection,
-    since: Instant,
+    /// Time of the machine, suspensions included: back ends close what rests meanwhile.
+    since: Duration,
     limit: Duration,
 }
 
+impl Idle {
+    fn age(&self) -> Duration {
+        boot_time().saturating_sub(self.since)
+    }
+}
+
 /// A connection to a back end; dropped, it is closed at once.
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
@@ -200,7 +208,7 @@
         };
         loop {
             let idle = self.pools.borrow_mut().get_mut(key)?.idle.pop()?;
-            let is_fresh = idle.since.elapsed() < idle.limit.min(most);
+            let is_fresh = idle.age() < idle.limit.min(most);
             if is_fresh && is_ready(&idle.connection).await && is_open(&idle.connection) {
                 return Some(idle.connection);
             }
@@ -255,7 +263,7 @@
             return;
         };
         let idle = Idle {
-            since: Instant::now(),
+            since: boot_time(),
             limit,
             connection,
         };
@@ -275,9 +283,7 @@
         for pool in pools.values_mut() {
             let (rested, kept): (Vec<Idle>, Vec<Idle>) = std::mem::take(&mut pool.idle)
                 .into_iter()
-                .partition(|idle| {
-                    idle.since.elapsed() >= idle.limit || !idle.connection.sender.is_ready()
-                });
+                .partition(|idle| idle.age() >= idle.limit || !idle.connection.sender.is_ready());
             pool.idle = kept;
             closed.extend(rested);
         }
