--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -37,7 +37,7 @@
     QuarantineCounts, RetryBudget, SplitChange, SplitFigures, WarmthChange,
 };
 use eiderferry_quarantine::Quarantine;
-use eiderferry_routing::{InstanceId, NodeName, PoolName, RegionOfZone, ZoneName};
+use eiderferry_routing::{BackEnd, InstanceId, NodeName, PoolName, RegionOfZone, ZoneName};
 use eiderferry_types::{Span, Timestamp};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -293,6 +293,7 @@
         match (change.key, change.content) {
             (DocumentKey::BackEnd(instance), Content::BackEnd(back_end)) => {
                 self.lapsed.remove(&instance);
+                self.forget_previous_run(&back_end);
                 let table = table.as_deref();
                 self.back_ends.list(back_end, change.revision, table, now);
             }
@@ -323,6 +324,15 @@
         }
     }
 
+    /// A back end that started again holds nothing of what is known of the run before.
+    fn forget_previous_run(&mut self, back_end: &BackEnd) {
+        let known = self.back_ends.get(&back_end.instance);
+        if known.is_some_and(|known| back_end.is_other_run(&known.back_end)) {
+            self.cache_follows.forget(&back_end.instance);
+            self.ended_lately.remove(&back_end.instance);
+        }
+    }
+
     fn forget_back_end(&mut self, instance: &InstanceId) {
         self.lapsed.remove(instance);
         self.back_ends.remove(instance);
--- a/crates/coordination/dispatch/src/dispatcher/cache_index.rs
+++ b/crates/coordination/dispatch/src/dispatcher/cache_index.rs
@@ -52,6 +52,15 @@
     ended: FollowCounts,
 }
 
+impl CacheFollows {
+    /// Begins anew with an engine that has started again, if this node follows it.
+    pub(super) fn forget(&mut self, instance: &InstanceId) {
+        if let Some(index) = self.indices.remove(instance) {
+            self.ended.add(index.counts());
+        }
+    }
+}
+
 impl Dispatcher {
     /// Calls that are due at the engines that this node follows.
     pub fn cache_calls(&mut self, now: Timestamp) -> Vec<CacheOrder> {
--- a/crates/coordination/dispatch/src/dispatcher/granting.rs
+++ b/crates/coordination/dispatch/src/dispatcher/granting.rs
@@ -44,6 +44,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Lease {
     pub(super) instance: InstanceId,
+    /// The back end's run, where it tells when it started.
+    started_unix_ms: Option<u64>,
     pool: PoolName,
     replica: Option<KeptReplica>,
     request: RequestDigest,
@@ -152,12 +154,14 @@
         let answer = u64::from(demand.output_tokens);
         state.load.cache.insert_single(answer);
         let address = state.back_end.address;
+        let started_unix_ms = state.back_end.started_unix_ms;
         let placements = placements(state.digest, demand.shared_parts());
         self.tell_placements(&placements);
         let kept = self.replicate(demand, &plan.instance, now);
         let replica = kept.as_ref().map(|kept| Box::new(kept.target.clone()));
         let record = Lease {
             instance: plan.instance.clone(),
+            started_unix_ms,
             pool: demand.pool.clone(),
             replica: kept,
             request: demand.digest,
@@ -236,6 +240,11 @@
             self.release_replica(kept);
         }
         let pool_share = self.pool_failure_share(record);
+        let state = self.back_ends.get(&record.instance);
+        if state.is_none_or(|state| state.back_end.started_unix_ms != record.started_unix_ms) {
+            // That run is over; its end says nothing of the one that has its name now.
+            return Vec::new();
+        }
         self.ended_lately.insert(record.instance.clone(), now);
         let Some(state) = self.back_ends.get_mut(&record.instance) else {
             return Vec::new();
--- a/crates/coordination/dispatch/src/load/registry.rs
+++ b/crates/coordination/dispatch/src/load/registry.rs
@@ -116,7 +116,8 @@
         self.states.values_mut()
     }
 
-    /// Adds or changes a back end that was listed at a revision and is heard of now.
+    /// Adds or changes a back end that was listed at a revision and is heard of now. One that
+    /// started again under its name is added anew.
     pub fn list(
         &mut self,
         back_end: BackEnd,
@@ -137,10 +138,12 @@
                 self.remove(&holder);
             }
         }
-        let moved = self.states.get(&instance).is_some_and(|state| {
-            state.back_end.pool != back_end.pool || state.back_end.address != back_end.address
+        let is_new = self.states.get(&instance).is_some_and(|state| {
+            state.back_end.pool != back_end.pool
+                || state.back_end.address != back_end.address
+                || back_end.is_other_run(&state.back_end)
         });
-        if moved {
+        if is_new {
             self.remove(&instance);
         }
         self.by_address
--- a/crates/coordination/dispatch/tests/knowledge.rs
+++ b/crates/coordination/dispatch/tests/knowledge.rs
@@ -41,6 +41,7 @@
             slots: 6,
             draining,
             cold_for: None,
+            started_unix_ms: None,
         }),
     }
 }
--- a/crates/coordination/dispatch/tests/support/mod.rs
+++ b/crates/coordination/dispatch/tests/support/mod.rs
@@ -104,6 +104,7 @@
         slots: 64,
         draining: false,
         cold_for: Some(Span::ZERO),
+        started_unix_ms: None,
     }
 }
 
--- a/crates/state/routing/src/back_end.rs
+++ b/crates/state/routing/src/back_end.rs
@@ -23,4 +23,16 @@
     /// Time for which it was still cold when its entry was written, zero for a warm one;
     /// `None` where the entry doesn't tell.
     pub cold_for: Option<Span>,
+    /// When the run began, in Unix milliseconds of its own machine; `None` where the entry doesn't
+    /// tell. A back end may start again under its name: another start is another run, which knows
+    /// nothing of what the one before was sent. Never compared with a clock of this node.
+    pub started_unix_ms: Option<u64>,
+}
+
+impl BackEnd {
+    /// Whether this is another run than one listed before under the same name.
+    pub fn is_other_run(&self, before: &BackEnd) -> bool {
+        let starts = self.started_unix_ms.zip(before.started_unix_ms);
+        starts.is_some_and(|(start, before)| start != before)
+    }
 }
--- a/crates/state/routing/src/identity.rs
+++ b/crates/state/routing/src/identity.rs
@@ -55,7 +55,7 @@
     PoolName
 );
 text_identifier!(
-    /// One run of a back end: a restarted one has another.
+    /// Name of a back end. It may start again under its name: see `BackEnd::is_other_run`.
     InstanceId
 );
 text_identifier!(
--- a/crates/transport/relay/tests/support/mod.rs
+++ b/crates/transport/relay/tests/support/mod.rs
@@ -400,6 +400,7 @@
                 slots: 64,
                 draining: false,
                 cold_for: Some(Span::ZERO),
+                started_unix_ms: None,
             }),
         }
     });
