Refused connections and this node's own bounds no longer make zones suspect

Two back ends of another zone to which no connection came up made all others of that zone get no work, also when the two had crashed and refused connections, and when this node itself had used up its connections or memory there. Change: outcomes refused (nothing listens on a machine that is there) and not_sent (own bounds; says nothing of the back end). Refusals show a cut where 0.6 of a zone's back ends are missed.

--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -23,7 +23,7 @@
 use aggregation::Aggregation;
 use cache_index::CacheFollows;
 use document_source::WantedDocuments;
-use granting::Lease;
+use granting::{Lease, Miss};
 use home_scopes::HomeScopes;
 
 use crate::load::cache_index::FollowCounts;
@@ -172,7 +172,7 @@
     budgets: HashMap<PoolName, RetryBudget>,
     leases: HashMap<LeaseId, Lease>,
     ended_lately: HashMap<InstanceId, Timestamp>,
-    unreachable: HashMap<ZoneName, HashMap<InstanceId, Timestamp>>,
+    missed: HashMap<ZoneName, HashMap<InstanceId, Miss>>,
     next_lease: u64,
     placements: Vec<Placement>,
     ticks: u64,
@@ -222,7 +222,7 @@
             budgets: HashMap::new(),
             leases: HashMap::new(),
             ended_lately: HashMap::new(),
-            unreachable: HashMap::new(),
+            missed: HashMap::new(),
             next_lease: 0,
             placements: Vec::new(),
             ticks: 0,
--- a/crates/coordination/dispatch/src/dispatcher/granting.rs
+++ b/crates/coordination/dispatch/src/dispatcher/granting.rs
@@ -29,9 +29,12 @@
 const REGION_RETRY: Span = Span::from_milliseconds(5_000);
 /// Time after which a request refused for load is worth sending again.
 const OVERLOAD_RETRY: Span = Span::from_milliseconds(400);
-/// Back ends of one zone that can't be reached, within a window, which show that the
-/// way to the zone is cut.
+/// Back ends of one zone that don't answer, within a window, which show that the way to the
+/// zone is cut.
 const UNREACHABLE_FOR_CUT: usize = 2;
+/// The same of those that refuse connections, as a part of all of the zone. A refusal comes from
+/// a machine that is there; several have crashed more often than a cut refuses.
+const REFUSING_FOR_CUT: f64 = 0.6;
 const CUT_WINDOW: Span = Span::from_milliseconds(3_000);
 /// Requests at a back end, as a multiple of its slots, beyond which none of the least
 /// urgent tier is added: what waits longer comes late anyway.
@@ -53,6 +56,13 @@
     has_events: bool,
 }
 
+/// A back end of another zone to which no connection came up.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Miss {
+    is_refusal: bool,
+    at: Timestamp,
+}
+
 /// What changed when a place was given back.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Ended {
@@ -254,29 +264,42 @@
         let own = change.map(|change| (record.instance.clone(), change));
         let zone = state.back_end.zone.clone();
         let mut changes: Vec<(InstanceId, HealthChange)> = own.into_iter().collect();
-        if outcome == Outcome::Unreachable && zone != self.settings.zone {
-            changes.extend(self.note_unreachable(zone, record.instance.clone(), now));
+        let is_missed = matches!(outcome, Outcome::Unreachable | Outcome::Refused);
+        if is_missed && zone != self.settings.zone {
+            let miss = Miss {
+                is_refusal: outcome == Outcome::Refused,
+                at: now,
+            };
+            changes.extend(self.note_missed(zone, record.instance.clone(), miss));
         }
         changes
     }
 
-    /// Several back ends of another zone that can't be reached show that the way
-    /// there is cut: the rest of them gets no work for a while either.
-    fn note_unreachable(
+    /// Several back ends of another zone that can't be reached show that the way there is cut:
+    /// the rest of them gets no work for a while either.
+    fn note_missed(
         &mut self,
         zone: ZoneName,
         instance: InstanceId,
-        now: Timestamp,
+        miss: Miss,
     ) -> Vec<(InstanceId, HealthChange)> {
-        let lately = self.unreachable.entry(zone.clone()).or_default();
-        lately.retain(|_, at| now.since(*at) < CUT_WINDOW);
-        lately.insert(instance, now);
-        if lately.len() < UNREACHABLE_FOR_CUT {
-            return Vec::new();
-        }
+        let now = miss.at;
+        let lately = self.missed.entry(zone.clone()).or_default();
+        lately.retain(|_, miss| now.since(miss.at) < CUT_WINDOW);
+        lately.insert(instance, miss);
+        let refusing = lately.values().filter(|miss| miss.is_refusal).count();
+        let silent = lately.len() - refusing;
         let states = self.back_ends.all_mut();
         let there = states.filter(|state| state.back_end.zone == zone);
+        let there: Vec<&mut BackEndState> = there.collect();
+        let is_cut = silent >= UNREACHABLE_FOR_CUT
+            || (lately.len() >= UNREACHABLE_FOR_CUT
+                && lately.len() as f64 >= REFUSING_FOR_CUT * there.len() as f64);
+        if !is_cut {
+            return Vec::new();
+        }
         there
+            .into_iter()
             .filter_map(|state| {
                 let change = state.health.suspect(now)?;
                 Some((state.back_end.instance.clone(), change))
--- a/crates/coordination/dispatch/src/load/health.rs
+++ b/crates/coordination/dispatch/src/load/health.rs
@@ -63,7 +63,7 @@
         now: Timestamp,
     ) -> Option<HealthChange> {
         let is_failure = match outcome {
-            Outcome::Abandoned => return None,
+            Outcome::Abandoned | Outcome::NotSent => return None,
             Outcome::Completed => false,
             _ => true,
         };
@@ -100,7 +100,10 @@
         if was_ejected {
             return None;
         }
-        let is_gone = matches!(outcome, Outcome::Unreachable | Outcome::Replaced);
+        let is_gone = matches!(
+            outcome,
+            Outcome::Unreachable | Outcome::Refused | Outcome::Replaced
+        );
         let in_a_row = self.failures_in_a_row >= FAILURES_IN_A_ROW;
         let too_many =
             self.answers >= MINIMUM_ANSWERS && self.failure_share > pool_share + EXCESS_SHARE;
--- a/crates/coordination/dispatch/src/placement/demand.rs
+++ b/crates/coordination/dispatch/src/placement/demand.rs
@@ -112,8 +112,12 @@
     Shed,
     /// Another run of a back end has the address.
     Replaced,
-    /// No connection came up.
+    /// Nothing answered: no connection came up.
     Unreachable,
+    /// The connection was refused: nothing listens there, on a machine that can be reached.
+    Refused,
+    /// This node's own bounds kept it from being sent; says nothing of the back end.
+    NotSent,
     /// The answer broke off, or was none.
     Broken,
     /// No answer, or no further event, in time.
@@ -156,6 +160,8 @@
             Outcome::Shed => "shed",
             Outcome::Replaced => "replaced",
             Outcome::Unreachable => "unreachable",
+            Outcome::Refused => "refused",
+            Outcome::NotSent => "not_sent",
             Outcome::Broken => "broken",
             Outcome::Silent => "silent",
             Outcome::Abandoned => "abandoned",
--- a/crates/coordination/dispatch/tests/health.rs
+++ b/crates/coordination/dispatch/tests/health.rs
@@ -11,7 +11,8 @@
 }
 
 #[rstest]
-#[case::nobody_listens(Outcome::Unreachable, false)]
+#[case::nothing_answers(Outcome::Unreachable, false)]
+#[case::nobody_listens(Outcome::Refused, false)]
 #[case::another_run_has_the_address(Outcome::Replaced, true)]
 fn a_back_end_that_is_gone_gets_no_work_at_once(
     #[case] outcome: Outcome,
@@ -25,6 +26,15 @@
     assert_eq!(health.is_ejected(after(3_600_000)), is_for_good);
 }
 
+#[test]
+fn what_this_node_could_not_send_says_nothing_of_a_back_end() {
+    let mut health = Health::default();
+    for _ in 0..20 {
+        assert_eq!(health.record(Outcome::NotSent, 0.0, START), None);
+    }
+    assert!(!health.is_ejected(START));
+}
+
 #[test]
 fn three_failures_in_a_row_eject_and_two_do_not() {
     let mut health = Health::default();
--- a/crates/coordination/dispatch/tests/placement.rs
+++ b/crates/coordination/dispatch/tests/placement.rs
@@ -471,8 +471,8 @@
     assert_eq!(grant.instance, failing);
 }
 
-#[test]
-fn two_unreachable_back_ends_make_their_whole_zone_suspect() {
+/// Three engines in each of three zones, of which two of the second end requests like this.
+fn with_two_missed(outcome: Outcome) -> Dispatcher {
     let mut subject = support::dispatcher(0, 0, Vec::new());
     subject.apply(table_change(1), START);
     for number in 0..9 {
@@ -487,26 +487,80 @@
     while lost.len() < 2 {
         thing += 1;
         let grant = granted(subject.ask(&demand(thing, 5_000, 400), START));
-        let number: usize = grant.instance.as_str()["engine-".len()..]
-            .parse()
-            .expect("a number");
-        let outcome = if number % 3 == 1 {
+        let is_missed = support::engine_number(&grant) % 3 == 1;
+        if is_missed {
             lost.insert(grant.instance.clone());
-            Outcome::Unreachable
+        }
+        subject.first_event(grant.lease, START);
+        let outcome = if is_missed {
+            outcome
         } else {
             Outcome::Completed
         };
-        subject.first_event(grant.lease, START);
         subject.end(grant.lease, outcome, START);
     }
+    subject
+}
+
+/// Which of these engines get any of 60 requests.
+fn engines_used(subject: &mut Dispatcher) -> BTreeSet<usize> {
+    let mut used = BTreeSet::new();
     for thing in 0..60 {
         let grant = granted(subject.ask(&demand(thing, 5_000, 400), START));
-        let number: usize = grant.instance.as_str()["engine-".len()..]
-            .parse()
-            .expect("a number");
-        assert_ne!(number % 3, 1, "thing {thing} was sent into the lost zone");
+        used.insert(support::engine_number(&grant));
         subject.end(grant.lease, Outcome::Completed, START);
     }
+    used
+}
+
+#[test]
+fn two_unreachable_back_ends_make_their_whole_zone_suspect() {
+    let mut subject = with_two_missed(Outcome::Unreachable);
+    let used = engines_used(&mut subject);
+    assert!(used.iter().all(|number| number % 3 != 1), "{used:?}");
+}
+
+/// Some cuts refuse connections.
+#[test]
+fn a_zone_most_of_whose_back_ends_refuse_connections_is_suspect() {
+    let mut subject = with_two_missed(Outcome::Refused);
+    let used = engines_used(&mut subject);
+    assert!(used.iter().all(|number| number % 3 != 1), "{used:?}");
+}
+
+/// Two engines that crashed are no reason to leave a third one alone that serves: it gets part
+/// of the load that the two had.
+#[test]
+fn crashed_back_ends_make_the_rest_of_a_larger_zone_not_suspect() {
+    let mut subject = support::dispatcher_with_features(0, support::HOMES_ANYWHERE);
+    subject.apply(table_change(1), START);
+    for number in 0..12 {
+        let name = format!("engine-{number}");
+        subject.apply(
+            back_end_change(back_end(&name, number, number % 3), 2),
+            START,
+        );
+    }
+    let mut crashed = BTreeSet::new();
+    for thing in 0..200 {
+        let grant = granted(subject.ask(&demand(thing, 5_000, 400), START));
+        let number = support::engine_number(&grant);
+        let crashes = number % 3 == 1 && (crashed.len() < 2 || crashed.contains(&number));
+        if crashes {
+            crashed.insert(number);
+        }
+        subject.first_event(grant.lease, START);
+        let outcome = if crashes {
+            Outcome::Refused
+        } else {
+            Outcome::Completed
+        };
+        subject.end(grant.lease, outcome, START);
+    }
+    assert_eq!(crashed.len(), 2);
+    let used = engines_used(&mut subject);
+    let in_zone = used.iter().filter(|number| **number % 3 == 1).count();
+    assert_eq!(in_zone, 2, "{used:?}");
 }
 
 #[test]
--- a/crates/transport/relay/src/sending.rs
+++ b/crates/transport/relay/src/sending.rs
@@ -85,11 +85,11 @@
         result: Option<Result<(Response<Incoming>, Connection), SendError>>,
     ) -> Result<(Response<Incoming>, Connection), Outcome> {
         match result {
-            Some(Err(SendError::Unreachable(_) | SendError::NoConnection | SendError::Backlog)) => {
+            Some(Err(error)) if error.is_unsent() => {
                 self.unreachable += 1;
-                Err(Outcome::Unreachable)
+                Err(error.outcome())
             }
-            Some(Err(SendError::Broken(_))) => {
+            Some(Err(_)) => {
                 self.attempts += 1;
                 self.may_have_run = true;
                 Err(Outcome::Broken)
--- a/crates/transport/relay/src/upstream.rs
+++ b/crates/transport/relay/src/upstream.rs
@@ -3,7 +3,7 @@
 use crate::control::ControlHandle;
 use bytes::Bytes;
 use eiderferry_clock::boot_time;
-use eiderferry_dispatch::Grant;
+use eiderferry_dispatch::{Grant, Outcome};
 use eiderferry_routing::InstanceId;
 use eiderferry_types::Span;
 use futures_lite::FutureExt;
@@ -60,6 +60,25 @@
     }
 }
 
+impl SendError {
+    /// Whether certainly nothing was sent.
+    pub fn is_unsent(&self) -> bool {
+        !matches!(self, SendError::Broken(_))
+    }
+
+    /// What it says of the back end.
+    pub fn outcome(&self) -> Outcome {
+        match self {
+            SendError::Unreachable(cause) if cause.kind() == ErrorKind::ConnectionRefused => {
+                Outcome::Refused
+            }
+            SendError::Unreachable(_) => Outcome::Unreachable,
+            SendError::NoConnection | SendError::Backlog => Outcome::NotSent,
+            SendError::Broken(_) => Outcome::Broken,
+        }
+    }
+}
+
 type Key = (SocketAddr, InstanceId);
 
 #[derive(Default)]
