A quarantined request is taken back from back ends that have not begun it

Cause: when the third crash is heard, other copies of the request still wait in the queues of back ends, which crash next; and what a crash did to an attempt to continue or resume a stream was not noted. Change: the control thread tells exchanges that wait for a head or a first event; they close the connection (outcome withdrawn, which says nothing of the back end) and answer crashes_back_ends with the verdict may_have_run. Failed continuations are noted like other attempts. Result: a request held in a back end's queue is answered 500 and its connection closed once three other back ends crashed under it by other nodes; before it stayed there until the route's time.

--- a/crates/coordination/dispatch/src/load/health.rs
+++ b/crates/coordination/dispatch/src/load/health.rs
@@ -63,7 +63,7 @@
         now: Timestamp,
     ) -> Option<HealthChange> {
         let is_failure = match outcome {
-            Outcome::Abandoned | Outcome::NotSent => return None,
+            Outcome::Abandoned | Outcome::Withdrawn | Outcome::NotSent => return None,
             Outcome::Completed => false,
             _ => true,
         };
--- a/crates/coordination/dispatch/src/load/outcomes.rs
+++ b/crates/coordination/dispatch/src/load/outcomes.rs
@@ -64,7 +64,7 @@
             return;
         };
         match outcome {
-            Outcome::Abandoned | Outcome::NotSent => {}
+            Outcome::Abandoned | Outcome::Withdrawn | Outcome::NotSent => {}
             Outcome::Completed => counts.completed += 1,
             _ => counts.failed += 1,
         }
--- a/crates/coordination/dispatch/src/placement/demand.rs
+++ b/crates/coordination/dispatch/src/placement/demand.rs
@@ -122,6 +122,8 @@
     Broken,
     /// No answer, or no further event, in time.
     Silent,
+    /// This node took it back, as back ends crash under it; says nothing of the back end.
+    Withdrawn,
     /// The caller left, or a planned stop ended it; says nothing of the back end.
     Abandoned,
 }
@@ -164,6 +166,7 @@
             Outcome::NotSent => "not_sent",
             Outcome::Broken => "broken",
             Outcome::Silent => "silent",
+            Outcome::Withdrawn => "withdrawn",
             Outcome::Abandoned => "abandoned",
         }
     }
--- a/crates/transport/relay/src/attempts.rs
+++ b/crates/transport/relay/src/attempts.rs
@@ -90,6 +90,7 @@
         unreachable: 0,
         excluded: Vec::new(),
         may_have_run: false,
+        withdrawn_until: None,
         replica: None,
         status: 0,
         progress,
@@ -137,6 +138,11 @@
                 AttemptEnd::None(outcome) => outcome,
             };
             self.note_failed_attempt(&instance, address, outcome).await;
+            if let Some(until) = self.withdrawn_until {
+                let lasts = self.traffic.clock.now().until(until);
+                let answer = self.crashes_back_ends(lasts);
+                return self.conclude(fallback, answer);
+            }
             if !self.may_try_again() {
                 let answer = self.final_answer(outcome);
                 return self.conclude(fallback, answer);
--- a/crates/transport/relay/src/control.rs
+++ b/crates/transport/relay/src/control.rs
@@ -5,6 +5,7 @@
 use crate::events;
 use crate::gossip::PeerSocket;
 use crate::metrics;
+use crate::withdrawal::Withdrawals;
 use arc_swap::ArcSwapOption;
 use eiderferry_clock::Clock;
 use eiderferry_dispatch::{
@@ -117,18 +118,13 @@
     }
 }
 
-fn log_quarantine<'a>(changes: impl IntoIterator<Item = &'a QuarantineChange>) {
-    for change in changes {
-        events::quarantine(change);
-    }
-}
-
 /// State of the control thread, shared by its tasks.
 pub(crate) struct Control {
     pub dispatcher: RefCell<Dispatcher>,
     pub clock: Clock,
     table: SharedTable,
     socket: PeerSocket,
+    withdrawals: Withdrawals,
     /// Where this node answers other nodes.
     address: SocketAddr,
     fetching: Cell<bool>,
@@ -160,6 +156,7 @@
         clock: Clock,
         table: SharedTable,
         socket: PeerSocket,
+        withdrawals: Withdrawals,
         address: SocketAddr,
     ) -> Self {
         Self {
@@ -167,6 +164,7 @@
             clock,
             table,
             socket,
+            withdrawals,
             address,
             fetching: Cell::new(false),
         }
@@ -200,10 +198,10 @@
                 for (instance, change) in &ended.standings {
                     events::back_end_standing(instance, *change, outcome);
                 }
-                log_quarantine(&ended.quarantine_change);
+                self.note_quarantine(&ended.quarantine_change, now);
             }
             Command::Crashed(request, instance) => {
-                log_quarantine(&dispatcher.note_crash(request, &instance, now));
+                self.note_quarantine(&dispatcher.note_crash(request, &instance, now), now);
             }
             Command::Connected(instance, round_trip) => {
                 dispatcher.note_round_trip(&instance, round_trip);
@@ -251,12 +249,23 @@
         for change in &output.split_changes {
             events::pool_split(change);
         }
-        log_quarantine(&output.quarantine_changes);
+        self.note_quarantine(&output.quarantine_changes, now);
         for envelope in &output.messages {
             self.send(envelope);
         }
     }
 
+    fn note_quarantine<'a>(
+        &self,
+        changes: impl IntoIterator<Item = &'a QuarantineChange>,
+        now: Timestamp,
+    ) {
+        for change in changes {
+            events::quarantine(change);
+            self.withdrawals.note(change, now);
+        }
+    }
+
     fn send(&self, envelope: &Envelope) {
         let dispatcher = self.dispatcher.borrow();
         let border = |address| dispatcher.border_to(address);
@@ -283,7 +292,7 @@
                 events::peer(change);
             }
             self.follow_news(&received.taken);
-            log_quarantine(&received.quarantine_changes);
+            self.note_quarantine(&received.quarantine_changes, now);
             if received.wants_answer {
                 let message = self.dispatcher.borrow_mut().answer(from, now);
                 self.send(&Envelope {
--- a/crates/transport/relay/src/exchange.rs
+++ b/crates/transport/relay/src/exchange.rs
@@ -10,6 +10,7 @@
 use crate::request_memory::Memory;
 use crate::upstream::Upstream;
 use crate::vocabulary::Vocabulary;
+use crate::withdrawal::Withdrawals;
 use crate::{events, metrics};
 use eiderferry_clock::Clock;
 use eiderferry_dispatch::{Decision, Demand, Outcome, ReplicaTarget};
@@ -33,6 +34,7 @@
     pub control: ControlHandle,
     pub table: SharedTable,
     pub vocabulary: Vocabulary,
+    pub withdrawals: Withdrawals,
     pub clock: Clock,
 }
 
@@ -67,6 +69,8 @@
     pub unreachable: u32,
     pub excluded: Vec<InstanceId>,
     pub may_have_run: bool,
+    /// Until when the request is refused, if it was taken back from a back end.
+    pub withdrawn_until: Option<Timestamp>,
     /// The replica of the run, until its holder has been asked for it.
     pub replica: Option<RunReplica>,
     pub status: u16,
@@ -192,6 +196,15 @@
         }
     }
 
+    /// The answer to a request that is refused for so long because back ends crash under it.
+    pub fn crashes_back_ends(&self, lasts: Span) -> OwnAnswer {
+        OwnAnswer::CrashesBackEnds(CrashVerdict {
+            digest: self.digest,
+            lasts,
+            verdict: self.verdict(),
+        })
+    }
+
     fn verdict(&self) -> Verdict {
         if self.may_have_run {
             Verdict::MayHaveRun
@@ -209,11 +222,7 @@
 
     fn refusal(&self, reason: Reason, retry_after: Span) -> OwnAnswer {
         if reason == Reason::CrashesBackEnds {
-            return OwnAnswer::CrashesBackEnds(CrashVerdict {
-                digest: self.digest,
-                lasts: retry_after,
-                verdict: self.verdict(),
-            });
+            return self.crashes_back_ends(retry_after);
         }
         if self.may_have_run {
             OwnAnswer::AnswerLost
--- a/crates/transport/relay/src/failover.rs
+++ b/crates/transport/relay/src/failover.rs
@@ -66,6 +66,13 @@
         }
     }
 
+    /// Gives the place of an attempt back that got no answer.
+    async fn end_failed(&self, lease: Lease, outcome: Outcome) {
+        let (back_end, address) = (lease.grant.instance.clone(), lease.grant.address);
+        lease.end(outcome);
+        self.note_failed_attempt(&back_end, address, outcome).await;
+    }
+
     async fn continue_at(&mut self, lease: Lease, last_id: u64) -> Result<Answering, &'static str> {
         let replica = format!("{}/{}", lease.grant.address, self.head.id);
         let after = After {
@@ -89,7 +96,7 @@
                 Err("no_replica")
             }
             Err(outcome) => {
-                lease.end(outcome);
+                self.end_failed(lease, outcome).await;
                 Err(outcome.as_str())
             }
         }
@@ -136,7 +143,7 @@
                     return true;
                 }
                 Ok(_) => lease.end(Outcome::Failed),
-                Err(outcome) => lease.end(outcome),
+                Err(outcome) => self.exchange.end_failed(lease, outcome).await,
             }
         }
         false
--- a/crates/transport/relay/src/lib.rs
+++ b/crates/transport/relay/src/lib.rs
@@ -37,6 +37,7 @@
 mod upstream;
 mod vocabulary;
 mod whole_body;
+mod withdrawal;
 
 pub use cache_follower::{CacheProtocol, UnreadableAnswer};
 pub use control::DocumentFeed;
--- a/crates/transport/relay/src/node.rs
+++ b/crates/transport/relay/src/node.rs
@@ -10,6 +10,7 @@
 use crate::server::{Phase, Server};
 use crate::settings::{RelaySettings, StopSettings};
 use crate::upstream::Upstream;
+use crate::withdrawal::Withdrawals;
 use crate::{events, metrics};
 use arc_swap::ArcSwapOption;
 use eiderferry_clock::{Clock, duration};
@@ -69,6 +70,7 @@
     control: ControlHandle,
     metrics: Option<PrometheusHandle>,
     memory: Arc<MemoryBudget>,
+    withdrawals: Withdrawals,
 }
 
 impl Relay {
@@ -94,18 +96,21 @@
             link_mbps: settings.link_mbps,
         });
         let shared = Arc::clone(&table);
+        let withdrawals = Withdrawals::default();
+        let told = withdrawals.clone();
         let peer = settings.peer;
         let cache_protocol = settings.cache_protocol.clone();
         let thread = std::thread::Builder::new().name("control".to_owned());
         thread
             .spawn(move || {
-                let control = Control::new(dispatcher, clock, shared, socket, peer);
+                let control = Control::new(dispatcher, clock, shared, socket, told, peer);
                 run_control(Rc::new(control), commands, listener, cache_protocol, source);
             })
             .map_err(StartError::Thread)?;
         let memory = MemoryBudget::new(settings.memory_budget);
         Ok(Self {
             memory,
+            withdrawals,
             settings,
             clock,
             table,
@@ -135,6 +140,7 @@
             control: self.control.clone(),
             table: Arc::clone(&self.table),
             vocabulary: self.settings.vocabulary.clone(),
+            withdrawals: self.withdrawals.clone(),
             clock: self.clock,
         });
         let server = Rc::new(Server {
--- a/crates/transport/relay/src/sending.rs
+++ b/crates/transport/relay/src/sending.rs
@@ -7,7 +7,7 @@
 use crate::upstream::{Connection, SendError};
 use eiderferry_dispatch::Outcome;
 use eiderferry_routing::RouteKind;
-use eiderferry_types::Span;
+use eiderferry_types::{Span, Timestamp};
 use futures_lite::FutureExt;
 use http::{Response, StatusCode, header};
 use hyper::body::Incoming;
@@ -41,6 +41,15 @@
     }
 }
 
+/// Why a wait for the head of an answer was ended.
+enum Interruption {
+    TimedOut,
+    /// The request was quarantined meanwhile, until then.
+    Withdrawn(Timestamp),
+}
+
+type Answered = Result<(Response<Incoming>, Connection), SendError>;
+
 impl Exchange {
     /// Sends the request to a back end and waits for the head of its answer.
     pub async fn send(
@@ -70,36 +79,47 @@
         let limit = self.head_deadline(lease).min(after.patience);
         let timeout = async {
             self.traffic.clock.sleep(limit).await;
-            None
+            Err(Interruption::TimedOut)
+        };
+        let withdrawal = async {
+            let until = self.traffic.withdrawals.of(self.digest).await;
+            Err(Interruption::Withdrawn(until))
         };
         let send = self
             .traffic
             .upstream
             .send(&lease.grant, request, may_repeat);
-        let result = async { Some(send.await) }.or(timeout).await;
-        self.judge(result)
+        let answer = async { Ok(send.await) };
+        let waited = answer.or(timeout).or(withdrawal).await;
+        self.judge(waited)
     }
 
     fn judge(
         &mut self,
-        result: Option<Result<(Response<Incoming>, Connection), SendError>>,
+        waited: Result<Answered, Interruption>,
     ) -> Result<(Response<Incoming>, Connection), Outcome> {
-        match result {
-            Some(Err(error)) if error.is_unsent() => {
+        match waited {
+            Ok(Err(error)) if error.is_unsent() => {
                 self.unreachable += 1;
                 Err(error.outcome())
             }
-            Some(Err(_)) => {
+            Ok(Err(_)) => {
                 self.attempts += 1;
                 self.may_have_run = true;
                 Err(Outcome::Broken)
             }
-            None => {
+            Err(Interruption::TimedOut) => {
                 self.attempts += 1;
                 self.may_have_run = true;
                 Err(Outcome::Silent)
             }
-            Some(Ok((response, connection))) => {
+            Err(Interruption::Withdrawn(until)) => {
+                self.attempts += 1;
+                self.may_have_run = true;
+                self.withdrawn_until = Some(until);
+                Err(Outcome::Withdrawn)
+            }
+            Ok(Ok((response, connection))) => {
                 self.attempts += 1;
                 self.judge_head(response, connection)
             }
--- a/crates/transport/relay/src/stream.rs
+++ b/crates/transport/relay/src/stream.rs
@@ -63,7 +63,19 @@
             splitter: EventSplitter::default(),
             ready: None,
         };
-        match relay.next_piece(true).await {
+        let withdrawals = relay.exchange.traffic.withdrawals.clone();
+        let digest = relay.exchange.digest;
+        let withdrawal = async { Err(withdrawals.of(digest).await) };
+        let first = async { Ok(relay.next_piece(true).await) };
+        let first = match first.or(withdrawal).await {
+            Ok(piece) => piece,
+            Err(until) => {
+                relay.finish_source(Outcome::Withdrawn);
+                relay.exchange.withdrawn_until = Some(until);
+                return (Some(relay.exchange), AttemptEnd::None(Outcome::Withdrawn));
+            }
+        };
+        match first {
             Piece::Events(events) => {
                 relay.note_first_event();
                 relay.ready = Some(events);
--- a/crates/transport/relay/tests/crashing_requests.rs
+++ b/crates/transport/relay/tests/crashing_requests.rs
@@ -176,3 +176,32 @@
     assert_eq!(system.send(NODES, "/read/check", FATAL).status, 500);
     assert_eq!(system.crashes(), before);
 }
+
+/// While a back end still holds the request in its queue it has not crashed, and is not to.
+#[test]
+fn it_is_taken_back_from_a_back_end_that_has_not_begun() {
+    let path = "/patient-read/check";
+    let mut system = System::start();
+    let holding = StandIn::start(|stream, _, _| {
+        support::wait_for_close(stream);
+        false
+    });
+    let node = Running::joining(&system.nodes, &[holding.address]);
+    let answer = std::thread::scope(|scope| {
+        let waiting = scope.spawn(|| node.call("POST", path, "", FATAL));
+        let begun = Instant::now();
+        while holding.count() == 0 {
+            assert!(begun.elapsed() < PATIENCE, "not sent");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        system.crash_three(path);
+        waiting.join().expect("no panic")
+    });
+    assert_eq!(answer.status, 500);
+    assert!(
+        answer.body.starts_with("crashes_back_ends: "),
+        "{}",
+        answer.body
+    );
+    system.nodes.push(node);
+}
