Quarantine on the own interface: its router remembered no request either

Cause: the class of the repeats in the second router. A request that crashes back ends went to up to four of them (its attempts) each time, by each node that it came to. Change: eiderferry-node notes crashes and whole answers by the digest of a submission, tells other nodes (at once, with probes, and to a node that starts), refuses submissions and further attempts. After a break the entry tries a connection, as the relay does. One description of a change serves both logs. Result: four node tests on a virtual clock: three crashes over all, twelve further submissions to three nodes refused, other requests served.

--- a/bins/eiderferry-lab/src/capacity.rs
+++ b/bins/eiderferry-lab/src/capacity.rs
@@ -10,7 +10,8 @@
 };
 use eiderferry_simulator::{Policy, Scenario, simulate};
 use eiderferry_types::{
-    BackEndId, ClassId, Incarnation, NodeId, PoolId, Span, TenantId, Timestamp, ZoneId,
+    BackEndId, ClassId, Incarnation, NodeId, PoolId, RequestDigest, Span, TenantId, Timestamp,
+    ZoneId,
 };
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Instant;
@@ -302,6 +303,7 @@
 
 fn submission(number: u64, now: Timestamp) -> Submission {
     Submission {
+        digest: RequestDigest(number),
         class: ClassId((number % 7) as u8 + 1),
         tenant: TenantId((number % 100) as u16 + 1),
         pool: PoolId(1),
--- a/crates/coordination/node/src/lib.rs
+++ b/crates/coordination/node/src/lib.rs
@@ -11,6 +11,7 @@
 mod catalog;
 mod claims;
 mod counts;
+mod crashing;
 mod decision;
 mod documents;
 mod holding;
--- a/crates/coordination/node/src/message.rs
+++ b/crates/coordination/node/src/message.rs
@@ -7,6 +7,7 @@
 use eiderferry_config::{Configuration, ConfigurationDelta, Directory, DirectoryDelta};
 use eiderferry_dissemination::Update;
 use eiderferry_once::{ClaimAnswer, KeyName};
+use eiderferry_quarantine::RequestReport;
 use eiderferry_types::{
     BackEndId, CellId, ClassId, Incarnation, NodeId, Reason, Span, TenantId, Verdict,
 };
@@ -198,6 +199,11 @@
         /// The ping's own: tells answers to new pings from old ones.
         echo: u16,
     },
+    /// Requests under which back ends crashed.
+    CrashingRequests {
+        /// What the sender knows of them.
+        reports: Vec<RequestReport>,
+    },
     /// Wants a newer version of a document.
     Fetch {
         /// Which.
--- a/crates/coordination/node/src/node.rs
+++ b/crates/coordination/node/src/node.rs
@@ -16,6 +16,7 @@
 use eiderferry_dissemination::{ReadPlan, Replica};
 use eiderferry_membership::Fleet;
 use eiderferry_once::{KeyName, KeyTable, KeyTableFull, OwnershipHistory};
+use eiderferry_quarantine::Quarantine;
 use eiderferry_types::{CellId, ClassId, Incarnation, NodeId, RequestId, Span, Timestamp, ZoneId};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -96,6 +97,7 @@
     pub(crate) counts: BTreeMap<ClassId, ClassCounts>,
     pub(crate) retry_budget: RetryBudget,
     pub(crate) probes: ProbeSchedule,
+    pub(crate) quarantine: Quarantine,
     pub(crate) draining: bool,
     /// Set after a pause until the directory has been confirmed or the grace is over.
     pub(crate) unverified_until: Option<Timestamp>,
@@ -136,6 +138,7 @@
             counts: BTreeMap::new(),
             retry_budget: RetryBudget::default(),
             probes: ProbeSchedule::default(),
+            quarantine: Quarantine::default(),
             draining: false,
             unverified_until: None,
             verification_echo: 0,
@@ -197,6 +200,7 @@
         self.resend_releases();
         self.resend_settlements();
         self.keys.tick(self.now);
+        self.tick_quarantine();
         self.leave();
     }
 
@@ -437,6 +441,7 @@
             } => {
                 self.handle_pong(from, configuration, directory, draining, echo);
             }
+            Message::CrashingRequests { reports } => self.handle_crashing_requests(&reports),
             Message::Fetch { kind, have } => self.handle_fetch(from, kind, have),
             Message::ConfigurationUpdate(update) => {
                 self.handle_configuration_update(from, &update);
--- a/crates/coordination/node/src/output.rs
+++ b/crates/coordination/node/src/output.rs
@@ -66,6 +66,8 @@
         /// Cache events up to this number are known.
         cache_cursor: u64,
     },
+    /// A request is refused from now on because back ends crash under it, or no longer.
+    QuarantineChanged(eiderferry_quarantine::Change),
     /// A decision for the log.
     Decided(Decision),
 }
--- a/crates/coordination/node/src/probes.rs
+++ b/crates/coordination/node/src/probes.rs
@@ -71,6 +71,7 @@
             echo,
         };
         self.send(peer, message);
+        self.tell_crashing_requests(peer);
     }
 
     /// Tells every node of the zone about a change of this node's own state.
@@ -86,6 +87,7 @@
             return;
         };
         self.releases.forget_node(from);
+        self.tell_crashing_requests_at_start(from);
         let now = self.now;
         for held in self.cells.values_mut() {
             held.cell.forget_node(now, from, Some(incarnation));
--- a/crates/coordination/node/src/request.rs
+++ b/crates/coordination/node/src/request.rs
@@ -3,7 +3,8 @@
 use eiderferry_admission::{Observation, PrefixMark};
 use eiderferry_once::KeyName;
 use eiderferry_types::{
-    BackEndId, CellId, ClassId, NodeId, PoolId, Refusal, TenantId, Timestamp, Verdict,
+    BackEndId, CellId, ClassId, NodeId, PoolId, Refusal, RequestDigest, TenantId, Timestamp,
+    Verdict,
 };
 
 /// Why, and under which key, a request may not be repeated.
@@ -18,6 +19,8 @@
 /// A request as handed to the state machine.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Submission {
+    /// What it asks, alike each time that its caller sends it.
+    pub digest: RequestDigest,
     /// Class of the request.
     pub class: ClassId,
     /// Tenant of the request.
@@ -45,6 +48,8 @@
         verdict: Verdict,
         /// What was seen before.
         observation: Observation,
+        /// Whether the back end went down with it: it takes no new connection.
+        has_crashed: bool,
     },
     /// The caller went away; the back end was told to cancel.
     CallerGone(Observation),
--- a/crates/coordination/node/src/request_flow.rs
+++ b/crates/coordination/node/src/request_flow.rs
@@ -24,6 +24,7 @@
         let sequence = self.next_sequence;
         self.next_sequence += 1;
         let due = submission.first_token_due;
+        let digest = submission.digest;
         let has_key = matches!(submission.not_repeatable, Some(NotRepeatable::WithKey(_)));
         let request = LocalRequest {
             submission,
@@ -56,6 +57,8 @@
                     retry_after,
                 },
             );
+        } else if let Some(refusal) = self.refusal_of_crashing(digest) {
+            self.reject(sequence, refusal);
         } else if has_key {
             self.retry_budget.earn();
             self.claim(sequence, 0);
@@ -143,10 +146,12 @@
             attempt: request.attempt,
         };
         let after = self.now.since(request.arrived);
+        let digest = request.submission.digest;
         match end {
             AttemptEnd::Completed(observation) => {
                 let tokens = request.delivered_tokens + observation.tokens;
                 self.release(holder, cell, name, observation);
+                self.note_ended_well(digest);
                 self.count_completed(sequence, tokens, &observation);
                 self.note_step(sequence, Step::Completed { tokens, after });
                 self.settle_key(sequence, Verdict::Ran);
@@ -161,8 +166,12 @@
             AttemptEnd::Broken {
                 verdict,
                 observation,
+                has_crashed,
             } => {
                 self.release(holder, cell, name, observation);
+                if has_crashed {
+                    self.note_crash(digest, back_end);
+                }
                 self.after_failure(sequence, back_end, verdict, observation);
             }
         }
@@ -190,6 +199,11 @@
             );
             return;
         }
+        let digest = request.submission.digest;
+        if let Some(refusal) = self.refusal_of_crashing(digest) {
+            self.reject(sequence, refusal);
+            return;
+        }
         if !self.retry_budget.spend() {
             self.reject(sequence, refusal_for_failure(verdict, Reason::RetryBudget));
             return;
--- /dev/null
+++ b/crates/coordination/node/tests/crashing_requests.rs
@@ -0,0 +1,269 @@
+//! Requests that crash back ends, sent by the callers of the own interface to several nodes.
+
+use eiderferry_admission::{Observation, Outcome};
+use eiderferry_config::{Configuration, Directory, DirectoryEntry, EntryState};
+use eiderferry_node::{
+    AttemptEnd, CacheNews, DocumentKind, Envelope, Identity, Node, NodeLimits, Output,
+    PlatformDocument, Submission,
+};
+use eiderferry_types::{
+    BackEndId, ClassId, Incarnation, NodeId, PoolId, Reason, RequestDigest, RequestId, Span,
+    TenantId, Timestamp, Verdict, ZoneId,
+};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddr};
+
+const ZONE: ZoneId = ZoneId(1);
+const NODES: u32 = 3;
+const BACK_ENDS: u32 = 8;
+/// Time for which a back end is down.
+const DOWN: Span = Span::from_milliseconds(1_000);
+const FATAL: RequestDigest = RequestDigest(666);
+const CONFIGURATION: &str = "version: 1
+zones:
+  - { id: 1, name: zone-1 }
+pools:
+  - { id: 1, name: pool-1, kind: engine, model: model-1, slots_per_back_end: 8,
+      kv_tokens_per_back_end: 2000000, back_ends_per_cell: 8 }
+classes:
+  - { id: 1, name: class-1, tier: 1, time_to_first_token_ms: 2000, time_per_token_ms: 62,
+      minimum_share: 0.05 }
+tenants:
+  - { id: 1, name: tenant-1, key_digests: [], classes: [class-1], pools: [pool-1] }
+";
+
+fn address(number: u32) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::from(0x0a00_0000 + number), 9))
+}
+
+fn directory() -> Directory {
+    Directory {
+        version: 1,
+        nodes: (1..=NODES)
+            .map(|number| DirectoryEntry {
+                id: NodeId(number),
+                zone: ZONE,
+                role: (),
+                address: address(number),
+                state: EntryState::Live,
+            })
+            .collect(),
+        back_ends: (1..=BACK_ENDS)
+            .map(|number| DirectoryEntry {
+                id: BackEndId(number),
+                zone: ZONE,
+                role: PoolId(1),
+                address: address(100 + number),
+                state: EntryState::Live,
+            })
+            .collect(),
+    }
+}
+
+fn observation(outcome: Outcome) -> Observation {
+    Observation {
+        outcome,
+        ..Observation::UNUSED
+    }
+}
+
+/// A run of a node that has read what the platform publishes.
+fn node(number: u32, incarnation: Incarnation, now: Timestamp) -> Node {
+    let identity = Identity {
+        node: NodeId(number),
+        zone: ZONE,
+        incarnation,
+    };
+    let mut node = Node::new(identity, NodeLimits::default(), now, u64::from(number));
+    let document = PlatformDocument::Directory(directory());
+    node.platform_answered(now, DocumentKind::Directory, Ok(Some(document)));
+    let configuration = Configuration::from_yaml("test", CONFIGURATION).expect("valid");
+    let document = PlatformDocument::Configuration(configuration);
+    node.platform_answered(now, DocumentKind::Configuration, Ok(Some(document)));
+    node
+}
+
+/// Nodes whose messages arrive at once, before back ends that one request crashes.
+struct Fleet {
+    now: Timestamp,
+    nodes: Vec<Node>,
+    fatal: BTreeSet<RequestId>,
+    /// Back ends that crashed, and until when they are down.
+    down: BTreeMap<BackEndId, Timestamp>,
+    /// Times that a back end got the fatal request.
+    crashes: u32,
+    completed: u32,
+    refused: Vec<(Reason, Verdict)>,
+}
+
+impl Fleet {
+    fn start() -> Self {
+        let now = Timestamp(1_000);
+        let nodes = (1..=NODES).map(|number| node(number, Incarnation(580_000_000), now));
+        let mut fleet = Self {
+            now,
+            nodes: nodes.collect(),
+            fatal: BTreeSet::new(),
+            down: BTreeMap::new(),
+            crashes: 0,
+            completed: 0,
+            refused: Vec::new(),
+        };
+        fleet.run(5_000);
+        fleet
+    }
+
+    fn run(&mut self, milliseconds: u64) {
+        for _ in 0..milliseconds / 50 {
+            self.now = self.now + Span::from_milliseconds(50);
+            for index in 0..self.nodes.len() {
+                self.nodes[index].tick(self.now);
+            }
+            self.carry_out();
+        }
+    }
+
+    fn submit(&mut self, index: usize, digest: RequestDigest) {
+        let submission = Submission {
+            digest,
+            class: ClassId(1),
+            tenant: TenantId(1),
+            pool: PoolId(1),
+            prompt_tokens: 800,
+            prefixes: Vec::new(),
+            first_token_due: self.now + Span::from_milliseconds(2_000),
+            not_repeatable: None,
+        };
+        let request = self.nodes[index].submit(self.now, submission);
+        if digest == FATAL {
+            self.fatal.insert(request);
+        }
+        self.carry_out();
+        self.run(200);
+    }
+
+    fn carry_out(&mut self) {
+        loop {
+            let mut is_idle = true;
+            for index in 0..self.nodes.len() {
+                for output in self.nodes[index].take_outputs() {
+                    is_idle = false;
+                    self.carry_out_one(index, output);
+                }
+            }
+            if is_idle {
+                return;
+            }
+        }
+    }
+
+    /// How an attempt ends at a back end, which is down for a while after a crash.
+    fn end_at(&mut self, back_end: BackEndId, is_fatal: bool) -> AttemptEnd {
+        let is_down = self
+            .down
+            .get(&back_end)
+            .is_some_and(|until| self.now < *until);
+        if !is_down && !is_fatal {
+            self.completed += 1;
+            return AttemptEnd::Completed(observation(Outcome::Completed));
+        }
+        if !is_down {
+            self.crashes += 1;
+            self.down.insert(back_end, self.now + DOWN);
+        }
+        let verdict = if is_down {
+            Verdict::NotRun
+        } else {
+            Verdict::MayHaveRun
+        };
+        AttemptEnd::Broken {
+            verdict,
+            observation: observation(Outcome::Failed),
+            has_crashed: !is_down,
+        }
+    }
+
+    /// Sends the fatal request by one node after the other until it has crashed three.
+    fn crash_three(&mut self) {
+        for number in 0..12 {
+            if self.crashes == 3 {
+                return;
+            }
+            self.submit(number % NODES as usize, FATAL);
+        }
+        panic!("{} crashes", self.crashes);
+    }
+
+    fn carry_out_one(&mut self, index: usize, output: Output) {
+        match output {
+            Output::Send { to, message } => {
+                let identity = self.nodes[index].identity();
+                let envelope = Envelope {
+                    from: identity.node,
+                    incarnation: identity.incarnation,
+                    receiver: None,
+                    messages: vec![message],
+                };
+                self.nodes[to.0 as usize - 1].receive(self.now, envelope);
+            }
+            Output::Dispatch(dispatch) => {
+                let is_fatal = self.fatal.contains(&dispatch.request);
+                let end = self.end_at(dispatch.back_end, is_fatal);
+                let (request, attempt) = (dispatch.request, dispatch.attempt);
+                self.nodes[index].attempt_ended(self.now, request, attempt, end);
+            }
+            Output::Reject { refusal, .. } => self.refused.push((refusal.reason, refusal.verdict)),
+            Output::PollBackEnd { back_end, .. } => {
+                let report = eiderferry_admission::LoadReport::default();
+                let news = CacheNews::default();
+                self.nodes[index].back_end_reported(self.now, back_end, &report, &news);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Without the quarantine each submission goes to as many back ends as it has attempts.
+#[test]
+fn all_nodes_refuse_it_from_the_third_crash() {
+    let mut fleet = Fleet::start();
+    fleet.crash_three();
+    fleet.refused.clear();
+    for number in 0..12 {
+        fleet.submit(number % NODES as usize, FATAL);
+    }
+    assert_eq!(fleet.crashes, 3);
+    assert_eq!(
+        fleet.refused,
+        [(Reason::CrashesBackEnds, Verdict::NotRun); 12]
+    );
+}
+
+#[test]
+fn the_request_under_way_ends_with_the_word_that_it_may_have_run() {
+    let mut fleet = Fleet::start();
+    fleet.crash_three();
+    let expected = (Reason::CrashesBackEnds, Verdict::MayHaveRun);
+    assert_eq!(fleet.refused.last(), Some(&expected));
+}
+
+#[test]
+fn other_requests_are_served() {
+    let mut fleet = Fleet::start();
+    fleet.crash_three();
+    fleet.run(DOWN.milliseconds());
+    for number in 0..12 {
+        fleet.submit(number % NODES as usize, RequestDigest(number as u64));
+    }
+    assert_eq!(fleet.completed, 12);
+}
+
+#[test]
+fn a_node_that_starts_anew_hears_of_it() {
+    let mut fleet = Fleet::start();
+    fleet.crash_three();
+    fleet.nodes[2] = node(3, Incarnation(590_000_000), fleet.now);
+    fleet.run(3_000);
+    fleet.submit(2, FATAL);
+    assert_eq!(fleet.crashes, 3);
+}
--- a/crates/coordination/quarantine/src/lib.rs
+++ b/crates/coordination/quarantine/src/lib.rs
@@ -15,5 +15,5 @@
 mod record;
 mod report;
 
-pub use quarantine::{Change, Counts, Quarantine, Quarantined, Source};
+pub use quarantine::{Change, ChangeDetails, Counts, Quarantine, Quarantined, Source};
 pub use report::{CrashReport, RequestReport};
--- a/crates/coordination/quarantine/src/quarantine.rs
+++ b/crates/coordination/quarantine/src/quarantine.rs
@@ -67,6 +67,50 @@
     },
 }
 
+/// What a log line tells of a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ChangeDetails {
+    /// The line's event.
+    pub event: &'static str,
+    /// Which request.
+    pub request: RequestDigest,
+    /// Back ends that crashed under it, where it is refused from now on.
+    pub crashes: u64,
+    /// Time for which it is refused, in milliseconds.
+    pub for_ms: u64,
+    /// From where that was learned; empty where time alone changed it.
+    pub source: &'static str,
+}
+
+impl Change {
+    /// What a log line tells of it.
+    pub fn details(&self) -> ChangeDetails {
+        let details = |event, request, source| ChangeDetails {
+            event,
+            request,
+            crashes: 0,
+            for_ms: 0,
+            source,
+        };
+        match *self {
+            Change::Began {
+                request,
+                crashes,
+                lasts,
+                source,
+            } => ChangeDetails {
+                crashes: crashes as u64,
+                for_ms: lasts.milliseconds(),
+                ..details("request_quarantined", request, source.as_str())
+            },
+            Change::Cleared { request, source } => {
+                details("quarantine_cleared", request, source.as_str())
+            }
+            Change::Expired { request } => details("quarantine_expired", request, ""),
+        }
+    }
+}
+
 /// Why a request is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Quarantined {
--- a/crates/lab/simulator/src/entry_logic.rs
+++ b/crates/lab/simulator/src/entry_logic.rs
@@ -390,6 +390,7 @@
         let AttemptEnd::Broken {
             verdict,
             observation,
+            ..
         } = end
         else {
             self.requests.remove(&id.sequence);
--- a/crates/lab/simulator/src/nodes.rs
+++ b/crates/lab/simulator/src/nodes.rs
@@ -213,7 +213,9 @@
         for output in outputs {
             match output {
                 Output::Send { to, message } => messages.entry(to).or_default().push(message),
-                Output::SendToAddress { .. } | Output::Decided(_) => {}
+                Output::SendToAddress { .. }
+                | Output::QuarantineChanged(_)
+                | Output::Decided(_) => {}
                 Output::Dispatch(dispatch) => {
                     self.schedule(
                         SEND_DELAY,
@@ -396,6 +398,7 @@
             AttemptEnd::Broken {
                 verdict,
                 observation,
+                has_crashed: false,
             },
         );
     }
--- a/crates/lab/simulator/src/oracle.rs
+++ b/crates/lab/simulator/src/oracle.rs
@@ -120,6 +120,7 @@
             AttemptEnd::Broken {
                 verdict,
                 observation,
+                ..
             } => (observation, Some(verdict)),
         };
         self.oracle_release(request, attempt, &observation);
--- a/crates/lab/simulator/src/workload.rs
+++ b/crates/lab/simulator/src/workload.rs
@@ -8,7 +8,7 @@
 use eiderferry_admission::{Outcome, PrefixMark};
 use eiderferry_node::{AttemptEnd, NotRepeatable, Submission};
 use eiderferry_once::KeyName;
-use eiderferry_types::{Reason, Refusal, RequestId, Span, Timestamp, Verdict};
+use eiderferry_types::{Reason, Refusal, RequestDigest, RequestId, Span, Timestamp, Verdict};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, Exp, LogNormal};
@@ -248,6 +248,7 @@
         state.executions_of_hand_in = 0;
         state.zone = self.nodes[node].zone;
         let submission = Submission {
+            digest: RequestDigest(request as u64),
             class: state.class,
             tenant: state.tenant,
             pool: state.pool,
--- a/crates/protocol/peer/src/codec.rs
+++ b/crates/protocol/peer/src/codec.rs
@@ -6,7 +6,7 @@
 /// Largest frame sent as one datagram: it passes every common link unfragmented.
 pub const MAXIMUM_DATAGRAM_BYTES: usize = 1_200;
 /// First byte of each frame: the version of the format.
-const FORMAT_VERSION: u8 = 1;
+const FORMAT_VERSION: u8 = 2;
 
 quick_error! {
     /// A frame that can't be decoded. It is dropped; its sender repeats what matters.
--- a/crates/transport/entry/src/authorization.rs
+++ b/crates/transport/entry/src/authorization.rs
@@ -5,9 +5,9 @@
 use eiderferry_config::{Class, Configuration, Pool, Tenant};
 use eiderferry_node::NotRepeatable;
 use eiderferry_once::KeyName;
-use eiderferry_types::{Incarnation, NodeId, Span, TenantId, Timestamp};
+use eiderferry_types::{Incarnation, NodeId, RequestDigest, Span, TenantId, Timestamp};
 use std::str::FromStr;
-use trillium::{Headers, KnownHeaderName};
+use trillium::{Conn, Headers, KnownHeaderName};
 use xxhash_rust::xxh3::xxh3_128;
 
 /// Header that names the request's class.
@@ -66,6 +66,17 @@
         }
     }
 
+    /// What a request asks: method, path, tenant and body, alike each time that it is sent.
+    pub fn digest(&self, conn: &Conn, body: &[u8]) -> RequestDigest {
+        let method = conn.method();
+        RequestDigest::of([
+            method.as_str().as_bytes(),
+            conn.path_and_query().as_bytes(),
+            self.tenant.name.as_bytes(),
+            body,
+        ])
+    }
+
     /// Refuses a pool that the tenant may not use.
     pub fn check_pool(&self, pool: &Pool) -> Result<(), BadRequest> {
         if self.tenant.pools.contains(&pool.name) {
--- a/crates/transport/entry/src/chat.rs
+++ b/crates/transport/entry/src/chat.rs
@@ -70,6 +70,7 @@
     terms.check_pool(pool)?;
     let prompt = request.prompt_text();
     let submission = Submission {
+        digest: terms.digest(conn, body),
         class: terms.class.id,
         tenant: terms.tenant.id,
         pool: pool.id,
--- a/crates/transport/entry/src/control_loop.rs
+++ b/crates/transport/entry/src/control_loop.rs
@@ -6,6 +6,7 @@
 use crate::{Clock, TrafficView};
 use arc_swap::ArcSwap;
 use eiderferry_node::{Node, Output};
+use eiderferry_quarantine::Change;
 use eiderferry_types::{RequestId, Timestamp};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -150,6 +151,7 @@
                 } => {
                     self.reads.poll_back_end(back_end, address, cache_cursor);
                 }
+                Output::QuarantineChanged(change) => log_quarantine(&change),
                 Output::Decided(_) => {}
             }
         }
@@ -177,3 +179,12 @@
         }
     }
 }
+
+fn log_quarantine(change: &Change) {
+    let details = change.details();
+    log::warn!(
+        event = details.event, digest:% = details.request, crashes = details.crashes,
+        for_ms = details.for_ms, source = details.source;
+        "quarantine of a request changed"
+    );
+}
--- a/crates/transport/entry/src/reply.rs
+++ b/crates/transport/entry/src/reply.rs
@@ -138,6 +138,8 @@
         Reason::TenantConcurrency | Reason::TenantTokenRate => Status::TooManyRequests,
         Reason::KeyInProgress | Reason::KeyFinished | Reason::KeyHomeGone => Status::Conflict,
         Reason::BackEndFailed | Reason::RetryBudget => Status::BadGateway,
+        // Neither asks the caller to come again, nor says that a rule of the interface is broken.
+        Reason::CrashesBackEnds => Status::InternalServerError,
         _ => Status::ServiceUnavailable,
     }
 }
--- a/crates/transport/entry/src/service.rs
+++ b/crates/transport/entry/src/service.rs
@@ -47,7 +47,7 @@
         Ok(body) => body,
         Err(error) => return bad_request(conn, &error),
     };
-    let submission = match prepare(&conn, state, configuration, pool) {
+    let submission = match prepare(&conn, state, configuration, pool, &body) {
         Ok(submission) => submission,
         Err(error) => return bad_request(conn, &error),
     };
@@ -70,11 +70,13 @@
     state: &EntryState,
     configuration: &Configuration,
     pool: &Pool,
+    body: &[u8],
 ) -> Result<Submission, BadRequest> {
     let terms = Terms::read(conn.request_headers(), configuration, state.clock)?;
     terms.check_pool(pool)?;
     let forbids = !pool.is_repeatable(conn.method().as_str());
     Ok(Submission {
+        digest: terms.digest(conn, body),
         class: terms.class.id,
         tenant: terms.tenant.id,
         pool: pool.id,
@@ -167,11 +169,12 @@
                 outcome: Outcome::Failed,
                 ..Observation::UNUSED
             };
-            let verdict = error.verdict();
+            let has_crashed = state.upstream.has_crashed(dispatch.address, &error).await;
             (
                 AttemptEnd::Broken {
-                    verdict,
+                    verdict: error.verdict(),
                     observation,
+                    has_crashed,
                 },
                 None,
             )
--- a/crates/transport/entry/src/session.rs
+++ b/crates/transport/entry/src/session.rs
@@ -140,7 +140,7 @@
                     self.report_completed();
                     return Ok(Progress::Finished);
                 }
-                Err(error) => self.report_broken(&error),
+                Err(error) => self.report_broken(&error).await,
             }
         }
     }
@@ -217,7 +217,13 @@
                     request:% = dispatch.request, back_end:% = dispatch.back_end;
                     "an engine could not be called: {error}"
                 );
-                self.tell_broken(&dispatch, error.verdict(), failed_observation());
+                let has_crashed = self.upstream.has_crashed(dispatch.address, &error).await;
+                let end = AttemptEnd::Broken {
+                    verdict: error.verdict(),
+                    observation: failed_observation(),
+                    has_crashed,
+                };
+                self.tell_end(&dispatch, end);
                 Ok(())
             }
         }
@@ -325,7 +331,7 @@
         }
     }
 
-    fn report_broken(&mut self, error: &UpstreamError) {
+    async fn report_broken(&mut self, error: &UpstreamError) {
         let Some(stream) = self.stream.take() else {
             return;
         };
@@ -334,15 +340,26 @@
             "an answer broke off after {} tokens: {error}", stream.tokens
         );
         let observation = stream.observation(Outcome::Failed);
-        self.tell_broken(&stream.dispatch, Verdict::MayHaveRun, observation);
+        let has_crashed = self
+            .upstream
+            .has_crashed(stream.dispatch.address, error)
+            .await;
+        let end = AttemptEnd::Broken {
+            verdict: Verdict::MayHaveRun,
+            observation,
+            has_crashed,
+        };
+        self.tell_end(&stream.dispatch, end);
     }
 
+    /// Tells of a failure of a back end that goes on serving.
     fn tell_broken(&self, dispatch: &Dispatch, verdict: Verdict, observation: Observation) {
         self.tell_end(
             dispatch,
             AttemptEnd::Broken {
                 verdict,
                 observation,
+                has_crashed: false,
             },
         );
     }
--- a/crates/transport/entry/src/upstream.rs
+++ b/crates/transport/entry/src/upstream.rs
@@ -3,6 +3,7 @@
 use eiderferry_types::Verdict;
 use futures_lite::future;
 use quick_error::quick_error;
+use smol::net::TcpStream;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -126,6 +127,19 @@
         }
     }
 
+    /// Whether a call failed because its back end crashed: the connection broke, and the back end
+    /// takes no new one.
+    pub async fn has_crashed(&self, address: SocketAddr, error: &UpstreamError) -> bool {
+        if !matches!(error, UpstreamError::Broken(_)) {
+            return false;
+        }
+        let connect = async {
+            let stream = TcpStream::connect(address).await;
+            stream.map_err(|error| UpstreamError::NotConnected(error.to_string()))
+        };
+        within(CONNECT_TIMEOUT, connect).await.is_err()
+    }
+
     /// Sends a request and waits for the head of the answer.
     pub async fn call(
         &self,
--- a/crates/transport/relay/src/events.rs
+++ b/crates/transport/relay/src/events.rs
@@ -278,26 +278,12 @@
 
 /// A request is refused from now on because back ends crash under it, or no longer.
 pub(crate) fn quarantine(change: &QuarantineChange) {
-    match change {
-        QuarantineChange::Began {
-            request,
-            crashes,
-            lasts,
-            source,
-        } => log::warn!(
-            event = "request_quarantined", digest:% = request, crashes = *crashes as u64,
-            for_ms = lasts.milliseconds(), source = source.as_str();
-            "back ends crash under a request"
-        ),
-        QuarantineChange::Cleared { request, source } => log::warn!(
-            event = "quarantine_cleared", digest:% = request, source = source.as_str();
-            "a request ended well after all"
-        ),
-        QuarantineChange::Expired { request } => log::info!(
-            event = "quarantine_expired", digest:% = request;
-            "a request is no longer refused"
-        ),
-    }
+    let details = change.details();
+    log::warn!(
+        event = details.event, digest:% = details.request, crashes = details.crashes,
+        for_ms = details.for_ms, source = details.source;
+        "quarantine of a request changed"
+    );
 }
 
 /// A stream goes on at another back end.
