Quarantine: switched off means off; twin tests joined

Cause: with features.quarantine off a node still noted crashes and took requests back from back ends, only its refusals were off. Change: nothing is noted or taken in then, and the test of the switch asks for it; the tests of lost messages are cases of one; engines in three zones are made in one place.

--- a/crates/coordination/dispatch/src/dispatcher/quarantining.rs
+++ b/crates/coordination/dispatch/src/dispatcher/quarantining.rs
@@ -15,6 +15,9 @@
         instance: &InstanceId,
         now: Timestamp,
     ) -> Option<QuarantineChange> {
+        if !self.settings.features.quarantine {
+            return None;
+        }
         let back_end = instance.digest() as u32;
         self.quarantine.note_crash(request, back_end, now)
     }
@@ -33,6 +36,9 @@
         message: &Gossip,
         now: Timestamp,
     ) -> Vec<QuarantineChange> {
+        if !self.settings.features.quarantine {
+            return Vec::new();
+        }
         self.quarantine.take(&message.crashing_requests, now)
     }
 
--- a/crates/coordination/dispatch/tests/crashing_requests.rs
+++ b/crates/coordination/dispatch/tests/crashing_requests.rs
@@ -96,22 +96,17 @@
 }
 
 #[rstest]
-#[case::small(8)]
-#[case::with_digests(30)]
-#[case::with_aggregators(72)]
-fn all_nodes_refuse_it_soon_after_the_third_crash(#[case] count: usize) {
+#[case::small(8, None)]
+#[case::with_digests(30, None)]
+#[case::with_aggregators(72, None)]
+#[case::small_losing_messages(8, Some(5))]
+#[case::with_aggregators_losing_messages(72, Some(5))]
+fn all_nodes_refuse_it_soon_after_the_third_crash(
+    #[case] count: usize,
+    #[case] lost_each: Option<u64>,
+) {
     let mut day = day(count);
-    day.crash_three();
-    day.run(KNOWN_WITHIN_MS - 500);
-    assert_eq!(day.sends_by_all(), 0);
-}
-
-#[rstest]
-#[case(8)]
-#[case(72)]
-fn so_they_do_when_each_fifth_message_is_lost(#[case] count: usize) {
-    let mut day = day(count);
-    day.fleet.lost_each = Some(5);
+    day.fleet.lost_each = lost_each;
     day.crash_three();
     day.run(KNOWN_WITHIN_MS - 500);
     assert_eq!(day.sends_by_all(), 0);
@@ -240,6 +235,10 @@
     day.crash_three();
     day.run(KNOWN_WITHIN_MS);
     assert_eq!(day.sends_by_all(), 8);
+    let now = day.fleet.now;
+    for node in &day.fleet.nodes {
+        assert_eq!(node.snapshot(now).quarantine.quarantined, 0);
+    }
 }
 
 /// A crash breaks sixty requests of one node off.
--- a/crates/coordination/dispatch/tests/placement.rs
+++ b/crates/coordination/dispatch/tests/placement.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use eiderferry_dispatch::{
-    Change, Content, Decision, Demand, Dispatcher, HealthChange, Outcome, StreamPacing,
+    Change, Content, Decision, Demand, Dispatcher, Features, HealthChange, Outcome, StreamPacing,
 };
 use eiderferry_routing::{InstanceId, PoolName, Route, RouteKind, Split};
 use eiderferry_types::{Reason, Span};
@@ -471,17 +471,20 @@
     assert_eq!(grant.instance, failing);
 }
 
-/// Three engines in each of three zones, of which two of the second end requests like this.
-fn with_two_missed(outcome: Outcome) -> Dispatcher {
-    let mut subject = support::dispatcher(0, 0, Vec::new());
+fn with_engines_in_three_zones(count: usize, features: Features) -> Dispatcher {
+    let mut subject = support::dispatcher_with_features(0, features);
     subject.apply(table_change(1), START);
-    for number in 0..9 {
+    for number in 0..count {
         let name = format!("engine-{number}");
-        subject.apply(
-            back_end_change(back_end(&name, number, number % 3), 2),
-            START,
-        );
+        let engine = back_end(&name, number, number % 3);
+        subject.apply(back_end_change(engine, 2), START);
     }
+    subject
+}
+
+/// Three engines in each of three zones, of which two of the second end requests like this.
+fn with_two_missed(outcome: Outcome) -> Dispatcher {
+    let mut subject = with_engines_in_three_zones(9, Features::ALL);
     let mut lost = BTreeSet::new();
     let mut thing = 0;
     while lost.len() < 2 {
@@ -532,15 +535,7 @@
 /// of the load that the two had.
 #[test]
 fn crashed_back_ends_make_the_rest_of_a_larger_zone_not_suspect() {
-    let mut subject = support::dispatcher_with_features(0, support::HOMES_ANYWHERE);
-    subject.apply(table_change(1), START);
-    for number in 0..12 {
-        let name = format!("engine-{number}");
-        subject.apply(
-            back_end_change(back_end(&name, number, number % 3), 2),
-            START,
-        );
-    }
+    let mut subject = with_engines_in_three_zones(12, support::HOMES_ANYWHERE);
     let mut crashed = BTreeSet::new();
     for thing in 0..200 {
         let grant = granted(subject.ask(&demand(thing, 5_000, 400), START));
