Quarantine: crashes are told at once; only success clears; silent crashes count

Cause: read against what may go wrong: other zones heard of a crash up to 0.4 s later, while copies of the request crashed more; a whole 4xx counted as a whole end and would have cleared a request that never ran; a crash whose resets are lost shows as silence only. Change: a message on the first crash in 50 ms, through the way of announcements; outcome rejected; after silence a refused connection is a crash, one that nothing answers is not. Result: a test each; the request that crashes back ends without a word of it is refused like the others.

--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -25,6 +25,7 @@
 use document_source::WantedDocuments;
 use granting::{Lease, Miss};
 use home_scopes::HomeScopes;
+use quarantining::CrashNews;
 
 use crate::load::cache_index::FollowCounts;
 use crate::load::registry::Registry;
@@ -199,6 +200,7 @@
     /// How likely a stream of each pool is to be lost.
     losses: LossChances,
     quarantine: Quarantine,
+    crash_news: CrashNews,
     random: ChaCha8Rng,
 }
 
@@ -244,6 +246,7 @@
             evacuated: BTreeSet::new(),
             losses: LossChances::default(),
             quarantine: Quarantine::default(),
+            crash_news: CrashNews::default(),
             random,
         }
     }
--- a/crates/coordination/dispatch/src/dispatcher/messages.rs
+++ b/crates/coordination/dispatch/src/dispatcher/messages.rs
@@ -68,6 +68,7 @@
         }
         let mut messages = self.messages_to_zone(now);
         messages.extend(self.zone_digest(now));
+        messages.extend(self.crash_announcement(now));
         if self.ticks.is_multiple_of(FAR_TICKS) {
             // In a large zone the senders of digests speak for all of its nodes.
             if !self.is_spoken_for() {
--- a/crates/coordination/dispatch/src/load/health.rs
+++ b/crates/coordination/dispatch/src/load/health.rs
@@ -64,7 +64,7 @@
     ) -> Option<HealthChange> {
         let is_failure = match outcome {
             Outcome::Abandoned | Outcome::Withdrawn | Outcome::NotSent => return None,
-            Outcome::Completed => false,
+            Outcome::Completed | Outcome::Rejected => false,
             _ => true,
         };
         self.answers = self.answers.saturating_add(1);
--- a/crates/coordination/dispatch/src/load/outcomes.rs
+++ b/crates/coordination/dispatch/src/load/outcomes.rs
@@ -65,7 +65,7 @@
         };
         match outcome {
             Outcome::Abandoned | Outcome::Withdrawn | Outcome::NotSent => {}
-            Outcome::Completed => counts.completed += 1,
+            Outcome::Completed | Outcome::Rejected => counts.completed += 1,
             _ => counts.failed += 1,
         }
     }
--- a/crates/coordination/dispatch/src/placement/demand.rs
+++ b/crates/coordination/dispatch/src/placement/demand.rs
@@ -104,8 +104,10 @@
 /// How an attempt at a back end ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
-    /// A whole answer came.
+    /// A whole answer of success came.
     Completed,
+    /// A whole answer that finds fault with the request.
+    Rejected,
     /// A whole answer that reports a failure of the back end.
     Failed,
     /// The back end refused it; it did not run.
@@ -158,6 +160,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Outcome::Completed => "completed",
+            Outcome::Rejected => "rejected",
             Outcome::Failed => "failed",
             Outcome::Shed => "shed",
             Outcome::Replaced => "replaced",
--- a/crates/coordination/dispatch/tests/crashing_requests.rs
+++ b/crates/coordination/dispatch/tests/crashing_requests.rs
@@ -5,7 +5,7 @@
 
 use eiderferry_dispatch::{Decision, Features, Outcome, StreamPacing};
 use eiderferry_routing::InstanceId;
-use eiderferry_types::{Reason, Timestamp};
+use eiderferry_types::{Reason, Span, Timestamp};
 use rstest::rstest;
 use support::{Fleet, back_end, back_end_change, demand, granted};
 
@@ -222,6 +222,48 @@
     pacing
 }
 
+/// Of what breaks off with one back end, most is told by one message.
+#[test]
+fn a_crash_is_told_at_once_and_not_again_within_some_milliseconds() {
+    let mut day = day(8);
+    let mut now = day.fleet.now;
+    let node = &mut day.fleet.nodes[0];
+    assert_eq!(node.crash_announcement(now), None);
+    let crashed = InstanceId::from("engine-1");
+    node.note_crash(demand(1, 2_000, 100).digest, &crashed, now);
+    let told = node.crash_announcement(now).expect("news");
+    assert_eq!(told.message.crashing_requests.len(), 1);
+    assert_eq!(told.to.len(), 7);
+    node.note_crash(demand(2, 2_000, 100).digest, &crashed, now);
+    assert_eq!(node.crash_announcement(now), None);
+    now = now + Span::from_milliseconds(60);
+    let told = node.crash_announcement(now).expect("news");
+    assert_eq!(told.message.crashing_requests.len(), 2);
+}
+
+/// An answer that finds fault with the request shows no run.
+#[test]
+fn an_answer_of_rejection_clears_nothing() {
+    let mut day = day(8);
+    let now = day.fleet.now;
+    let node = &mut day.fleet.nodes[0];
+    let mut fatal = demand(FATAL, 2_000, 100);
+    fatal.is_stream = false;
+    let lease = granted(node.ask(&fatal, now)).lease;
+    for number in 0..3 {
+        node.note_crash(
+            fatal.digest,
+            &InstanceId::from(format!("engine-{number}")),
+            now,
+        );
+    }
+    node.end(lease, Outcome::Rejected, now);
+    assert!(matches!(
+        node.ask(&fatal, now),
+        Decision::Refuse(Reason::CrashesBackEnds, _)
+    ));
+}
+
 /// Without the quarantine each node sends it on for ever.
 #[test]
 fn with_the_quarantine_switched_off_it_goes_on() {
--- a/crates/transport/relay/src/attempts.rs
+++ b/crates/transport/relay/src/attempts.rs
@@ -206,10 +206,10 @@
     ) -> AttemptEnd {
         let response = answer(parts, RelayBody::from(bytes));
         let is_failure = parts.status.is_server_error();
-        let outcome = if is_failure {
-            Outcome::Failed
-        } else {
-            Outcome::Completed
+        let outcome = match parts.status {
+            _ if is_failure => Outcome::Failed,
+            status if status.is_client_error() => Outcome::Rejected,
+            _ => Outcome::Completed,
         };
         metrics::attempt(outcome.as_str());
         lease.end(outcome);
--- a/crates/transport/relay/src/control.rs
+++ b/crates/transport/relay/src/control.rs
@@ -202,6 +202,11 @@
             }
             Command::Crashed(request, instance) => {
                 self.note_quarantine(&dispatcher.note_crash(request, &instance, now), now);
+                let announcement = dispatcher.crash_announcement(now);
+                drop(dispatcher);
+                if let Some(announcement) = announcement {
+                    self.send(&announcement);
+                }
             }
             Command::Connected(instance, round_trip) => {
                 dispatcher.note_round_trip(&instance, round_trip);
--- a/crates/transport/relay/src/crash.rs
+++ b/crates/transport/relay/src/crash.rs
@@ -2,7 +2,8 @@
 //!
 //! A broken connection alone proves little: connections are reset, answers are cut short by
 //! back ends that go on serving. A back end that has crashed refuses new connections until it
-//! is back, which takes it seconds.
+//! is back, which takes it seconds. One whose connections only fell silent has crashed too if it
+//! refuses new ones: the word of its end was lost.
 
 use crate::exchange::Exchange;
 use crate::upstream::{ConnectionCheck, check_connection};
@@ -21,11 +22,17 @@
     ) {
         let (id, attempt) = (&self.head.id, self.attempts);
         events::attempt_failed(id, attempt, back_end, outcome, self.digest);
-        if outcome != Outcome::Broken {
+        if !matches!(outcome, Outcome::Broken | Outcome::Silent) {
             return;
         }
         let check = check_connection(address).await;
-        if check == ConnectionCheck::Listening {
+        let has_crashed = match check {
+            ConnectionCheck::Listening => false,
+            ConnectionCheck::Refused => true,
+            // A back end that is silent to both may be cut off and at work.
+            ConnectionCheck::Silent => outcome == Outcome::Broken,
+        };
+        if !has_crashed {
             return;
         }
         metrics::crashed_run(check.as_str());
--- a/crates/transport/relay/tests/crashing_requests.rs
+++ b/crates/transport/relay/tests/crashing_requests.rs
@@ -83,6 +83,7 @@
 #[case::answered_whole("/read/check")]
 #[case::answered_by_a_stream("/resumable/check")]
 #[case::not_repeatable("/write/check")]
+#[case::without_a_word_of_the_crash("/quick/check")]
 fn a_request_that_crashed_three_back_ends_is_sent_to_hardly_any_more(#[case] path: &str) {
     let system = System::start();
     system.crash_three(path);
--- a/crates/transport/relay/tests/support/fragile.rs
+++ b/crates/transport/relay/tests/support/fragile.rs
@@ -18,10 +18,16 @@
 /// while. All others get a whole answer.
 pub struct Fragile {
     pub address: SocketAddr,
-    /// Bodies of the requests under which it crashed.
-    pub crashes: Arc<Mutex<Vec<Vec<u8>>>>,
+    crashes: Arc<Mutex<Vec<Crash>>>,
 }
 
+struct Crash {
+    is_mute: bool,
+}
+
+/// Where a crash says nothing: connections stay open and silent, new ones are refused.
+const MUTE_PATH: &str = "/quick/";
+
 type Streams = Arc<Mutex<Vec<TcpStream>>>;
 
 impl Fragile {
@@ -29,12 +35,13 @@
     pub fn start(fatal: &'static str, down: Duration) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("bound");
-        let crashes: Arc<Mutex<Vec<Vec<u8>>>> = Arc::default();
+        let crashes: Arc<Mutex<Vec<Crash>>> = Arc::default();
         let all = Arc::clone(&crashes);
         std::thread::spawn(move || {
             let mut listener = listener;
+            let mut silent = Vec::new();
             loop {
-                run_until_crash(listener, fatal, &all);
+                silent.extend(run_until_crash(listener, fatal, &all));
                 std::thread::sleep(down);
                 listener = TcpListener::bind(address).expect("its own port");
             }
@@ -47,7 +54,12 @@
     }
 }
 
-fn run_until_crash(listener: TcpListener, fatal: &'static str, crashes: &Arc<Mutex<Vec<Vec<u8>>>>) {
+/// Returns the connections that stay open.
+fn run_until_crash(
+    listener: TcpListener,
+    fatal: &'static str,
+    crashes: &Arc<Mutex<Vec<Crash>>>,
+) -> Vec<TcpStream> {
     listener.set_nonblocking(true).expect("a socket");
     let has_crashed = Arc::new(AtomicBool::new(false));
     let open: Streams = Arc::default();
@@ -63,23 +75,35 @@
         std::thread::spawn(move || serve(stream, fatal, &has_crashed, &crashes));
     }
     drop(listener);
-    for mut stream in open.lock().expect("lock").drain(..) {
+    let is_mute = crashes
+        .lock()
+        .expect("lock")
+        .last()
+        .is_some_and(|crash| crash.is_mute);
+    let open = std::mem::take(&mut *open.lock().expect("lock"));
+    if is_mute {
+        return open;
+    }
+    for mut stream in open {
         reset(&mut stream);
         let _ = stream.shutdown(std::net::Shutdown::Both);
     }
+    Vec::new()
 }
 
 fn serve(
     mut stream: TcpStream,
     fatal: &'static str,
     has_crashed: &AtomicBool,
-    crashes: &Mutex<Vec<Vec<u8>>>,
+    crashes: &Mutex<Vec<Crash>>,
 ) {
     while let Some(seen) = read_request(&mut stream) {
         if seen.body == fatal.as_bytes() {
             // One crash takes all that runs along; it counts once.
-            if !has_crashed.swap(true, Ordering::SeqCst) {
-                crashes.lock().expect("lock").push(seen.body.clone());
+            if !has_crashed.load(Ordering::SeqCst) {
+                let is_mute = seen.head.contains(MUTE_PATH);
+                crashes.lock().expect("lock").push(Crash { is_mute });
+                has_crashed.store(true, Ordering::SeqCst);
             }
             if seen.head.contains(STREAM_PATH) {
                 write(&mut stream, &stream_head(&seen, "fragile"));
