--- /dev/null
+++ b/crates/transport/relay/tests/support/documents.rs
@@ -0,0 +1,209 @@
+//! What a relay of the tests is told: names of headers, routes, back ends.
+
+use super::{HOST, KEY};
+use eiderferry_dispatch::{
+    CacheEvent, CacheEvents, CacheListing, Change, Content, DocumentKey, PromptPart,
+};
+use eiderferry_relay::{CacheProtocol, UnreadableAnswer, Vocabulary};
+use eiderferry_routing::{
+    BackEnd, EngineSpecification, InstanceId, Limits, PartId, Pool, PoolName, ReplicaOffer, Route,
+    RouteKind, Split, TableDocument, Tenant, ZoneName,
+};
+use eiderferry_types::Span;
+use http::HeaderName;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+pub fn vocabulary() -> Vocabulary {
+    Vocabulary {
+        request_id: HeaderName::from_static("request-id"),
+        remaining_ms: HeaderName::from_static("remaining-ms"),
+        expected_instance: HeaderName::from_static("expected-instance"),
+        tenant: HeaderName::from_static("tenant"),
+        urgency: HeaderName::from_static("urgency"),
+        not_run: HeaderName::from_static("not-run"),
+        token_usage: HeaderName::from_static("token-usage"),
+        prompt_parts: HeaderName::from_static("prompt-parts"),
+        length_hint: HeaderName::from_static("length-hint"),
+        copy_from: HeaderName::from_static("copy-from"),
+        replica_at: HeaderName::from_static("replica-at"),
+        resume_from: HeaderName::from_static("resume-from"),
+        last_event_id: HeaderName::from_static("last-event-id"),
+        model: HeaderName::from_static("model"),
+        commands: vec![HeaderName::from_static("reserve")],
+    }
+}
+
+/// An engine that tells what it keeps.
+pub const ENGINE: EngineSpecification = EngineSpecification {
+    slots: 64,
+    cache_tokens: 500_000,
+    tokens_per_event: 1,
+    cache_event_calls: 4,
+    replicas: None,
+};
+
+fn numbers(body: &[u8]) -> Result<Vec<Vec<u64>>, UnreadableAnswer> {
+    let text = String::from_utf8_lossy(body);
+    let lines = text.lines().map(|line| {
+        let words = line.split(' ').map(str::parse);
+        words
+            .collect::<Result<Vec<u64>, _>>()
+            .map_err(|_| UnreadableAnswer::new("line", line))
+    });
+    lines.collect()
+}
+
+fn read_cache_events(body: &[u8]) -> Result<CacheEvents, UnreadableAnswer> {
+    let lines = numbers(body)?;
+    let [epoch, next, lost] = lines[0][..] else {
+        return Err(UnreadableAnswer::new("head", "other fields"));
+    };
+    let events = lines[1..].iter().map(|line| CacheEvent {
+        number: line[0],
+        part: PartId(line[1]),
+        tokens: line[2] as u32,
+    });
+    Ok(CacheEvents {
+        epoch,
+        next,
+        has_gap: lost > 0,
+        events: events.collect(),
+    })
+}
+
+fn read_cache_listing(body: &[u8]) -> Result<CacheListing, UnreadableAnswer> {
+    let events = read_cache_events(body)?;
+    let kept = events.events.iter().map(|event| PromptPart {
+        id: event.part,
+        tokens: event.tokens,
+    });
+    Ok(CacheListing {
+        epoch: events.epoch,
+        next: events.next,
+        kept: kept.collect(),
+    })
+}
+
+/// Answers of lines: epoch, number to go on from, gap; then number, part, tokens each.
+pub fn cache_protocol() -> CacheProtocol {
+    CacheProtocol {
+        events_path: |after| format!("/cache-events?after={after}"),
+        listing_path: "/cache",
+        wait: HeaderName::from_static("wait"),
+        read_events: read_cache_events,
+        read_listing: read_cache_listing,
+    }
+}
+
+fn route(name: &str, kind: RouteKind, attempts: u32) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: HOST.to_owned(),
+        path_prefix: format!("/{name}/"),
+        kind,
+        timeout: Span::from_milliseconds(4_000),
+        target: Span::from_milliseconds(2_000),
+        pause_target: Some(Span::from_milliseconds(1_000)),
+        rank: 2,
+        splits: vec![Split {
+            pool: PoolName::from("pool"),
+            weight: 1.0,
+        }],
+        maximum_attempts: attempts,
+        is_public: false,
+        is_resumable: false,
+        allowed_regions: Vec::new(),
+    }
+}
+
+/// Engines that keep replicas of each other's running requests.
+pub fn engine() -> EngineSpecification {
+    EngineSpecification {
+        slots: 64,
+        cache_tokens: 400_000,
+        tokens_per_event: 4,
+        cache_event_calls: 0,
+        replicas: Some(ReplicaOffer {
+            lifetime: Span::from_milliseconds(5_000),
+            bytes_per_token: 163_840,
+        }),
+    }
+}
+
+fn table(engine: Option<EngineSpecification>) -> TableDocument {
+    let mut resumable = route("resumable", RouteKind::Streaming, 2);
+    resumable.is_resumable = true;
+    let mut quick = route("quick", RouteKind::NotRepeatable, 1);
+    quick.timeout = Span::from_milliseconds(400);
+    let mut patient = route("patient", RouteKind::Streaming, 1);
+    patient.timeout = Span::from_milliseconds(60_000);
+    let mut patient_urgent = patient.clone();
+    patient_urgent.name = "patient-urgent".to_owned();
+    patient_urgent.path_prefix = "/patient-urgent/".to_owned();
+    patient_urgent.rank = 1;
+    let mut patient_read = route("patient-read", RouteKind::Repeatable, 1);
+    patient_read.timeout = Span::from_milliseconds(60_000);
+    let mut paced = route("paced", RouteKind::Streaming, 1);
+    paced.pause_target = Some(Span::from_milliseconds(100));
+    let pool = Pool {
+        health_path: "/health".to_owned(),
+        maximum_connections: 400,
+        engine,
+        cold_start: None,
+    };
+    TableDocument {
+        version: 1,
+        routes: vec![
+            route("read", RouteKind::Repeatable, 2),
+            route("write", RouteKind::NotRepeatable, 2),
+            route("stream", RouteKind::Streaming, 1),
+            resumable,
+            quick,
+            patient,
+            patient_urgent,
+            patient_read,
+            paced,
+        ],
+        pools: BTreeMap::from([(PoolName::from("pool"), pool)]),
+        limits: Limits {
+            maximum_header_bytes: 16_384,
+            maximum_body_bytes: 300_000,
+            header_timeout: Span::from_milliseconds(3_000),
+            idle_timeout: Span::from_milliseconds(15_000),
+        },
+        tenants: vec![Tenant {
+            name: "radio".to_owned(),
+            keys: vec![KEY.to_owned()],
+            rank: None,
+            allowed_regions: Vec::new(),
+        }],
+    }
+}
+
+/// All documents: a table, and these back ends.
+pub fn changes(back_ends: &[SocketAddr], engine: Option<EngineSpecification>) -> Vec<Change> {
+    let listed = back_ends.iter().enumerate().map(|(number, address)| {
+        let instance = InstanceId::from(format!("i-{number}"));
+        Change {
+            key: DocumentKey::BackEnd(instance.clone()),
+            revision: 2,
+            content: Content::BackEnd(BackEnd {
+                instance,
+                pool: PoolName::from("pool"),
+                address: *address,
+                zone: ZoneName::from("a"),
+                slots: 64,
+                draining: false,
+                cold_for: Some(Span::ZERO),
+                started_unix_ms: None,
+            }),
+        }
+    });
+    let table = Change {
+        key: DocumentKey::Table,
+        revision: 1,
+        content: Content::Table(table(engine)),
+    };
+    listed.chain([table]).collect()
+}
