--- a/crates/coordination/dispatch/src/load/registry.rs
+++ b/crates/coordination/dispatch/src/load/registry.rs
@@ -138,12 +138,12 @@
                 self.remove(&holder);
             }
         }
-        let is_new = self.states.get(&instance).is_some_and(|state| {
+        let starts_anew = self.states.get(&instance).is_some_and(|state| {
             state.back_end.pool != back_end.pool
                 || state.back_end.address != back_end.address
                 || back_end.is_other_run(&state.back_end)
         });
-        if is_new {
+        if starts_anew {
             self.remove(&instance);
         }
         self.by_address
--- a/crates/coordination/quarantine/src/lib.rs
+++ b/crates/coordination/quarantine/src/lib.rs
@@ -10,10 +10,12 @@
 
 #![forbid(unsafe_code)]
 
+mod change;
 mod completions;
 mod quarantine;
 mod record;
 mod report;
 
-pub use quarantine::{Change, ChangeDetails, Counts, Quarantine, Quarantined, Source};
+pub use change::{Change, ChangeDetails, Source};
+pub use quarantine::{Counts, Quarantine, Quarantined};
 pub use report::{CrashReport, RequestReport};
--- a/crates/coordination/quarantine/src/quarantine.rs
+++ b/crates/coordination/quarantine/src/quarantine.rs
@@ -1,5 +1,6 @@
 //! The requests under suspicion on one node, and what it tells others of them.
 
+use crate::change::{Change, Source};
 use crate::completions::Completions;
 use crate::record::{Record, Standing};
 use crate::report::RequestReport;
@@ -20,97 +21,6 @@
 /// Quarantined requests told to a node that has just started.
 const MOST_TOLD_AT_START: usize = 64;
 
-/// From where a change was learned.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Source {
-    /// A request of this node.
-    Own,
-    /// Another node's report.
-    Peer,
-}
-
-impl Source {
-    /// The word used in logs.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Source::Own => "own",
-            Source::Peer => "peer",
-        }
-    }
-}
-
-/// What changed with a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Change {
-    /// It is refused from now on.
-    Began {
-        /// Which request.
-        request: RequestDigest,
-        /// Back ends that crashed under it, as far as they are kept.
-        crashes: usize,
-        /// Time for which it is refused.
-        lasts: Span,
-        /// From where the last crash was learned.
-        source: Source,
-    },
-    /// It ended well somewhere, so it is served again.
-    Cleared {
-        /// Which request.
-        request: RequestDigest,
-        /// From where that was learned.
-        source: Source,
-    },
-    /// Its time is over; one crash more brings it back.
-    Expired {
-        /// Which request.
-        request: RequestDigest,
-    },
-}
-
-/// What a log line tells of a change.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ChangeDetails {
-    /// The line's event.
-    pub event: &'static str,
-    /// Which request.
-    pub request: RequestDigest,
-    /// Back ends that crashed under it, where it is refused from now on.
-    pub crashes: u64,
-    /// Time for which it is refused, in milliseconds.
-    pub for_ms: u64,
-    /// From where that was learned; empty where time alone changed it.
-    pub source: &'static str,
-}
-
-impl Change {
-    /// What a log line tells of it.
-    pub fn details(&self) -> ChangeDetails {
-        let details = |event, request, source| ChangeDetails {
-            event,
-            request,
-            crashes: 0,
-            for_ms: 0,
-            source,
-        };
-        match *self {
-            Change::Began {
-                request,
-                crashes,
-                lasts,
-                source,
-            } => ChangeDetails {
-                crashes: crashes as u64,
-                for_ms: lasts.milliseconds(),
-                ..details("request_quarantined", request, source.as_str())
-            },
-            Change::Cleared { request, source } => {
-                details("quarantine_cleared", request, source.as_str())
-            }
-            Change::Expired { request } => details("quarantine_expired", request, ""),
-        }
-    }
-}
-
 /// Why a request is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Quarantined {
