A place granted to a caller that left meanwhile is given back

Cause: a caller that leaves drops its request wherever it stands. Between the question for a place and the control thread's answer nobody held the place that was granted then: it counted at its back end, on all nodes, until the process ended. 24 of them fill a pool of three back ends with 6 slots for good, so that it refuses with back ends free.

Change: the asker's end of the question gives an unclaimed place back when it is dropped, and the control thread does where nobody listens any more. Besides, a place runs out by itself 5 s after its request's time (place_expired, a metric and a warning), so that no lost place can be a reason to refuse for ever.

Test: 600 callers in ten groups leave while places are sought.

--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -15,7 +15,7 @@
 mod zone_digest;
 
 pub use cache_index::{CacheNews, CacheOrder};
-pub use granting::Ended;
+pub use granting::{Ended, ExpiredLease};
 pub(crate) use messages::{FAR_FANOUT, FAR_TICKS, NEAR_FANOUT, SPARSE_FAR_FANOUT};
 pub use reading::ReadingDuty;
 pub use unknown_names::UnknownName;
@@ -94,6 +94,8 @@
     pub split_changes: Vec<SplitChange>,
     /// Requests that are no longer refused.
     pub quarantine_changes: Vec<QuarantineChange>,
+    /// Places that nobody gave back.
+    pub expired_leases: Vec<ExpiredLease>,
 }
 
 /// What a message asks for.
--- a/crates/coordination/dispatch/src/dispatcher/granting.rs
+++ b/crates/coordination/dispatch/src/dispatcher/granting.rs
@@ -43,6 +43,12 @@
 /// begin, and nodes see each other's requests some hundred milliseconds late.
 const FULLEST_MOST_URGENT: f64 = 2.0;
 
+/// Time after the end of a request's time in which its holder may still give its place back:
+/// callers get their last answers then, and a holder that stood still wakes up.
+const LEASE_MARGIN: Span = Span::from_milliseconds(5_000);
+/// Ticks between two looks for places that nobody gives back.
+const EXPIRY_TICKS: u64 = 10;
+
 /// A granted place.
 #[derive(Clone, Debug)]
 pub(super) struct Lease {
@@ -54,6 +60,17 @@
     request: RequestDigest,
     /// Whether anything of its answer has come, as far as it comes in pieces.
     has_events: bool,
+    /// When it is given back, whoever holds it.
+    expires: Timestamp,
+}
+
+/// A place whose holder did not give it back within its request's time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ExpiredLease {
+    /// The place.
+    pub lease: LeaseId,
+    /// The back end.
+    pub instance: InstanceId,
 }
 
 /// A back end of another zone to which no connection came up.
@@ -176,6 +193,7 @@
             replica: kept,
             request: demand.digest,
             has_events: !demand.is_stream,
+            expires: now + demand.remaining + LEASE_MARGIN,
         };
         self.leases.insert(lease, record);
         Some(Grant {
@@ -238,6 +256,25 @@
         }
     }
 
+    /// Gives places back whose requests' time has long been over: a place that its holder lost
+    /// would count at its back end, on all nodes, for as long as this process lives.
+    pub(super) fn expire_leases(&mut self, now: Timestamp) -> Vec<ExpiredLease> {
+        if !self.ticks.is_multiple_of(EXPIRY_TICKS) {
+            return Vec::new();
+        }
+        let over = self.leases.iter().filter(|(_, lease)| lease.expires < now);
+        let expired: Vec<ExpiredLease> = over
+            .map(|(lease, record)| ExpiredLease {
+                lease: *lease,
+                instance: record.instance.clone(),
+            })
+            .collect();
+        for over in &expired {
+            self.end(over.lease, Outcome::Abandoned, now);
+        }
+        expired
+    }
+
     /// Returns the back ends whose standing an outcome has changed.
     fn judge_back_end(
         &mut self,
--- a/crates/coordination/dispatch/src/dispatcher/messages.rs
+++ b/crates/coordination/dispatch/src/dispatcher/messages.rs
@@ -63,6 +63,7 @@
         self.expire_home_scopes();
         let split_changes = self.renew_splits(now);
         let quarantine_changes = self.quarantine.expire(now);
+        let expired_leases = self.expire_leases(now);
         if self.ticks.is_multiple_of(LOSS_TICKS) {
             self.losses.renew(&self.back_ends, now);
         }
@@ -91,6 +92,7 @@
             warmth_changes,
             split_changes,
             quarantine_changes,
+            expired_leases,
         }
     }
 
--- /dev/null
+++ b/crates/transport/relay/src/awaited_decision.rs
@@ -0,0 +1,51 @@
+//! The answer to a question for a place at a back end, whose asker may be gone when it comes.
+//!
+//! A caller that leaves drops its request wherever it stands, also between the question to the
+//! control thread and the answer. A place granted then has no holder who would give it back.
+
+use crate::control::ControlHandle;
+use crate::events;
+use async_channel::Receiver;
+use eiderferry_dispatch::{Decision, LeaseId, Outcome, StreamPacing};
+
+/// A decision that is under way. Dropped before it was taken, it gives a granted place back.
+pub(crate) struct AwaitedDecision {
+    answer: Receiver<Decision>,
+    control: ControlHandle,
+}
+
+impl AwaitedDecision {
+    pub fn new(answer: Receiver<Decision>, control: ControlHandle) -> Self {
+        Self { answer, control }
+    }
+
+    /// The decision; `None` if the control thread is gone.
+    pub async fn decision(self) -> Option<Decision> {
+        self.answer.recv().await.ok()
+    }
+}
+
+impl Drop for AwaitedDecision {
+    fn drop(&mut self) {
+        // Once closed, a decision is either here or returns to the control thread.
+        self.answer.close();
+        let Ok(unclaimed) = self.answer.try_recv() else {
+            return;
+        };
+        give_back(unclaimed, |lease| {
+            self.control
+                .end(lease, Outcome::NotSent, StreamPacing::default());
+        });
+    }
+}
+
+/// Gives the place of a decision back that nobody waits for any more. With one that stays
+/// taken for each caller that left at this moment, a pool of three back ends with 6 slots
+/// refused a third of its requests for as long as the nodes lived.
+pub(crate) fn give_back(unclaimed: Decision, end: impl FnOnce(LeaseId)) {
+    let Decision::Grant(grant) = unclaimed else {
+        return;
+    };
+    events::place_unclaimed(&grant.instance);
+    end(grant.lease);
+}
--- a/crates/transport/relay/src/control.rs
+++ b/crates/transport/relay/src/control.rs
@@ -1,5 +1,6 @@
 //! The control thread: the one place that touches the dispatcher.
 
+use crate::awaited_decision::{AwaitedDecision, give_back};
 use crate::cache_follower::CacheFollower;
 use crate::documents::FetchError;
 use crate::events;
@@ -76,13 +77,14 @@
     /// Asks for a back end; `None` if the control thread is gone.
     pub async fn ask(&self, demand: Demand, is_first: bool) -> Option<Decision> {
         let (reply, answer) = async_channel::bounded(1);
+        let answer = AwaitedDecision::new(answer, self.clone());
         let command = Command::Ask {
             demand: Box::new(demand),
             is_first,
             reply,
         };
         self.commands.send(command).await.ok()?;
-        answer.recv().await.ok()
+        answer.decision().await
     }
 
     /// Whether nothing shows that a back end still works.
@@ -189,7 +191,12 @@
                 if is_first {
                     dispatcher.count_request(&demand.pool, now);
                 }
-                let _ = reply.try_send(dispatcher.ask(&demand, now));
+                let decision = dispatcher.ask(&demand, now);
+                if let Err(unheard) = reply.try_send(decision) {
+                    give_back(unheard.into_inner(), |lease| {
+                        dispatcher.end(lease, Outcome::NotSent, now);
+                    });
+                }
             }
             Command::FirstEvent(lease) => dispatcher.first_event(lease, now),
             Command::End(lease, outcome, pacing) => {
@@ -255,6 +262,9 @@
             events::pool_split(change);
         }
         self.note_quarantine(&output.quarantine_changes, now);
+        for expired in &output.expired_leases {
+            events::place_expired(expired);
+        }
         for envelope in &output.messages {
             self.send(envelope);
         }
--- a/crates/transport/relay/src/events.rs
+++ b/crates/transport/relay/src/events.rs
@@ -9,8 +9,8 @@
 use crate::own_answer::OwnAnswer;
 use crate::upstream::ConnectionCheck;
 use eiderferry_dispatch::{
-    Applied, CacheNews, ColdDuty, DocumentKey, Grant, HealthChange, Outcome, PeerChange,
-    QuarantineChange, SplitChange, StreamPacing, TakenNews, UnknownName, WarmthChange,
+    Applied, CacheNews, ColdDuty, DocumentKey, ExpiredLease, Grant, HealthChange, Outcome,
+    PeerChange, QuarantineChange, SplitChange, StreamPacing, TakenNews, UnknownName, WarmthChange,
 };
 use eiderferry_routing::InstanceId;
 use eiderferry_types::{Reason, RequestDigest, Span, Timestamp};
@@ -97,6 +97,22 @@
     );
 }
 
+/// A place was granted to a caller that had left meanwhile, and given back unused. Callers
+/// leave all the time: the count in the metrics tells more than the lines.
+pub(crate) fn place_unclaimed(instance: &InstanceId) {
+    metrics::place_unclaimed();
+    log::debug!(event = "place_unclaimed", back_end = instance.as_str(); "place given back unused");
+}
+
+/// A place was not given back within its request's time: its holder lost it.
+pub(crate) fn place_expired(expired: &ExpiredLease) {
+    metrics::place_expired();
+    log::warn!(
+        event = "place_expired", back_end = expired.instance.as_str();
+        "a place was not given back by its holder"
+    );
+}
+
 /// This node began to aggregate for its zone, or stopped.
 pub(crate) fn aggregating(is_aggregator: bool) {
     log::info!(event = "aggregating", on = is_aggregator; "duty as an aggregator");
--- a/crates/transport/relay/src/lib.rs
+++ b/crates/transport/relay/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod answer;
 mod attempts;
+mod awaited_decision;
 mod cache_follower;
 mod caller_socket;
 mod control;
--- a/crates/transport/relay/src/metrics.rs
+++ b/crates/transport/relay/src/metrics.rs
@@ -75,6 +75,16 @@
     metrics::counter!("eiderferry_attempts_total", "outcome" => outcome).increment(1);
 }
 
+/// A place was granted to a caller that had left, and given back unused.
+pub(crate) fn place_unclaimed() {
+    metrics::counter!("eiderferry_places_unclaimed_total").increment(1);
+}
+
+/// A place was not given back within its request's time.
+pub(crate) fn place_expired() {
+    metrics::counter!("eiderferry_places_expired_total").increment(1);
+}
+
 /// A back end crashed under a run.
 pub(crate) fn crashed_run(connection: &'static str) {
     metrics::counter!("eiderferry_crashed_runs_total", "connection" => connection).increment(1);
--- a/crates/transport/relay/tests/callers.rs
+++ b/crates/transport/relay/tests/callers.rs
@@ -6,6 +6,13 @@
 use std::time::{Duration, Instant};
 use support::{HOST, KEY, PATIENCE, Running, StandIn, chunk, event, stream_head, whole, write};
 
+/// Callers that leave together, and how often: several times the 84 places of a back end with
+/// 64 slots.
+const LEAVING_TOGETHER: usize = 60;
+const GROUPS_THAT_LEAVE: usize = 10;
+/// Back ends that make a question for a place take milliseconds.
+const MANY_LEAVING: usize = 20_000;
+
 fn sound() -> StandIn {
     StandIn::start(|stream, seen, _| {
         write(stream, &whole(seen, "ok"));
@@ -167,6 +174,31 @@
     );
 }
 
+/// Story: a caller may leave between its request's question for a place and the control
+/// thread's answer, which takes long on a node that has little of a core. The place was granted,
+/// and nobody was there to give it back: it counted at its back end, on all nodes, for as long
+/// as the process lived. 24 of them fill a pool of three back ends with 6 slots for good.
+///
+/// Here each question takes milliseconds, as it goes over thousands of back ends that leave.
+#[test]
+fn callers_that_leave_while_a_place_is_sought_take_none_for_good() {
+    let back_end = sound();
+    let relay = Running::before_one_beside_leaving(&back_end, MANY_LEAVING);
+    for _ in 0..GROUPS_THAT_LEAVE {
+        let callers = (0..LEAVING_TOGETHER).map(|_| {
+            let mut caller = relay.connect();
+            caller.send("GET", "/read/left", "", "");
+            caller
+        });
+        let callers: Vec<_> = callers.collect();
+        drop(callers);
+        // It is answered after the questions of those that left.
+        relay.call("GET", "/read/between", "", "");
+    }
+    let answer = relay.call("GET", "/read/1", "", "");
+    assert_eq!(answer.status, 200, "{answer:?}");
+}
+
 #[test]
 fn a_planned_stop_finishes_what_was_read_and_tells_callers_to_leave() {
     let back_end = StandIn::start(|stream, seen, _| {
--- a/crates/transport/relay/tests/support/documents.rs
+++ b/crates/transport/relay/tests/support/documents.rs
@@ -181,6 +181,32 @@
     }
 }
 
+/// So many more back ends of the pool, all of them leaving: each question for a place goes over
+/// them in vain.
+pub fn leaving(count: usize) -> Vec<Change> {
+    let listed = (0..count).map(|number| {
+        let instance = InstanceId::from(format!("leaving-{number}"));
+        let (high, low) = (number / 250, number % 250);
+        let address = format!("127.200.{high}.{low}:9").parse();
+        let back_end = BackEnd {
+            instance: instance.clone(),
+            pool: PoolName::from("pool"),
+            address: address.expect("an address"),
+            zone: ZoneName::from("a"),
+            slots: 64,
+            draining: true,
+            cold_for: Some(Span::ZERO),
+            started_unix_ms: None,
+        };
+        Change {
+            key: DocumentKey::BackEnd(instance),
+            revision: 2,
+            content: Content::BackEnd(back_end),
+        }
+    });
+    listed.collect()
+}
+
 /// All documents: a table, and these back ends.
 pub fn changes(back_ends: &[SocketAddr], engine: Option<EngineSpecification>) -> Vec<Change> {
     let listed = back_ends.iter().enumerate().map(|(number, address)| {
--- a/crates/transport/relay/tests/support/running.rs
+++ b/crates/transport/relay/tests/support/running.rs
@@ -1,6 +1,6 @@
 //! Relays in threads of their own.
 
-use super::documents::{ENGINE, cache_protocol, changes, engine, vocabulary};
+use super::documents::{ENGINE, cache_protocol, changes, engine, leaving, vocabulary};
 use super::{AMPLE_MEMORY, Answer, Caller, PATIENCE, SMALL_BUFFER, StandIn, write};
 use eiderferry_dispatch::{BudgetSettings, Change, ColdBound, Features};
 use eiderferry_relay::{MemoryBudget, Relay, RelaySettings, Source, StopSettings};
@@ -95,6 +95,13 @@
         Self::with_memory(back_ends, AMPLE_MEMORY)
     }
 
+    /// A relay before one back end and so many that are leaving.
+    pub fn before_one_beside_leaving(back_end: &StandIn, count: usize) -> Self {
+        let mut documents = changes(&[back_end.address], None);
+        documents.extend(leaving(count));
+        Self::start_ready(documents, Options::default())
+    }
+
     /// A relay before these back ends with a budget of this many bytes.
     pub fn with_memory(back_ends: &[&StandIn], bytes: u64) -> Self {
         let options = Options {
@@ -131,7 +138,11 @@
         engine: Option<EngineSpecification>,
         options: Options,
     ) -> Self {
-        let running = Self::start(Some(changes(back_ends, engine)), options);
+        Self::start_ready(changes(back_ends, engine), options)
+    }
+
+    fn start_ready(documents: Vec<Change>, options: Options) -> Self {
+        let running = Self::start(Some(documents), options);
         let begun = Instant::now();
         while running.readiness() != 200 {
             assert!(begun.elapsed() < PATIENCE, "the relay is not ready");
