Which engines' caches to follow is sought when something has changed

Cause: in each tick a node compared each engine of its zone with each node of its zone, and for each engine went over all nodes of the fleet: 700,000 steps at 585 nodes and 6,000 engines, ten times a second. It grows with nodes times engines.

Change: the nodes that may follow are kept as hashes; the look is taken when they, the table or the engines change, twice a second at most while only engines do, and each 5 s anyway. An engine that leaves is left at once, as before.

Test: dispatch/tests/scale.rs counts the looks: 1 to 4 in 10 calm seconds, 10 to 21 in 10 s of a release; it was 100.

--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -165,6 +165,8 @@
     pub quarantine: QuarantineCounts,
     /// Back ends that were looked at for requests since the start.
     pub looked_at: u64,
+    /// Looks at which engines' caches to follow since the start.
+    pub follow_looks: u64,
 }
 
 /// Decides for one node.
@@ -474,6 +476,7 @@
             cache_counts,
             quarantine: self.quarantine.counts(),
             looked_at: self.looked_at,
+            follow_looks: self.follow_looks(),
         }
     }
 }
--- a/crates/coordination/dispatch/src/dispatcher/cache_index.rs
+++ b/crates/coordination/dispatch/src/dispatcher/cache_index.rs
@@ -45,14 +45,55 @@
     pub followed_for: Span,
 }
 
+/// Ticks between two looks at which engines to follow while engines come and go, and at the most:
+/// a look compares each engine of the zone with each node of the zone.
+const CHANGES_TICKS: u64 = 5;
+const MOST_TICKS: u64 = 50;
+
 /// The engines that this node follows.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CacheFollows {
     indices: BTreeMap<InstanceId, CacheIndex>,
     ended: FollowCounts,
+    /// What the last look at which engines to follow rests on, and when it was.
+    looked_at: Option<(FollowBasis, u64)>,
+    looks: u64,
+}
+
+/// What decides which engines a node follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct FollowBasis {
+    may_follow: bool,
+    table_revision: u64,
+    staying_version: u64,
+    back_ends_version: u64,
+}
+
+impl FollowBasis {
+    /// Whether another look can wait: nothing changed but some engines, a moment ago.
+    fn stands(&self, now: &Self, ticks: u64) -> bool {
+        let is_same_but_for_engines = Self {
+            back_ends_version: now.back_ends_version,
+            ..*self
+        } == *now;
+        let may_wait = *self == *now || ticks < CHANGES_TICKS;
+        is_same_but_for_engines && may_wait && ticks < MOST_TICKS
+    }
 }
 
 impl CacheFollows {
+    /// Ends the following of all engines but those that `stays` names.
+    fn retain(&mut self, stays: impl Fn(&InstanceId) -> bool) {
+        let ended = &mut self.ended;
+        self.indices.retain(|instance, index| {
+            let stays = stays(instance);
+            if !stays {
+                ended.add(index.counts());
+            }
+            stays
+        });
+    }
+
     /// Begins anew with an engine that has started again, if this node follows it.
     pub(super) fn forget(&mut self, instance: &InstanceId) {
         if let Some(index) = self.indices.remove(instance) {
@@ -86,28 +127,43 @@
     }
 
     fn renew_cache_follows(&mut self, now: Timestamp) {
-        let own: HashSet<InstanceId> = self.caches_to_follow(now).into_iter().collect();
+        let basis = self.follow_basis(now);
+        let looked_at = &self.cache_follows.looked_at;
+        if looked_at.is_some_and(|(before, tick)| before.stands(&basis, self.ticks - tick)) {
+            // An engine that leaves is left at once, as before each call.
+            let back_ends = &self.back_ends;
+            self.cache_follows.retain(|instance| {
+                let state = back_ends.get(instance);
+                state.is_some_and(BackEndState::takes_work)
+            });
+            return;
+        }
+        self.cache_follows.looked_at = Some((basis, self.ticks));
+        self.cache_follows.looks += 1;
+        let own: HashSet<InstanceId> = self.caches_to_follow(&basis).into_iter().collect();
         let follows = &mut self.cache_follows;
-        let ended = &mut follows.ended;
-        follows.indices.retain(|instance, index| {
-            let stays = own.contains(instance);
-            if !stays {
-                ended.add(index.counts());
-            }
-            stays
-        });
+        follows.retain(|instance| own.contains(instance));
         for instance in own {
             let index = follows.indices.entry(instance);
             index.or_insert_with(|| CacheIndex::new(now));
         }
     }
 
-    fn caches_to_follow(&self, now: Timestamp) -> Vec<InstanceId> {
+    fn follow_basis(&self, now: Timestamp) -> FollowBasis {
         let is_on = self.settings.features.cache_index && self.is_any_cache_told();
-        if !is_on || self.is_stopping || self.uptime(now) < SETTLING_TIME {
+        FollowBasis {
+            may_follow: is_on && !self.is_stopping && self.uptime(now) >= SETTLING_TIME,
+            table_revision: self.knowledge.table_revision(),
+            staying_version: self.peers.staying_version(),
+            back_ends_version: self.back_ends.version(),
+        }
+    }
+
+    fn caches_to_follow(&self, basis: &FollowBasis) -> Vec<InstanceId> {
+        if !basis.may_follow {
             return Vec::new();
         }
-        let states = self.back_ends.all();
+        let states = self.back_ends.of_zone(&self.settings.zone);
         let own = states.filter(|state| self.has_to_follow(state));
         let mut own: Vec<&BackEndState> = own.collect();
         own.sort_unstable_by_key(|state| state.digest);
@@ -133,10 +189,7 @@
             .table()
             .and_then(|table| table.pool(&state.back_end.pool)?.engine.as_ref())
             .is_some_and(|engine| engine.cache_event_calls > 0);
-        tells
-            && state.takes_work()
-            && state.back_end.zone == self.settings.zone
-            && self.peers.sender_place(state.digest) == 0
+        tells && state.takes_work() && self.peers.sender_place(state.digest) == 0
     }
 
     /// Takes in what came of a call; `None` where the engine is not followed any more, or
@@ -207,6 +260,11 @@
         self.tell_facts(&recalled);
     }
 
+    /// Looks at which engines to follow since the start.
+    pub(super) fn follow_looks(&self) -> u64 {
+        self.cache_follows.looks
+    }
+
     /// What following came to since the start, and how many engines are followed.
     pub(super) fn cache_counts(&self) -> (usize, FollowCounts) {
         let mut counts = self.cache_follows.ended;
--- a/crates/coordination/dispatch/src/fleet/peers.rs
+++ b/crates/coordination/dispatch/src/fleet/peers.rs
@@ -70,6 +70,11 @@
     large_until: Timestamp,
     near_living: usize,
     far_living: usize,
+    /// Hashes of the peers of the own zone that are there and not stopping, in the order of
+    /// their addresses, and how often they changed. Kept, as each engine is compared with each of
+    /// them.
+    staying_hashes: Vec<u64>,
+    staying_version: u64,
     /// Most nodes of the own zone ever there at once, and since when.
     most_near: usize,
     most_near_since: Timestamp,
@@ -109,6 +114,8 @@
             large_until: Timestamp::default(),
             near_living: 0,
             far_living: 0,
+            staying_hashes: Vec::new(),
+            staying_version: 0,
             most_near: 0,
             most_near_since: Timestamp::default(),
         }
@@ -152,7 +159,10 @@
         {
             peer.heard = now;
             peer.complete_to = message.complete_to;
-            peer.is_stopping = message.is_stopping;
+            let was_stopping = std::mem::replace(&mut peer.is_stopping, message.is_stopping);
+            if was_stopping != message.is_stopping {
+                self.recount();
+            }
             return None;
         }
         let peer = Peer {
@@ -184,6 +194,19 @@
         let near = living.clone().filter(|peer| peer.zone == self.zone);
         self.near_living = near.count();
         self.far_living = living.count() - self.near_living;
+        let staying: Vec<u64> = self
+            .staying_near()
+            .map(|(_, peer)| peer.rank.hash)
+            .collect();
+        if staying != self.staying_hashes {
+            self.staying_hashes = staying;
+            self.staying_version += 1;
+        }
+    }
+
+    /// Changes whenever other nodes of the own zone may take duties over.
+    pub(crate) fn staying_version(&self) -> u64 {
+        self.staying_version
     }
 
     /// Counts a peer as lost until it is heard again.
@@ -361,8 +384,9 @@
     /// of living nodes before it that are not stopping.
     pub(crate) fn sender_place(&self, back_end: u32) -> usize {
         let own = sender_rank(self.own_hash, back_end);
-        self.staying_near()
-            .filter(|(_, peer)| sender_rank(peer.rank.hash, back_end) > own)
+        let others = self.staying_hashes.iter();
+        others
+            .filter(|hash| sender_rank(**hash, back_end) > own)
             .count()
     }
 
--- a/crates/coordination/dispatch/src/load/pool_index.rs
+++ b/crates/coordination/dispatch/src/load/pool_index.rs
@@ -82,6 +82,12 @@
         }
     }
 
+    /// All back ends, in no order.
+    pub fn members(&self) -> impl Iterator<Item = &InstanceId> {
+        let members = self.groups.iter().flatten();
+        members.map(|(_, instance)| instance)
+    }
+
     /// The groups, beginning with the one that a hash names.
     pub fn beginning_at(
         &self,
--- a/crates/coordination/dispatch/src/load/registry.rs
+++ b/crates/coordination/dispatch/src/load/registry.rs
@@ -4,7 +4,7 @@
 use crate::load::cold_start::Warmth;
 use crate::load::health::{Health, HealthChange};
 use crate::load::holders::Holders;
-use crate::load::pool_index::PoolIndex;
+use crate::load::pool_index::{HashGroups, PoolIndex};
 use crate::placement::planning::SENSITIVE_CHANCE;
 use crate::placement::pool_split::{PoolLoad, PoolSplit, RankedEngine, SplitChange};
 use crate::placement::streams_apart::keeps_streams_apart;
@@ -13,7 +13,7 @@
     StreamPacing,
 };
 use eiderferry_routing::{
-    BackEnd, EngineSpecification, InstanceId, PartId, PoolName, RoutingTable,
+    BackEnd, EngineSpecification, InstanceId, PartId, PoolName, RoutingTable, ZoneName,
 };
 use eiderferry_types::Timestamp;
 use std::collections::{HashMap, HashSet};
@@ -63,6 +63,8 @@
     /// Shared parts placed anywhere since they were last taken.
     placed_lately: Vec<PartId>,
     holders: Holders,
+    /// How often back ends were listed anew, changed or removed.
+    version: u64,
     /// Sums of the shares of failures that this node saw, by pool.
     failure_sums: HashMap<PoolName, f64>,
 }
@@ -114,6 +116,19 @@
         instances.filter_map(|instance| self.states.get(instance))
     }
 
+    /// Changes with each back end that is listed, changed or removed.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Back ends of one zone.
+    pub fn of_zone<'a>(&'a self, zone: &'a ZoneName) -> impl Iterator<Item = &'a BackEndState> {
+        let pools = self.pools.values();
+        let groups = pools.filter_map(|index| index.of_zone(zone));
+        let instances = groups.flat_map(HashGroups::members);
+        instances.filter_map(|instance| self.states.get(instance))
+    }
+
     /// Number of back ends of a pool.
     pub fn pool_size(&self, pool: &PoolName) -> usize {
         self.pools
@@ -188,6 +203,7 @@
         table: Option<&RoutingTable>,
         now: Timestamp,
     ) {
+        self.version += 1;
         let instance = back_end.instance.clone();
         let cold_for = back_end.cold_for;
         if let Some((newest, holder)) = self.by_address.get(&back_end.address) {
@@ -246,6 +262,7 @@
         let Some(state) = self.states.remove(instance) else {
             return;
         };
+        self.version += 1;
         self.by_digest.remove(&state.digest);
         if let Some(pool) = self.pools.get_mut(&state.back_end.pool) {
             pool.remove(state.digest, instance, &state.back_end.zone);
--- a/crates/coordination/dispatch/tests/scale.rs
+++ b/crates/coordination/dispatch/tests/scale.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use eiderferry_dispatch::{Change, Content, Dispatcher, DocumentKey};
+use eiderferry_dispatch::{Change, Content, Dispatcher, DocumentKey, TICK};
 use eiderferry_routing::InstanceId;
 use eiderferry_types::{Span, Timestamp};
 use rstest::rstest;
@@ -168,3 +168,34 @@
     assert_eq!(told.map(|told| told.len()), Some(64));
     assert_eq!(news_of(2_000), None);
 }
+
+/// Which engines to follow is asked of each engine and each node of the zone: nothing to do again
+/// in each tick.
+#[test]
+fn engines_to_follow_are_sought_when_something_has_changed() {
+    let mut subject = with_engines(MANY);
+    let run = |subject: &mut Dispatcher, from: u64, ticks: u64| {
+        let before = subject.snapshot(START).follow_looks;
+        for tick in from..from + ticks {
+            let now = Timestamp(START.0 + tick * TICK.0);
+            if tick % 2 == 0 && from > 0 {
+                let name = format!("engine-{tick}");
+                let revision = 10 + tick;
+                subject.apply(
+                    back_end_change(back_end(&name, tick as usize, 0), revision),
+                    now,
+                );
+            }
+            subject.tick(now);
+            subject.cache_calls(now);
+        }
+        subject.snapshot(START).follow_looks - before
+    };
+    let calm = run(&mut subject, 0, 100);
+    assert!((1..=4).contains(&calm), "{calm} looks in 10 s");
+    let in_a_release = run(&mut subject, 100, 100);
+    assert!(
+        (10..=21).contains(&in_a_release),
+        "{in_a_release} looks in 10 s"
+    );
+}
--- a/crates/transport/relay/src/metrics.rs
+++ b/crates/transport/relay/src/metrics.rs
@@ -181,6 +181,7 @@
     metrics::gauge!("eiderferry_table_version").set(snapshot.table_version as f64);
     metrics::gauge!("eiderferry_confirmation_age_seconds").set(snapshot.confirmed_age_seconds);
     metrics::counter!("eiderferry_back_ends_looked_at_total").absolute(snapshot.looked_at);
+    metrics::counter!("eiderferry_cache_follow_looks_total").absolute(snapshot.follow_looks);
     let quarantine = &snapshot.quarantine;
     metrics::gauge!("eiderferry_requests_suspected").set(quarantine.suspected as f64);
     metrics::gauge!("eiderferry_requests_quarantined").set(quarantine.quarantined as f64);
