A plain back end counts as full by its mean over seconds, not by one old count

Refused is what meets a count of 8 or more: one count in seven, told some 0.3 s after its moment, while a call takes 15 ms; all nodes refuse by it until the next. So it does not end by itself.

Change: for pools without engines the counts are averaged over 2 s; this node's own calls count as they are. Lasting overload is still refused, within 3 s, and until then the back end itself says what it does not run. Engines are judged as before: streams run for seconds.

--- a/crates/coordination/dispatch/src/dispatcher/granting.rs
+++ b/crates/coordination/dispatch/src/dispatcher/granting.rs
@@ -139,7 +139,10 @@
         let candidate = candidates[index];
         // An engine admits the request whose replica it holds before all others.
         let is_takeover = demand.only.is_some();
-        if !is_takeover && candidate.running >= self.most_running(demand, candidate.slots) {
+        let most = f64::from(self.most_running(demand, candidate.slots));
+        let state = self.back_ends.get_mut(&plans[index].instance);
+        let crowd = state.map_or(0.0, |state| state.load.crowd(candidate.running, now));
+        if !is_takeover && crowd >= most {
             return Decision::Refuse(Reason::QueueFull, OVERLOAD_RETRY);
         }
         if demand.is_repeat {
--- a/crates/coordination/dispatch/src/load/back_end_load.rs
+++ b/crates/coordination/dispatch/src/load/back_end_load.rs
@@ -1,5 +1,6 @@
 //! How loaded a back end is, as this node knows it.
 
+use crate::load::crowding::Crowding;
 use crate::{
     EngineSpeed, LeaseId, LoadReport, Outcome, OutcomeCounts, PrefixCache, RecentOutcomes,
 };
@@ -237,6 +238,7 @@
     sum: Option<Report>,
     slowness: f64,
     outcomes: RecentOutcomes,
+    crowding: Crowding,
     /// Its speed against its pool.
     pub speed: EngineSpeed,
     /// Prompts it is believed to keep.
@@ -257,6 +259,7 @@
             sum: None,
             slowness: 1.0,
             outcomes: RecentOutcomes::default(),
+            crowding: Crowding::default(),
             speed,
             cache: PrefixCache::new(engine_tokens),
         }
@@ -268,6 +271,17 @@
         running.filter(|running| !running.is_replica).count() as u32
     }
 
+    /// Requests there by which it is judged to be full; `running` is the latest count. Streams at
+    /// an engine run for seconds, so that the count stands; of calls to a plain back end only this
+    /// node's own are known as they are.
+    pub(crate) fn crowd(&mut self, running: u32, now: Timestamp) -> f64 {
+        if self.cache.engine_tokens() > 0 {
+            return f64::from(running);
+        }
+        let mean = self.crowding.note(running, now);
+        mean.max(f64::from(self.own_running()))
+    }
+
     /// Prompt tokens of this node's requests that are still to be read there.
     pub fn own_pending_tokens(&self, now: Timestamp) -> u64 {
         let waiting = self
--- /dev/null
+++ b/crates/coordination/dispatch/tests/plain_back_ends.rs
@@ -0,0 +1,138 @@
+//! Plain back ends, whose calls take milliseconds: when they count as full.
+
+mod support;
+
+use eiderferry_dispatch::{Change, Content, Decision, Demand, Dispatcher, DocumentKey, Outcome};
+use eiderferry_routing::{BackEnd, Limits, Pool, PoolName, TableDocument};
+use eiderferry_types::{Reason, Span, Timestamp};
+use rstest::rstest;
+use std::collections::BTreeMap;
+use support::{START, back_end, back_end_change, demand, dispatcher, granted, node_address};
+
+const SERVICE: &str = "service";
+const SLOTS: u32 = 6;
+const OTHERS: usize = 6;
+/// Time between two words of the other nodes.
+const REPORTED_EACH: Span = Span::from_milliseconds(300);
+/// Calls at once as the others' reports of single moments tell them: five on the average, as of
+/// 220 calls a second that take 20 ms each, and at times more than the back end counts for full.
+const MOMENTS: [usize; 12] = [3, 5, 9, 4, 6, 8, 2, 7, 5, 10, 4, 3];
+
+fn table() -> Change {
+    let pool = Pool {
+        health_path: "/health".to_owned(),
+        maximum_connections: 580,
+        engine: None,
+        cold_start: None,
+    };
+    Change {
+        key: DocumentKey::Table,
+        revision: 1,
+        content: Content::Table(TableDocument {
+            version: 1,
+            routes: Vec::new(),
+            pools: BTreeMap::from([(PoolName::from(SERVICE), pool)]),
+            limits: Limits {
+                maximum_header_bytes: 16_384,
+                maximum_body_bytes: 1_000_000,
+                header_timeout: Span::from_milliseconds(3_000),
+                idle_timeout: Span::from_milliseconds(15_000),
+            },
+            tenants: Vec::new(),
+        }),
+    }
+}
+
+/// A node that knows one plain back end.
+fn node(number: usize) -> Dispatcher {
+    let mut subject = dispatcher(number, 0, Vec::new());
+    let back_end = BackEnd {
+        pool: PoolName::from(SERVICE),
+        slots: SLOTS,
+        ..back_end("engine-0", 0, 0)
+    };
+    subject.apply(table(), START);
+    subject.apply(back_end_change(back_end, 2), START);
+    subject.confirm(2, START);
+    subject
+}
+
+fn call() -> Demand {
+    Demand {
+        pool: PoolName::from(SERVICE),
+        parts: Vec::new(),
+        prompt_tokens: 0,
+        output_tokens: 0,
+        target: Span::from_milliseconds(120),
+        remaining: Span::from_milliseconds(600),
+        is_stream: false,
+        ..demand(1, 0, 0)
+    }
+}
+
+/// Six other nodes report that they have so many calls there together.
+fn hear(subject: &mut Dispatcher, running: usize, now: Timestamp) {
+    for number in 1..=OTHERS {
+        let mut other = node(number);
+        let share = (running + number - 1) / OTHERS;
+        for _ in 0..share {
+            granted(other.ask(&call(), now));
+        }
+        let report = other.gossip(false, now);
+        subject.receive(node_address(number), &report, now);
+    }
+}
+
+/// The calls of which so many are refused, while the others' reports tell these counts in turn;
+/// each call is over at once.
+fn refused(subject: &mut Dispatcher, counts: &[usize], reports: usize, from: Timestamp) -> usize {
+    let mut refused = 0;
+    for number in 0..reports {
+        let now = Timestamp(from.0 + REPORTED_EACH.0 * number as u64);
+        hear(subject, counts[number % counts.len()], now);
+        match subject.ask(&call(), now) {
+            Decision::Grant(grant) => {
+                subject.end(grant.lease, Outcome::Completed, now);
+            }
+            Decision::Refuse(reason, _) => {
+                assert_eq!(reason, Reason::QueueFull);
+                refused += 1;
+            }
+        }
+    }
+    refused
+}
+
+/// Story: two of three back ends of a service left for good, and the third bore the rest of the
+/// day's calls with ease; yet a tenth of them was refused to its end. Each node judged by the
+/// latest count that it had heard, of a moment long over, and three of these twelve are above 8.
+#[test]
+fn peaks_of_moments_that_are_over_refuse_nobody() {
+    let mut subject = node(0);
+    let reports = 10 * MOMENTS.len();
+    assert_eq!(refused(&mut subject, &MOMENTS, reports, START), 0);
+}
+
+#[rstest]
+#[case::twice_its_slots(2 * SLOTS as usize)]
+#[case::four_times(4 * SLOTS as usize)]
+fn lasting_overload_is_refused_within_seconds_and_ends_by_itself(#[case] running: usize) {
+    let mut subject = node(0);
+    refused(&mut subject, &[3], 10, START);
+    let overloaded = START + Span::from_milliseconds(10_000);
+    let served_first = 20 - refused(&mut subject, &[running], 20, overloaded);
+    assert!(served_first <= 10, "{served_first} of 20 calls in 6 s");
+    let calm = START + Span::from_milliseconds(20_000);
+    let late = refused(&mut subject, &[3], 20, calm);
+    assert!(late <= 10, "{late} of 20 calls are refused after the end");
+}
+
+#[test]
+fn calls_of_this_node_count_as_they_are() {
+    let mut subject = node(0);
+    let calls = 2 * SLOTS as usize;
+    let decisions: Vec<Decision> = (0..calls).map(|_| subject.ask(&call(), START)).collect();
+    let granted = decisions.iter();
+    let granted = granted.filter(|decision| matches!(decision, Decision::Grant(_)));
+    assert_eq!(granted.count(), 8, "1.3 times the slots");
+}
