A plain back end bears calls as long as they come in time

A call counts at its back end while it is on its way: 220 a second that take 15 ms there and 30 in all are 6.5 at once of 6 slots, so that the mean itself meets the bound of 8 although the back end is half idle and sheds next to nothing.

Change: the bound is as many rounds of calls as fit the target by the answers' usual time at that back end, one to four; it falls as answers take longer.

--- a/crates/coordination/dispatch/src/dispatcher/granting.rs
+++ b/crates/coordination/dispatch/src/dispatcher/granting.rs
@@ -139,10 +139,7 @@
         let candidate = candidates[index];
         // An engine admits the request whose replica it holds before all others.
         let is_takeover = demand.only.is_some();
-        let most = f64::from(self.most_running(demand, candidate.slots));
-        let state = self.back_ends.get_mut(&plans[index].instance);
-        let crowd = state.map_or(0.0, |state| state.load.crowd(candidate.running, now));
-        if !is_takeover && crowd >= most {
+        if !is_takeover && self.is_full(&plans[index].instance, &candidate, demand, now) {
             return Decision::Refuse(Reason::QueueFull, OVERLOAD_RETRY);
         }
         if demand.is_repeat {
@@ -158,6 +155,23 @@
         }
     }
 
+    /// Whether a back end has so many requests that this one is not added.
+    fn is_full(
+        &mut self,
+        instance: &InstanceId,
+        candidate: &Candidate,
+        demand: &Demand,
+        now: Timestamp,
+    ) -> bool {
+        let most = f64::from(self.most_running(demand, candidate.slots));
+        let Some(state) = self.back_ends.get_mut(instance) else {
+            return false;
+        };
+        let rounds = state.load.rounds_within(demand.target);
+        let most = most.max(rounds * f64::from(candidate.slots));
+        state.load.crowd(candidate.running, now) >= most
+    }
+
     /// Requests at a back end beyond which this one is not added.
     fn most_running(&self, demand: &Demand, slots: u32) -> u32 {
         let table = self.knowledge.table();
--- a/crates/coordination/dispatch/src/load/back_end_load.rs
+++ b/crates/coordination/dispatch/src/load/back_end_load.rs
@@ -282,6 +282,14 @@
         mean.max(f64::from(self.own_running()))
     }
 
+    /// Times its slots that may be at a plain back end for a call to come within a target.
+    pub(crate) fn rounds_within(&self, target: Span) -> f64 {
+        if self.cache.engine_tokens() > 0 {
+            return 1.0;
+        }
+        self.crowding.rounds_within(target)
+    }
+
     /// Prompt tokens of this node's requests that are still to be read there.
     pub fn own_pending_tokens(&self, now: Timestamp) -> u64 {
         let waiting = self
@@ -516,7 +524,10 @@
     }
 
     pub(crate) fn end(&mut self, lease: LeaseId, outcome: Outcome, now: Timestamp) {
-        self.running.remove(&lease);
+        let ended = self.running.remove(&lease);
+        if let Some(call) = ended.filter(|_| outcome == Outcome::Completed) {
+            self.crowding.note_answer(now.since(call.started));
+        }
         self.outcomes.record(outcome, now);
     }
 }
--- a/crates/coordination/dispatch/src/load/crowding.rs
+++ b/crates/coordination/dispatch/src/load/crowding.rs
@@ -14,11 +14,18 @@
 /// Most that a single count weighs, however long nothing was asked before it.
 const MOST_WEIGHT: f64 = 0.5;
 
-/// Mean number of requests at a back end.
+/// Weight of the newest answer in the usual time of one.
+const ANSWER_SMOOTHING: f64 = 0.1;
+/// Most rounds of calls that one may wait for, however short they are: a back end's own queue
+/// holds a few, and what is beyond it comes back as not run.
+const MOST_ROUNDS: f64 = 4.0;
+
+/// Mean number of requests at a back end, and how long it usually takes to answer one.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Crowding {
     mean: f64,
     noted_at: Timestamp,
+    answer_time: Option<Span>,
 }
 
 impl Crowding {
@@ -29,4 +36,23 @@
         self.noted_at = now;
         self.mean
     }
+
+    /// Takes in how long an answer took.
+    pub fn note_answer(&mut self, took: Span) {
+        let known = self.answer_time.unwrap_or(took);
+        let part = took.scaled(ANSWER_SMOOTHING);
+        self.answer_time = Some(known.scaled(1.0 - ANSWER_SMOOTHING) + part);
+    }
+
+    /// Rounds of calls that fit a target, the call's own included: with so many times its slots
+    /// at a back end a call still comes in time. Calls on their way count as running there: 220 a
+    /// second that take 15 ms at the back end and 30 ms in all are 6.5 at once of 6 slots, and
+    /// with 1.3 times the slots as the bound a twentieth of them was refused though the back end
+    /// was half idle. Where it is not, answers take longer and the bound falls.
+    pub fn rounds_within(&self, target: Span) -> f64 {
+        let Some(answer_time) = self.answer_time.filter(|time| *time > Span::ZERO) else {
+            return 1.0;
+        };
+        (target.0 as f64 / answer_time.0 as f64).clamp(1.0, MOST_ROUNDS)
+    }
 }
