A run's replica is found in a large pool, too

Cause, found on rereading: a takeover may go to the one engine that holds the replica, and of a pool beyond 512 a request looks at a sample that seldom holds it: refused with no_back_end. Only since pools are sampled.

Change: a request for one engine alone looks at that one.

Pools of up to 512 decide as before.

--- a/crates/coordination/dispatch/src/placement/sampling.rs
+++ b/crates/coordination/dispatch/src/placement/sampling.rs
@@ -71,6 +71,12 @@
         return whole_pool(registry, view, demand, may_be_home);
     }
     let mut sample = Sample::new(registry, view, demand);
+    if let Some(only) = &demand.only {
+        // A run is taken over where its replica is, which no draw would find.
+        let holder = sample.look_up([only]);
+        sample.looked_at.others.extend(holder);
+        return sample.looked_at;
+    }
     sample.look_at_homes(&may_be_home);
     sample.look_at_holders();
     sample.draw(random);
--- a/crates/coordination/dispatch/tests/scale.rs
+++ b/crates/coordination/dispatch/tests/scale.rs
@@ -122,6 +122,18 @@
     assert!(is_kept, "{third:?} does not use {holder:?}");
 }
 
+/// A run whose engine is lost goes on at the one engine that holds its replica.
+#[test]
+fn the_holder_of_a_replica_is_found_in_a_large_pool() {
+    let mut subject = with_engines(MANY);
+    for number in 0..REQUESTS as usize {
+        let mut takeover = demand(1 + number as u64, SHARED, 100);
+        takeover.only = Some(InstanceId::from(format!("engine-{number}")));
+        let grant = granted(subject.ask(&takeover, START));
+        assert_eq!(engine_number(&grant), number);
+    }
+}
+
 /// Allocations that passing on one change takes of a node that knows so many back ends: each
 /// entry that is copied counts for several.
 fn allocations_of_an_announcement(back_ends: usize) -> u64 {
