Comments: figures of the plain pool that were guessed are put right

Found on rereading. crowding.rs said that a tenth, and with averaged counts a twentieth, of the calls was refused. One count in seven is reckoned.

--- a/crates/coordination/dispatch/src/load/crowding.rs
+++ b/crates/coordination/dispatch/src/load/crowding.rs
@@ -3,9 +3,9 @@
 //! A call to a plain service takes some 15 ms, and what is known of the other nodes' calls is some
 //! hundred milliseconds old: a single count tells how many ran at a moment that is long over. One
 //! back end with 6 slots and five calls at once on the average was held to be full, at 8, for one
-//! count in seven, by all nodes at once and for as long as the count was the latest: with two of
-//! three back ends gone for good a tenth of all calls was refused until the end of the day, and
-//! the back end itself, which has a short queue, turned away next to none.
+//! count in seven (reckoned), by all nodes at once and for as long as the count was the latest: with two of
+//! three back ends gone for good more than a quarter of the calls was refused until the end of the
+//! day, and the back end itself, which has a short queue, turned away next to none.
 
 use eiderferry_types::{Span, Timestamp};
 
@@ -47,8 +47,8 @@
     /// Rounds of calls that fit a target, the call's own included: with so many times its slots
     /// at a back end a call still comes in time. Calls on their way count as running there: 220 a
     /// second that take 15 ms at the back end and 30 ms in all are 6.5 at once of 6 slots, and
-    /// with 1.3 times the slots as the bound a twentieth of them was refused though the back end
-    /// was half idle. Where it is not, answers take longer and the bound falls.
+    /// with 1.3 times the slots as the bound some 16 in 100 were refused though the back end was
+    /// half idle. Where it is not, answers take longer and the bound falls.
     pub fn rounds_within(&self, target: Span) -> f64 {
         let Some(answer_time) = self.answer_time.filter(|time| *time > Span::ZERO) else {
             return 1.0;
