Sight: the log and the metrics show what answers say of their back ends

Change: the head of each answer is read for both (leaving header of the vocabulary; Retry-After of 503 and 429), one back_end_notice line and a count each; a rest that is no number is logged and counted. No decision changes: nothing uses what is read.

--- a/crates/transport/relay/src/events.rs
+++ b/crates/transport/relay/src/events.rs
@@ -6,6 +6,7 @@
 use crate::cache_follower::UnreadableAnswer;
 use crate::documents::FetchError;
 use crate::metrics;
+use crate::notice::Notice;
 use crate::own_answer::OwnAnswer;
 use crate::upstream::ConnectionCheck;
 use eiderferry_dispatch::{
@@ -14,6 +15,7 @@
 };
 use eiderferry_routing::InstanceId;
 use eiderferry_types::{Reason, RequestDigest, Span, Timestamp};
+use http::HeaderValue;
 use std::net::SocketAddr;
 
 /// A node serves callers from now on.
@@ -278,6 +280,23 @@
     );
 }
 
+/// An answer says something of its back end.
+pub(crate) fn back_end_notice(id: &str, back_end: &InstanceId, notice: Notice) {
+    log::info!(
+        event = "back_end_notice", request = id, back_end = back_end.as_str(),
+        leaving = notice.is_leaving, rest_ms = notice.rest.unwrap_or_default().milliseconds();
+        "an answer says something of its back end"
+    );
+}
+
+/// The rest that a back end asks for can't be read; it is not kept.
+pub(crate) fn rest_unreadable(value: &HeaderValue) {
+    log::warn!(
+        event = "rest_unreadable", found:? = value;
+        "the rest that a back end asks for is not kept"
+    );
+}
+
 /// A back end crashed under a run: its connection broke and no new one comes up.
 pub(crate) fn crashed_run(
     id: &str,
--- a/crates/transport/relay/src/lib.rs
+++ b/crates/transport/relay/src/lib.rs
@@ -26,6 +26,7 @@
 mod memory_budget;
 mod metrics;
 mod node;
+mod notice;
 mod own_answer;
 mod progress;
 mod read_ahead;
--- a/crates/transport/relay/src/metrics.rs
+++ b/crates/transport/relay/src/metrics.rs
@@ -90,6 +90,16 @@
     metrics::counter!("eiderferry_crashed_runs_total", "connection" => connection).increment(1);
 }
 
+/// An answer says something of its back end.
+pub(crate) fn notice(what: &'static str) {
+    metrics::counter!("eiderferry_back_end_notices_total", "what" => what).increment(1);
+}
+
+/// What an answer says of its back end can't be read.
+pub(crate) fn notice_doubtful() {
+    metrics::counter!("eiderferry_back_end_notices_doubtful_total").increment(1);
+}
+
 /// A run got a replica.
 pub(crate) fn replica_begun() {
     metrics::counter!("eiderferry_run_replicas_total").increment(1);
--- /dev/null
+++ b/crates/transport/relay/src/notice.rs
@@ -0,0 +1,53 @@
+//! What a back end says of itself in the head of an answer.
+
+use crate::vocabulary::Vocabulary;
+use crate::{events, metrics};
+use eiderferry_types::Span;
+use http::header::RETRY_AFTER;
+use http::{HeaderValue, Response, StatusCode};
+
+/// Longest rest that a back end is believed to ask for. A longer one would take it out of use
+/// after a slip of its own; one that still wants it then turns the next request away again.
+const LONGEST_REST: Span = Span::from_milliseconds(600_000);
+
+/// What one answer says of its back end, besides answering.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Notice {
+    /// It is leaving.
+    pub is_leaving: bool,
+    /// Time for which it wants nothing from this node.
+    pub rest: Option<Span>,
+}
+
+impl Notice {
+    /// Reads the head of an answer.
+    pub fn read<B>(response: &Response<B>, vocabulary: &Vocabulary) -> Self {
+        let headers = response.headers();
+        let leaving = headers.get(&vocabulary.leaving);
+        let turns_away = matches!(
+            response.status(),
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+        );
+        let rest = headers.get(RETRY_AFTER).filter(|_| turns_away);
+        Self {
+            is_leaving: leaving.is_some_and(|value| value.as_bytes() == b"1"),
+            rest: rest.and_then(read_rest),
+        }
+    }
+
+    /// Whether it says nothing.
+    pub fn is_empty(self) -> bool {
+        self == Self::default()
+    }
+}
+
+/// A rest in seconds. Dates, the other form of the header, are of no use here: clocks differ.
+fn read_rest(value: &HeaderValue) -> Option<Span> {
+    let seconds = value.to_str().ok()?.trim().parse::<f64>().ok();
+    let Some(seconds) = seconds.filter(|seconds| seconds.is_finite() && *seconds >= 0.0) else {
+        metrics::notice_doubtful();
+        events::rest_unreadable(value);
+        return None;
+    };
+    Some(Span::from_seconds(seconds).min(LONGEST_REST))
+}
--- a/crates/transport/relay/src/sending.rs
+++ b/crates/transport/relay/src/sending.rs
@@ -4,7 +4,9 @@
 use crate::exchange::Exchange;
 use crate::forwarding::Told;
 use crate::lease::Lease;
+use crate::notice::Notice;
 use crate::upstream::{Connection, SendError};
+use crate::{events, metrics};
 use eiderferry_dispatch::Outcome;
 use eiderferry_routing::RouteKind;
 use eiderferry_types::{Span, Timestamp};
@@ -91,11 +93,12 @@
             .send(&lease.grant, request, may_repeat);
         let answer = async { Ok(send.await) };
         let waited = answer.or(timeout).or(withdrawal).await;
-        self.judge(waited)
+        self.judge(lease, waited)
     }
 
     fn judge(
         &mut self,
+        lease: &Lease,
         waited: Result<Answered, Interruption>,
     ) -> Result<(Response<Incoming>, Connection), Outcome> {
         match waited {
@@ -121,13 +124,14 @@
             }
             Ok(Ok((response, connection))) => {
                 self.attempts += 1;
-                self.judge_head(response, connection)
+                self.judge_head(lease, response, connection)
             }
         }
     }
 
     fn judge_head(
         &mut self,
+        lease: &Lease,
         response: Response<Incoming>,
         connection: Connection,
     ) -> Result<(Response<Incoming>, Connection), Outcome> {
@@ -137,7 +141,11 @@
         if response.status() == StatusCode::MISDIRECTED_REQUEST {
             return Err(Outcome::Replaced);
         }
-        if response.headers().contains_key(&vocabulary.not_run) && id.is_none_or(|_| is_ours) {
+        let may_be_ours = id.is_none_or(|_| is_ours);
+        if may_be_ours {
+            self.take_notice(lease, Notice::read(&response, vocabulary));
+        }
+        if response.headers().contains_key(&vocabulary.not_run) && may_be_ours {
             return Err(Outcome::Shed);
         }
         self.may_have_run = true;
@@ -147,6 +155,20 @@
         Ok((response, connection))
     }
 
+    /// Takes in what an answer says of its back end.
+    fn take_notice(&self, lease: &Lease, notice: Notice) {
+        if notice.is_empty() {
+            return;
+        }
+        events::back_end_notice(&self.head.id, &lease.grant.instance, notice);
+        if notice.is_leaving {
+            metrics::notice("leaving");
+        }
+        if notice.rest.is_some() {
+            metrics::notice("rest");
+        }
+    }
+
     /// Longest wait for the head: until the request's time is over, or shorter where
     /// another back end may be asked.
     pub fn head_deadline(&self, lease: &Lease) -> Span {
--- a/crates/transport/relay/src/vocabulary.rs
+++ b/crates/transport/relay/src/vocabulary.rs
@@ -18,6 +18,8 @@
     pub urgency: HeaderName,
     /// A back end's word that it has not run the request.
     pub not_run: HeaderName,
+    /// A back end's word, in any of its answers, that it is leaving.
+    pub leaving: HeaderName,
     /// Prompt tokens and the most tokens out, joined by a comma.
     pub token_usage: HeaderName,
     /// Parts of the prompt, `ID:TOKENS` joined by commas, identifiers in hex.
--- a/crates/transport/relay/tests/support/documents.rs
+++ b/crates/transport/relay/tests/support/documents.rs
@@ -22,6 +22,7 @@
         tenant: HeaderName::from_static("tenant"),
         urgency: HeaderName::from_static("urgency"),
         not_run: HeaderName::from_static("not-run"),
+        leaving: HeaderName::from_static("leaving"),
         token_usage: HeaderName::from_static("token-usage"),
         prompt_parts: HeaderName::from_static("prompt-parts"),
         length_hint: HeaderName::from_static("length-hint"),
