Failing test: a back end that says in its answers that it leaves is sent requests later

What was seen: requests sent to a node 4 and 6 s after it had passed on such an answer reached the back end (2 s are allowed), while the platform's store was away.

--- /dev/null
+++ b/crates/transport/relay/tests/leaving_back_ends.rs
@@ -0,0 +1,105 @@
+//! Back ends that say in their answers that they are leaving.
+//!
+//! What callers saw: nothing, as long as the back end served on. What it saw: while the platform
+//! could not list it as leaving, a node went on sending it requests, 4 and 6 s after the node
+//! had passed on an answer that said so. What it was sent last would have ended with it.
+//!
+//! In what order: the platform's store goes away; half a second later an engine begins to leave
+//! and says so in all its answers; a node passes the first of them on and sends it further
+//! requests, until the store is back.
+
+mod support;
+
+use rstest::rstest;
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+use support::{
+    Answer, PATIENCE, Running, Seen, StandIn, chunk, event, shed, stream_head, whole, write,
+};
+
+/// Requests that were sent to the node this long after it had passed the word on may not reach
+/// the back end any more.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+/// Requests sent after that.
+const LATER: usize = 24;
+/// Requests that a back end answers well before it leaves: what follows is no judgement of its
+/// health.
+const ANSWERED_BEFORE: usize = 40;
+
+fn with_word(answer: &str) -> String {
+    answer.replacen("\r\n", "\r\nLeaving: 1\r\n", 1)
+}
+
+fn answer_whole(stream: &mut TcpStream, seen: &Seen) {
+    write(stream, &with_word(&whole(seen, "leaving")));
+}
+
+fn answer_with_failure(stream: &mut TcpStream, seen: &Seen) {
+    let failure = whole(seen, "leaving").replacen("200 OK", "500 Error", 1);
+    write(stream, &with_word(&failure));
+}
+
+fn answer_with_stream(stream: &mut TcpStream, seen: &Seen) {
+    write(stream, &with_word(&stream_head(seen, "s")));
+    write(stream, &chunk(&event(1)));
+    write(stream, "0\r\n\r\n");
+}
+
+fn turn_away(stream: &mut TcpStream, seen: &Seen) {
+    write(stream, &with_word(&shed(seen)));
+}
+
+/// A back end that begins to leave, and says so in each answer from then on.
+fn leaving(answer: fn(&mut TcpStream, &Seen)) -> StandIn {
+    StandIn::start(move |stream, seen, number| {
+        if number <= ANSWERED_BEFORE {
+            write(stream, &whole(seen, "staying"));
+        } else {
+            answer(stream, seen);
+        }
+        true
+    })
+}
+
+fn staying() -> StandIn {
+    StandIn::start(|stream, seen, _| {
+        write(stream, &whole(seen, "staying"));
+        true
+    })
+}
+
+fn call(relay: &Running, route: &str, number: usize) -> Answer {
+    relay.call("POST", &format!("/{route}/{number}"), "", "x")
+}
+
+/// Sends requests until an answer has said that the back end leaves.
+fn call_until_told(relay: &Running, route: &str, leaving: &StandIn) {
+    let begun = Instant::now();
+    let mut number = 0;
+    while leaving.count() <= ANSWERED_BEFORE {
+        assert!(begun.elapsed() < PATIENCE, "it was asked too rarely");
+        call(relay, route, number);
+        number += 1;
+    }
+}
+
+#[rstest]
+#[case::whole_answers("read", answer_whole)]
+#[case::failures("write", answer_with_failure)]
+#[case::streams("stream", answer_with_stream)]
+#[case::turned_away("write", turn_away)]
+fn a_back_end_that_says_it_leaves_gets_nothing_sent_later(
+    #[case] route: &str,
+    #[case] answer: fn(&mut TcpStream, &Seen),
+) {
+    let (leaving, staying) = (leaving(answer), staying());
+    let relay = Running::before(&[&leaving, &staying]);
+    call_until_told(&relay, route, &leaving);
+    std::thread::sleep(DRAIN_TIME);
+    let before = leaving.count();
+    for number in 100..100 + LATER {
+        let answer = call(&relay, route, number);
+        assert_eq!((answer.status, answer.body.as_str()), (200, "staying"));
+    }
+    assert_eq!(leaving.count() - before, 0, "requests reached it later");
+}
