Failing test: a back end that asks for a rest gets none

What was seen: six requests of one node reached a plain back end in the 3 s of rest that it had asked that node for (503 with Retry-After); two may, for those on their way.

--- /dev/null
+++ b/crates/transport/relay/tests/resting_back_ends.rs
@@ -0,0 +1,119 @@
+//! Back ends that turn a request away and ask for a rest.
+//!
+//! What callers saw: nothing. What the back end saw: it had turned a request of a node away and
+//! asked that node for 3 s of rest; in that time it got six more requests from it. Two may come,
+//! as some are on their way when it asks.
+//!
+//! In what order: a plain back end that had answered well turns one request away, with 503 and
+//! `Retry-After`; the node sends that request to another and goes on choosing this one too.
+
+mod support;
+
+use rstest::rstest;
+use std::net::TcpStream;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use support::{Answer, PATIENCE, Running, Seen, StandIn, shed, whole, write};
+
+/// What the back end asks for.
+const REST: Duration = Duration::from_secs(3);
+/// Requests that come within this time may have been on their way.
+const ON_THEIR_WAY: Duration = Duration::from_millis(500);
+/// Requests that may come in the rest of the time.
+const MOST_IN_REST: usize = 2;
+/// Requests that a back end answers well before it asks: one that it turns away then is no
+/// judgement of its health.
+const ANSWERED_BEFORE: usize = 40;
+/// Time between two requests to the node.
+const PACE: Duration = Duration::from_millis(20);
+
+/// A back end that asks for a rest once, and the moments at which requests reached it.
+struct Resting {
+    stand_in: StandIn,
+    arrivals: Arc<Mutex<Vec<Instant>>>,
+}
+
+type TurnAway = fn(&mut TcpStream, &Seen);
+
+impl Resting {
+    fn start(turn_away: TurnAway) -> Self {
+        let arrivals: Arc<Mutex<Vec<Instant>>> = Arc::default();
+        let noted = Arc::clone(&arrivals);
+        let stand_in = StandIn::start(move |stream, seen, number| {
+            noted.lock().expect("lock").push(Instant::now());
+            if number == ANSWERED_BEFORE + 1 {
+                turn_away(stream, seen);
+            } else {
+                write(stream, &whole(seen, "back"));
+            }
+            true
+        });
+        Self { stand_in, arrivals }
+    }
+
+    /// When it asked for a rest, if it has.
+    fn asked_at(&self) -> Option<Instant> {
+        let arrivals = self.arrivals.lock().expect("lock");
+        arrivals.get(ANSWERED_BEFORE).copied()
+    }
+
+    /// Requests that came so long after it asked.
+    fn arrivals_between(&self, from: Duration, to: Duration) -> usize {
+        let asked = self.asked_at().expect("it has asked");
+        let arrivals = self.arrivals.lock().expect("lock");
+        let after = arrivals.iter().skip(ANSWERED_BEFORE + 1);
+        let after = after.map(|at| at.duration_since(asked));
+        after.filter(|after| (from..to).contains(after)).count()
+    }
+}
+
+fn with_rest(answer: &str) -> String {
+    let seconds = REST.as_secs();
+    answer.replacen("\r\n", &format!("\r\nRetry-After: {seconds}\r\n"), 1)
+}
+
+fn not_run(stream: &mut TcpStream, seen: &Seen) {
+    write(stream, &with_rest(&shed(seen)));
+}
+
+/// An answer that doesn't say whether the request has run.
+fn unavailable(stream: &mut TcpStream, seen: &Seen) {
+    let answer = whole(seen, "no").replacen("200 OK", "503 Unavailable", 1);
+    write(stream, &with_rest(&answer));
+}
+
+fn call(relay: &Running, route: &str, number: usize) -> Answer {
+    std::thread::sleep(PACE);
+    relay.call("POST", &format!("/{route}/{number}"), "", "x")
+}
+
+/// Sends requests until the back end has asked for its rest and the rest is over.
+fn call_through_rest(relay: &Running, route: &str, resting: &Resting) -> Vec<Answer> {
+    let begun = Instant::now();
+    let mut answers = Vec::new();
+    while resting.asked_at().is_none_or(|at| at.elapsed() < REST) {
+        assert!(begun.elapsed() < PATIENCE, "it was asked too rarely");
+        answers.push(call(relay, route, answers.len()));
+    }
+    answers
+}
+
+#[rstest]
+#[case::repeatable("read", not_run)]
+#[case::not_repeatable("write", not_run)]
+#[case::streams("stream", not_run)]
+#[case::maybe_run("read", unavailable)]
+fn a_back_end_that_asks_for_a_rest_gets_hardly_anything_in_it(
+    #[case] route: &str,
+    #[case] turn_away: TurnAway,
+) {
+    let resting = Resting::start(turn_away);
+    let sound = StandIn::start(|stream, seen, _| {
+        write(stream, &whole(seen, "sound"));
+        true
+    });
+    let relay = Running::before(&[&resting.stand_in, &sound]);
+    call_through_rest(&relay, route, &resting);
+    let in_rest = resting.arrivals_between(ON_THEIR_WAY, REST);
+    assert!(in_rest <= MOST_IN_REST, "{in_rest} requests in its rest");
+}
