What an engine says of itself counts in answers to calls for its cache, too

A node may follow an engine that none of its own callers' requests go to. Change: the reply to such a call carries the notice, taken in before its body is used.

--- a/crates/coordination/dispatch/src/dispatcher/cache_index.rs
+++ b/crates/coordination/dispatch/src/dispatcher/cache_index.rs
@@ -28,6 +28,8 @@
     pub instance: InstanceId,
     /// Its address.
     pub address: SocketAddr,
+    /// The engine's run, where it tells when it started.
+    pub started_unix_ms: Option<u64>,
     /// What it is asked.
     pub call: CacheCall,
 }
@@ -114,11 +116,13 @@
             if state.notice.rest_left(now).is_some() {
                 return None;
             }
-            let address = state.back_end.address;
+            let listed = &state.back_end;
+            let (address, started_unix_ms) = (listed.address, listed.started_unix_ms);
             let call = index.call(now)?;
             Some(CacheOrder {
                 instance: instance.clone(),
                 address,
+                started_unix_ms,
                 call,
             })
         });
--- a/crates/transport/relay/src/cache_follower.rs
+++ b/crates/transport/relay/src/cache_follower.rs
@@ -3,15 +3,16 @@
 
 use crate::control::Control;
 use crate::events;
+use crate::notice::Notice;
+use crate::vocabulary::Vocabulary;
 use bytes::Bytes;
 use eiderferry_clock::duration;
 use eiderferry_dispatch::{CacheAnswer, CacheCall, CacheEvents, CacheListing, CacheOrder};
 use eiderferry_routing::InstanceId;
 use eiderferry_types::Span;
 use futures_lite::FutureExt;
-use http::{HeaderName, Request, Response, StatusCode};
+use http::{HeaderName, Request, StatusCode};
 use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
-use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use quick_error::quick_error;
 use smol::net::TcpStream;
@@ -103,18 +104,32 @@
     _driver: Task<()>,
 }
 
+/// An engine's answer to a call.
+struct Reply {
+    status: StatusCode,
+    /// What its head says of the engine.
+    notice: Notice,
+    body: Bytes,
+}
+
 /// Carries out the calls of this node.
 pub(crate) struct CacheFollower {
     protocol: CacheProtocol,
+    vocabulary: Vocabulary,
     executor: Rc<LocalExecutor<'static>>,
     /// One connection to each engine that is followed.
     resting: RefCell<HashMap<InstanceId, Connection>>,
 }
 
 impl CacheFollower {
-    pub fn new(protocol: CacheProtocol, executor: Rc<LocalExecutor<'static>>) -> Self {
+    pub fn new(
+        protocol: CacheProtocol,
+        vocabulary: Vocabulary,
+        executor: Rc<LocalExecutor<'static>>,
+    ) -> Self {
         Self {
             protocol,
+            vocabulary,
             executor,
             resting: RefCell::default(),
         }
@@ -137,8 +152,12 @@
     }
 
     async fn carry_out(&self, order: CacheOrder, control: &Control) {
-        let answer = self.answer(&order).await;
+        let reply = self.reply(&order).await;
         let now = control.clock.now();
+        if let Ok(reply) = &reply {
+            control.take_call_notice(&order, reply.notice, now);
+        }
+        let answer = self.answer(&order, reply);
         let news = control
             .dispatcher
             .borrow_mut()
@@ -148,7 +167,7 @@
         }
     }
 
-    async fn answer(&self, order: &CacheOrder) -> CacheAnswer {
+    async fn reply(&self, order: &CacheOrder) -> Result<Reply, CallError> {
         let wait = match order.call {
             CacheCall::List => Span::ZERO,
             CacheCall::Events { wait, .. } => wait,
@@ -157,13 +176,19 @@
             Timer::after(duration(wait) + ANSWER_TIMEOUT).await;
             Err(CallError::TimedOut)
         };
-        match self.exchange(order).or(timeout).await {
-            Ok((StatusCode::OK, body)) => self.read(order, &body),
-            Ok((StatusCode::TOO_MANY_REQUESTS, _)) => CacheAnswer::Refused,
-            Ok((status, _)) => {
-                events::cache_call_failed(&order.instance, status.as_str());
-                CacheAnswer::Failed
-            }
+        self.exchange(order).or(timeout).await
+    }
+
+    fn answer(&self, order: &CacheOrder, reply: Result<Reply, CallError>) -> CacheAnswer {
+        match reply {
+            Ok(reply) => match reply.status {
+                StatusCode::OK => self.read(order, &reply.body),
+                StatusCode::TOO_MANY_REQUESTS => CacheAnswer::Refused,
+                status => {
+                    events::cache_call_failed(&order.instance, status.as_str());
+                    CacheAnswer::Failed
+                }
+            },
             Err(error) => {
                 events::cache_call_failed(&order.instance, &error.to_string());
                 error.answer()
@@ -182,7 +207,7 @@
         })
     }
 
-    async fn exchange(&self, order: &CacheOrder) -> Result<(StatusCode, Bytes), CallError> {
+    async fn exchange(&self, order: &CacheOrder) -> Result<Reply, CallError> {
         let resting = self.resting.borrow_mut().remove(&order.instance);
         let mut connection = match usable(resting).await {
             Some(connection) => connection,
@@ -190,11 +215,18 @@
         };
         let request = self.request(order)?;
         let response = connection.sender.send_request(request).await?;
-        let (status, body) = whole(response).await?;
+        let status = response.status();
+        let notice = Notice::read(&response, &self.vocabulary);
+        let body = Limited::new(response.into_body(), MOST_BYTES);
+        let body = body.collect().await?.to_bytes();
         self.resting
             .borrow_mut()
             .insert(order.instance.clone(), connection);
-        Ok((status, body))
+        Ok(Reply {
+            status,
+            notice,
+            body,
+        })
     }
 
     fn request(&self, order: &CacheOrder) -> Result<Request<Empty<Bytes>>, http::Error> {
@@ -230,9 +262,3 @@
     connection.sender.ready().await.ok()?;
     Some(connection)
 }
-
-async fn whole(response: Response<Incoming>) -> Result<(StatusCode, Bytes), CallError> {
-    let status = response.status();
-    let body = Limited::new(response.into_body(), MOST_BYTES);
-    Ok((status, body.collect().await?.to_bytes()))
-}
--- a/crates/transport/relay/src/control.rs
+++ b/crates/transport/relay/src/control.rs
@@ -6,12 +6,13 @@
 use crate::events;
 use crate::gossip::PeerSocket;
 use crate::metrics;
+use crate::notice::Notice;
 use crate::withdrawal::Withdrawals;
 use arc_swap::ArcSwapOption;
 use eiderferry_clock::Clock;
 use eiderferry_dispatch::{
-    Applied, Change, Decision, Demand, Dispatcher, DocumentKey, Envelope, LeaseId, MessageKind,
-    Outcome, QuarantineChange, ReadingDuty, StreamPacing, TICK, TakenNews,
+    Applied, CacheOrder, Change, Decision, Demand, Dispatcher, DocumentKey, Envelope, LeaseId,
+    MessageKind, Outcome, QuarantineChange, ReadingDuty, StreamPacing, TICK, TakenNews,
 };
 use eiderferry_routing::{InstanceId, RoutingTable, ZoneName};
 use eiderferry_types::{RequestDigest, Span, Timestamp};
@@ -288,6 +289,17 @@
         }
     }
 
+    /// Takes in what the answer to a call says of its engine.
+    pub fn take_call_notice(&self, order: &CacheOrder, notice: Notice, now: Timestamp) {
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        if notice.is_leaving && dispatcher.note_called_leaving(order) {
+            events::back_end_leaving(&order.instance);
+        }
+        if let Some(rest) = notice.rest {
+            dispatcher.note_called_rest(order, rest, now);
+        }
+    }
+
     fn note_quarantine<'a>(
         &self,
         changes: impl IntoIterator<Item = &'a QuarantineChange>,
--- a/crates/transport/relay/src/node.rs
+++ b/crates/transport/relay/src/node.rs
@@ -1,6 +1,6 @@
 //! Threads and sockets of a relay.
 
-use crate::cache_follower::{CacheFollower, CacheProtocol};
+use crate::cache_follower::CacheFollower;
 use crate::control::{Control, ControlHandle, DocumentFeed, SharedTable};
 use crate::documents;
 use crate::exchange::Traffic;
@@ -99,12 +99,14 @@
         let withdrawals = Withdrawals::default();
         let told = withdrawals.clone();
         let peer = settings.peer;
-        let cache_protocol = settings.cache_protocol.clone();
+        let (cache_protocol, vocabulary) =
+            (settings.cache_protocol.clone(), settings.vocabulary.clone());
         let thread = std::thread::Builder::new().name("control".to_owned());
         thread
             .spawn(move || {
                 let control = Control::new(dispatcher, clock, shared, socket, told, peer);
-                run_control(Rc::new(control), commands, listener, cache_protocol, source);
+                let follower = |executor| CacheFollower::new(cache_protocol, vocabulary, executor);
+                run_control(Rc::new(control), commands, listener, follower, source);
             })
             .map_err(StartError::Thread)?;
         let memory = MemoryBudget::new(settings.memory_budget);
@@ -253,12 +255,12 @@
     control: Rc<Control>,
     commands: async_channel::Receiver<crate::control::Command>,
     listener: std::net::TcpListener,
-    cache_protocol: CacheProtocol,
+    follower: impl FnOnce(Rc<LocalExecutor<'static>>) -> CacheFollower,
     source: Source,
 ) {
     let executor: Rc<LocalExecutor<'static>> = Rc::new(LocalExecutor::new());
     let (requests, package_requests) = async_channel::unbounded();
-    let follower = Rc::new(CacheFollower::new(cache_protocol, Rc::clone(&executor)));
+    let follower = Rc::new(follower(Rc::clone(&executor)));
     let ticking = Rc::clone(&control);
     executor
         .spawn(async move { ticking.run_ticks(&follower).await })
--- a/crates/transport/relay/tests/cache_follower.rs
+++ b/crates/transport/relay/tests/cache_follower.rs
@@ -5,7 +5,7 @@
 use std::sync::mpsc::{self, Receiver};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use support::{PATIENCE, Running, Seen, StandIn, write};
+use support::{PATIENCE, Running, Seen, StandIn, whole, write};
 
 const LISTING: &str = "1 10 0\n0 7 500\n";
 const NO_EVENTS: &str = "1 10 0\n";
@@ -111,3 +111,59 @@
     let endless = format!("HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n{LISTING}");
     is_repeated_later(endless);
 }
+
+/// An answer to a call for what it keeps, with a further header line.
+fn told(line: &str) -> String {
+    ok(LISTING).replacen("\r\n", &format!("\r\n{line}\r\n"), 1)
+}
+
+/// An engine whose answers to such calls say something of itself; requests it answers whole.
+fn engine_saying(answer: String) -> StandIn {
+    StandIn::start(move |stream, request, _| {
+        match request.header("request-id") {
+            Some(_) => write(stream, &whole(request, "ran")),
+            None => write(stream, &answer),
+        }
+        true
+    })
+}
+
+fn requests(engine: &StandIn) -> usize {
+    let seen = engine.seen.lock().expect("lock");
+    seen.iter().filter(|it| !it.id().is_empty()).count()
+}
+
+/// Calls until the node knows what the engine said of itself.
+fn call_until_refused(relay: &Running) {
+    let begun = Instant::now();
+    while relay.call("POST", "/write/1", "", "x").status != 503 {
+        assert!(begun.elapsed() < PATIENCE, "its word is not heard");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// A node may follow an engine that none of its callers' requests go to.
+#[test]
+fn an_engine_that_says_in_such_an_answer_that_it_leaves_gets_no_request() {
+    let engine = engine_saying(told("Leaving: 1"));
+    let relay = Running::before_engine(&engine);
+    call_until_refused(&relay);
+    let before = requests(&engine);
+    for _ in 0..10 {
+        assert_eq!(relay.call("POST", "/write/1", "", "x").status, 503);
+    }
+    assert_eq!(requests(&engine), before);
+}
+
+#[test]
+fn an_engine_that_asks_for_a_rest_in_such_an_answer_gets_it() {
+    let refused = told("Retry-After: 600").replacen("200 OK", "503 Busy", 1);
+    let engine = engine_saying(refused);
+    let relay = Running::before_engine(&engine);
+    call_until_refused(&relay);
+    let before = requests(&engine);
+    for _ in 0..10 {
+        assert_eq!(relay.call("POST", "/write/1", "", "x").status, 503);
+    }
+    assert_eq!(requests(&engine), before);
+}
