--- a/crates/transport/relay/tests/cache_follower.rs
+++ b/crates/transport/relay/tests/cache_follower.rs
@@ -133,37 +133,30 @@
     seen.iter().filter(|it| !it.id().is_empty()).count()
 }
 
-/// Calls until the node knows what the engine said of itself.
-fn call_until_refused(relay: &Running) {
+/// Calls until the node knows what the engine said of itself; from then on nothing more comes.
+fn gets_nothing_once_known(engine: &StandIn) {
+    let relay = Running::before_engine(engine);
+    let call = || relay.call("POST", "/write/1", "", "x").status;
     let begun = Instant::now();
-    while relay.call("POST", "/write/1", "", "x").status != 503 {
+    while call() != 503 {
         assert!(begun.elapsed() < PATIENCE, "its word is not heard");
         std::thread::sleep(Duration::from_millis(20));
     }
+    let before = requests(engine);
+    for _ in 0..10 {
+        assert_eq!(call(), 503);
+    }
+    assert_eq!(requests(engine), before);
 }
 
 /// A node may follow an engine that none of its callers' requests go to.
 #[test]
 fn an_engine_that_says_in_such_an_answer_that_it_leaves_gets_no_request() {
-    let engine = engine_saying(told("Leaving: 1"));
-    let relay = Running::before_engine(&engine);
-    call_until_refused(&relay);
-    let before = requests(&engine);
-    for _ in 0..10 {
-        assert_eq!(relay.call("POST", "/write/1", "", "x").status, 503);
-    }
-    assert_eq!(requests(&engine), before);
+    gets_nothing_once_known(&engine_saying(told("Leaving: 1")));
 }
 
 #[test]
 fn an_engine_that_asks_for_a_rest_in_such_an_answer_gets_it() {
     let refused = told("Retry-After: 600").replacen("200 OK", "503 Busy", 1);
-    let engine = engine_saying(refused);
-    let relay = Running::before_engine(&engine);
-    call_until_refused(&relay);
-    let before = requests(&engine);
-    for _ in 0..10 {
-        assert_eq!(relay.call("POST", "/write/1", "", "x").status, 503);
-    }
-    assert_eq!(requests(&engine), before);
+    gets_nothing_once_known(&engine_saying(refused));
 }
