The thousand slow callers: the last caller comes once each of them has its answer

Cause: the test waited until all streams that had been sent were over, which also holds between two waves: others of the thousand then take the places that the first ones give back, and the last caller may find the back ends truly full.

--- a/crates/transport/relay/tests/slow_readers.rs
+++ b/crates/transport/relay/tests/slow_readers.rs
@@ -146,6 +146,10 @@
             .map(|back_end| back_end.count())
             .sum::<usize>()
     };
+    // Until each of the thousand has its answer, others of them may take the places that the
+    // first ones give back: the next caller then finds the back ends truly full.
+    let is_each_answered = callers.iter().all(Caller::is_answered);
+    assert!(is_each_answered, "some of the thousand were not answered");
     wait_for("not all streams came to an end", || {
         sent() > 0 && over() == sent()
     });
--- a/crates/transport/relay/tests/support/caller.rs
+++ b/crates/transport/relay/tests/support/caller.rs
@@ -1,7 +1,7 @@
 //! Callers, and the answers that they read.
 
 use super::{HOST, KEY, Seen, find, write};
-use std::io::Read;
+use std::io::{ErrorKind, Read};
 use std::net::TcpStream;
 
 /// One connection of a caller.
@@ -39,6 +39,14 @@
         write(&mut self.stream, &text);
     }
 
+    /// Waits until some of an answer is there, or the connection's end; reads nothing.
+    pub fn is_answered(&self) -> bool {
+        match self.stream.peek(&mut [0]) {
+            Ok(_) => true,
+            Err(error) => error.kind() == ErrorKind::ConnectionReset,
+        }
+    }
+
     /// Reads one answer.
     pub fn answer(&mut self) -> Answer {
         self.answer_after(Vec::new())
