A rest that is no text at all is logged like any other that can't be read

Change: one way for both. One case more; it passed before too, as the rest was not kept then either: what is new is the line. No decision changes.

--- a/crates/transport/relay/src/notice.rs
+++ b/crates/transport/relay/src/notice.rs
@@ -43,7 +43,8 @@
 
 /// A rest in seconds. Dates, the other form of the header, are of no use here: clocks differ.
 fn read_rest(value: &HeaderValue) -> Option<Span> {
-    let seconds = value.to_str().ok()?.trim().parse::<f64>().ok();
+    let text = value.to_str().ok();
+    let seconds = text.and_then(|text| text.trim().parse::<f64>().ok());
     let Some(seconds) = seconds.filter(|seconds| seconds.is_finite() && *seconds >= 0.0) else {
         metrics::notice_doubtful();
         events::rest_unreadable(value);
--- a/crates/transport/relay/tests/resting_back_ends.rs
+++ b/crates/transport/relay/tests/resting_back_ends.rs
@@ -164,6 +164,7 @@
 #[case::negative("-3")]
 #[case::not_a_number("NaN")]
 #[case::endless("inf")]
+#[case::no_text("\u{e9}")]
 fn a_rest_that_is_no_number_of_seconds_is_not_kept(#[case] rest: &'static str) {
     let back_end = StandIn::start(move |stream, seen, number| {
         if number == 1 {
