Sight: the log and the metrics show which limits back ends name

Neither told what answers say of a limit. back_end_notice now has it for each answer that names one, limit_unreadable those that can't be read; eiderferry_back_end_notices_total counts them. Nothing acts on it yet.

--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -40,6 +40,7 @@
 pub use load::health::{Health, HealthChange};
 pub use load::outcomes::{OutcomeCounts, RecentOutcomes};
 pub use load::pacing::StreamPacing;
+pub use load::rate_limit::RateLimit;
 pub use placement::candidate::{Candidate, choose};
 pub use placement::demand::{Decision, Demand, Grant, LeaseId, Outcome, PromptPart, ReplicaTarget};
 pub use placement::pool_split::{EngineNeed, PoolLoad, SplitChange, SplitFigures};
--- a/crates/coordination/dispatch/src/load.rs
+++ b/crates/coordination/dispatch/src/load.rs
@@ -12,4 +12,5 @@
 pub(crate) mod outcomes;
 pub(crate) mod pacing;
 pub(crate) mod pool_index;
+pub(crate) mod rate_limit;
 pub(crate) mod registry;
--- a/crates/transport/relay/src/events.rs
+++ b/crates/transport/relay/src/events.rs
@@ -284,7 +284,8 @@
 pub(crate) fn back_end_notice(id: &str, back_end: &InstanceId, notice: Notice) {
     log::info!(
         event = "back_end_notice", request = id, back_end = back_end.as_str(),
-        leaving = notice.is_leaving, rest_ms = notice.rest.unwrap_or_default().milliseconds();
+        leaving = notice.is_leaving, rest_ms = notice.rest.unwrap_or_default().milliseconds(),
+        limit:% = notice.limit;
         "an answer says something of its back end"
     );
 }
@@ -297,6 +298,14 @@
     );
 }
 
+/// The rate limit that a back end names can't be read; it is not kept.
+pub(crate) fn limit_unreadable(value: &HeaderValue) {
+    log::warn!(
+        event = "limit_unreadable", found:? = value;
+        "the rate limit that a back end names is not kept"
+    );
+}
+
 /// The rest that a back end asks for can't be read; it is not kept.
 pub(crate) fn rest_unreadable(value: &HeaderValue) {
     log::warn!(
--- a/crates/transport/relay/src/sending.rs
+++ b/crates/transport/relay/src/sending.rs
@@ -169,6 +169,9 @@
             metrics::notice("rest");
             lease.note_rest(rest);
         }
+        if notice.limit.named().is_some() {
+            metrics::notice("limit");
+        }
     }
 
     /// Longest wait for the head: until the request's time is over, or shorter where
--- a/crates/transport/relay/src/vocabulary.rs
+++ b/crates/transport/relay/src/vocabulary.rs
@@ -20,6 +20,9 @@
     pub not_run: HeaderName,
     /// A back end's word, in any of its answers, that it is leaving.
     pub leaving: HeaderName,
+    /// Requests a second that a back end takes from all nodes together, in any of its answers for
+    /// as long as it has such a limit.
+    pub rate_limit: HeaderName,
     /// Prompt tokens and the most tokens out, joined by a comma.
     pub token_usage: HeaderName,
     /// Parts of the prompt, `ID:TOKENS` joined by commas, identifiers in hex.
--- a/crates/transport/relay/tests/support/documents.rs
+++ b/crates/transport/relay/tests/support/documents.rs
@@ -23,6 +23,7 @@
         urgency: HeaderName::from_static("urgency"),
         not_run: HeaderName::from_static("not-run"),
         leaving: HeaderName::from_static("leaving"),
+        rate_limit: HeaderName::from_static("rate-limit"),
         token_usage: HeaderName::from_static("token-usage"),
         prompt_parts: HeaderName::from_static("prompt-parts"),
         length_hint: HeaderName::from_static("length-hint"),
