A back end's rate limit holds for the sum over all nodes

What callers saw: nothing; two engines in need had named a limit of one request a second for all nodes together and got 12 and 13 in 4 s, where 11 may come.

Cause: the header was read nowhere. And what one says to one node concerns all of them.

Why the mend holds: a limited back end is no candidate but on a few nodes, the first in an order that all compute alike by hashing, which send their even parts at a steady pace without saving anything up; so the sum does not depend on the number of nodes. The word is told to all with its age; it ends with an answer to a later request that names none; where the senders have no requests, the others look by lot, at half the limit together. What it does not take goes to others, or is refused with the time in which the pool takes one request.

Before: 246 to 772 requests in 4 s (3 of 3 cases); after: within the bound in all cases.

--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -9,6 +9,7 @@
 mod messages;
 mod noticing;
 mod quarantining;
+mod rate_limiting;
 mod reading;
 mod replicating;
 mod turns;
@@ -35,8 +36,8 @@
 use crate::placement::replication::LossChances;
 use crate::{
     Applied, Border, BudgetSettings, Change, ColdBound, ColdDuty, Content, DocumentKey, Envelope,
-    Features, Gossip, Knowledge, LeaseId, PeerChange, Peers, Placement, QuarantineChange,
-    QuarantineCounts, RetryBudget, SplitChange, SplitFigures, WarmthChange,
+    Features, Gossip, Knowledge, LeaseId, LimitChange, PeerChange, Peers, Placement,
+    QuarantineChange, QuarantineCounts, RetryBudget, SplitChange, SplitFigures, WarmthChange,
 };
 use eiderferry_quarantine::Quarantine;
 use eiderferry_routing::{BackEnd, InstanceId, NodeName, PoolName, RegionOfZone, ZoneName};
@@ -91,6 +92,8 @@
     pub peer_changes: Vec<PeerChange>,
     /// Back ends that turned cold or warm, or got other senders.
     pub warmth_changes: Vec<WarmthChange>,
+    /// Back ends whose rate limits changed, or this node's part in them.
+    pub limit_changes: Vec<LimitChange>,
     /// Pools whose engines are split in another way than before.
     pub split_changes: Vec<SplitChange>,
     /// Requests that are no longer refused.
@@ -142,6 +145,10 @@
     pub cold: usize,
     /// Cold back ends to which this node may send.
     pub cold_sender_for: usize,
+    /// Back ends that have named a rate limit.
+    pub limited: usize,
+    /// Those of them to which this node sends.
+    pub limit_sender_for: usize,
     /// Whether this node aggregates for its zone.
     pub is_aggregator: bool,
     /// Other zones held to be cut off.
@@ -379,6 +386,7 @@
         self.back_ends.take_placements(&message.placements, now);
         let taken = self.take_news(message, now);
         let quarantine_changes = self.take_crashing_requests(message, now);
+        self.back_ends.take_limit_reports(&message.limits, now);
         let knows_all = message.complete_to <= self.knowledge.complete_to()
             || (self.has_taken_all(message) && message.news.is_some());
         if let Some(age) = message.confirmed_ms
@@ -455,6 +463,7 @@
             states.filter(|state| state.warmth.duty() == duty).count()
         };
         let cold_sender_for = count(ColdDuty::Sender);
+        let (limited, limit_sender_for) = self.limit_counts();
         let (caches_followed, cache_counts) = self.cache_counts();
         Snapshot {
             living_peers: self.peers.living_count(),
@@ -466,6 +475,8 @@
                 .count(),
             cold: cold_sender_for + count(ColdDuty::Others),
             cold_sender_for,
+            limited,
+            limit_sender_for,
             is_aggregator: self.is_aggregator(),
             silent_zones: self.silent_zones.len(),
             evacuated_zones: self.evacuated.len(),
--- a/crates/coordination/dispatch/src/dispatcher/aggregation.rs
+++ b/crates/coordination/dispatch/src/dispatcher/aggregation.rs
@@ -245,7 +245,8 @@
         let rested = self.ticks - self.aggregation.last_report_tick;
         let has_changed = loads != self.aggregation.last_report
             || !self.placements.is_empty()
-            || !digests.is_empty();
+            || !digests.is_empty()
+            || self.back_ends.has_limit_news(now);
         if !has_changed && rested < UNCHANGED_REPORT_TICKS {
             return Vec::new();
         }
--- a/crates/coordination/dispatch/src/dispatcher/cache_index.rs
+++ b/crates/coordination/dispatch/src/dispatcher/cache_index.rs
@@ -113,7 +113,7 @@
         let follows = &mut self.cache_follows.indices;
         let due = follows.iter_mut().filter_map(|(instance, index)| {
             let state = self.back_ends.get(instance)?;
-            if state.notice.rest_left(now).is_some() {
+            if state.notice.rest_left(now).is_some() || state.limiter.limit().is_some() {
                 return None;
             }
             let listed = &state.back_end;
--- a/crates/coordination/dispatch/src/dispatcher/cold_senders.rs
+++ b/crates/coordination/dispatch/src/dispatcher/cold_senders.rs
@@ -23,7 +23,7 @@
             // No pool starts cold: nothing to look for among thousands, ten times a second.
             return Vec::new();
         }
-        let may_send = self.may_send_to_cold(now);
+        let may_send = self.may_be_sender(now);
         let mut changes = Vec::new();
         self.has_cold = false;
         for state in self.back_ends.all_mut() {
@@ -46,8 +46,8 @@
         changes
     }
 
-    /// Whether this node knows the others of its zone well enough to tell who sends.
-    fn may_send_to_cold(&self, now: Timestamp) -> bool {
+    /// Whether this node knows the others of its zone well enough to tell who sends, and stays.
+    pub(super) fn may_be_sender(&self, now: Timestamp) -> bool {
         let is_settled = self.uptime(now) >= SENDER_SETTLING_TIME
             && self.peers.time_since_zone_grew(now) >= GROWTH_SETTLING_TIME;
         is_settled && !self.is_stopping
--- a/crates/coordination/dispatch/src/dispatcher/granting.rs
+++ b/crates/coordination/dispatch/src/dispatcher/granting.rs
@@ -59,6 +59,7 @@
     request: RequestDigest,
     /// Whether anything of its answer has come, as far as it comes in pieces.
     has_events: bool,
+    pub(super) granted: Timestamp,
     /// When it is given back, whoever holds it.
     expires: Timestamp,
 }
@@ -194,6 +195,8 @@
         let state = self.back_ends.get_mut(&plan.instance)?;
         state.load.begin(lease, plan.footprint, now);
         state.warmth.note_sent(now);
+        let has_limit = state.limiter.limit().is_some();
+        state.limiter.note_sent(now);
         let cache_known = state.load.cache.known_age(demand.shared_parts(), now);
         let read_at = now + plan.candidate.first_event;
         state.load.cache.insert(&demand.parts, read_at);
@@ -214,6 +217,7 @@
             replica: kept,
             request: demand.digest,
             has_events: !demand.is_stream,
+            granted: now,
             expires: now + demand.remaining + LEASE_MARGIN,
         };
         self.leases.insert(lease, record);
@@ -226,6 +230,7 @@
             cache_known,
             copy_from: plan.copy_from,
             replica,
+            has_limit,
             candidate: Box::new(plan.candidate),
             revision,
             list_age,
@@ -242,6 +247,11 @@
                 let rest = self.back_ends.shortest_rest(&demand.pool, now);
                 rest.map_or(NO_BACK_END_RETRY, |rest| rest.min(NO_BACK_END_RETRY))
             }
+            // The limits hold for all nodes together: no other one takes the caller sooner.
+            Reason::BackEndsLimited => {
+                let interval = self.back_ends.limited_interval(&demand.pool);
+                interval.unwrap_or_default().max(NO_BACK_END_RETRY)
+            }
             _ => NO_BACK_END_RETRY,
         }
     }
--- a/crates/coordination/dispatch/src/dispatcher/messages.rs
+++ b/crates/coordination/dispatch/src/dispatcher/messages.rs
@@ -59,6 +59,7 @@
         self.forget_lapsed(now);
         let mut peer_changes = self.peers.tick(now);
         let warmth_changes = self.renew_cold_senders(now);
+        let limit_changes = self.renew_limit_duties(now);
         peer_changes.extend(self.watch_aggregators(now));
         self.renew_silent_zones(now);
         self.ended_lately
@@ -92,6 +93,7 @@
             messages,
             peer_changes,
             warmth_changes,
+            limit_changes,
             split_changes,
             quarantine_changes,
             expired_leases,
@@ -197,6 +199,7 @@
         if self.settings.features.quarantine {
             answer.crashing_requests = self.quarantine.reports_at_start(now);
         }
+        answer.limits = self.back_ends.limit_reports_at_start(now);
         answer.members = self.peers.sample_for(zone.as_ref(), now, &mut self.random);
         answer
     }
@@ -239,6 +242,7 @@
             members,
             news: None,
             crashing_requests: self.crashing_requests(now),
+            limits: self.back_ends.limit_reports(now),
         }
     }
 
--- /dev/null
+++ b/crates/coordination/dispatch/src/dispatcher/rate_limiting.rs
@@ -0,0 +1,95 @@
+//! Rate limits that back ends name: what answers say of them, and this node's part in each.
+
+use super::{CacheOrder, Dispatcher, TICK};
+use crate::load::limiter::{LimitWord, PROBING_TURN, Share, probing_chance, senders};
+use crate::{LeaseId, LimitChange, LimitDuty, RateLimit};
+use eiderferry_types::{Span, Timestamp};
+use rand::Rng;
+
+/// Time after a start in which a node comes to know those of other zones. Before that it holds a
+/// zone to be without nodes, whose back ends it would send to, or the fleet to be small.
+const FLEET_SETTLING_TIME: Span = Span::from_milliseconds(10_000);
+/// Ticks between two turns at back ends of which nothing is heard.
+const PROBING_TICKS: u64 = PROBING_TURN.0 / TICK.0;
+
+impl Dispatcher {
+    /// An answer names a rate limit of its back end, or none.
+    pub fn note_limit(&mut self, lease: LeaseId, limit: Option<RateLimit>, now: Timestamp) {
+        let Some(lease) = self.leases.get(&lease) else {
+            return;
+        };
+        // Answers overtake each other: that a limit is over is shown only by the answer to a
+        // request that was sent after the limit was named last.
+        let said_at = if limit.is_some() { now } else { lease.granted };
+        let word = LimitWord { limit, said_at };
+        let start = lease.started_unix_ms;
+        self.back_ends.note_limit(&lease.instance, start, word, now);
+    }
+
+    /// The answer of an engine that was called for what it keeps names a limit. Only answers to
+    /// requests show that it is over.
+    pub fn note_called_limit(&mut self, order: &CacheOrder, limit: RateLimit, now: Timestamp) {
+        let word = LimitWord {
+            limit: Some(limit),
+            said_at: now,
+        };
+        let start = order.started_unix_ms;
+        self.back_ends.note_limit(&order.instance, start, word, now);
+    }
+
+    /// Renews which limited back ends this node sends to, and gives it a turn at those of which
+    /// nothing is heard. Returns what has changed.
+    pub(super) fn renew_limit_duties(&mut self, now: Timestamp) -> Vec<LimitChange> {
+        let limited = self.back_ends.with_limits();
+        if limited.is_empty() {
+            return Vec::new();
+        }
+        let knows_zone = self.may_be_sender(now);
+        let knows_fleet = knows_zone && self.uptime(now) >= FLEET_SETTLING_TIME;
+        let has_turn = knows_fleet && self.ticks.is_multiple_of(PROBING_TICKS);
+        let nodes = self.peers.by_zone();
+        let most_known = self.peers.most_known() as usize;
+        let mut changes = Vec::new();
+        for instance in limited {
+            let Some(state) = self.back_ends.get_mut(&instance) else {
+                continue;
+            };
+            let zone = &state.back_end.zone;
+            let is_near = *zone == self.settings.zone;
+            let may_send = if is_near { knows_zone } else { knows_fleet };
+            let digest = state.digest;
+            state.limiter.renew_duty(|limit| {
+                // By the most nodes ever known: those that are cut off from the others must not
+                // hold themselves to be alone and take the others' part as well.
+                let senders = senders(limit, most_known);
+                let place = nodes.place(digest, zone, senders);
+                let place = place.filter(|_| may_send)?;
+                Some(Share { place, senders })
+            });
+            let silent = state.limiter.silent_limit(now).filter(|_| has_turn);
+            if let Some(limit) = silent
+                && self.random.random_bool(probing_chance(limit, most_known))
+            {
+                state.limiter.begin_probing(now);
+            }
+            if let Some(stands) = state.limiter.change() {
+                changes.push(LimitChange { instance, stands });
+            }
+        }
+        self.back_ends.expire_limits(now);
+        changes
+    }
+
+    /// Back ends with a limit, and those of them to which this node sends.
+    pub(super) fn limit_counts(&self) -> (usize, usize) {
+        let known = self.back_ends.with_limits();
+        let states = known
+            .iter()
+            .filter_map(|instance| self.back_ends.get(instance));
+        let limited = states.filter(|state| state.limiter.limit().is_some());
+        limited.fold((0, 0), |(all, sent_to), state| {
+            let sends = state.limiter.duty() != LimitDuty::Others;
+            (all + 1, sent_to + usize::from(sends))
+        })
+    }
+}
--- /dev/null
+++ b/crates/coordination/dispatch/src/fleet/limit_senders.rs
@@ -0,0 +1,56 @@
+//! Which nodes send to a back end that has named a rate limit.
+
+use super::peers::Peers;
+use crate::load::cold_start::sender_rank;
+use eiderferry_routing::ZoneName;
+use std::collections::BTreeMap;
+
+/// The other nodes that are there and not stopping, by their zones.
+pub(crate) struct NodesByZone<'a> {
+    peers: &'a Peers,
+    /// Hashes of their addresses.
+    hashes: BTreeMap<&'a ZoneName, Vec<u64>>,
+}
+
+impl Peers {
+    /// Sorts the other nodes by their zones.
+    pub(crate) fn by_zone(&self) -> NodesByZone<'_> {
+        let mut hashes: BTreeMap<&ZoneName, Vec<u64>> = BTreeMap::new();
+        let staying = self.peers.values();
+        for peer in staying.filter(|peer| !peer.is_lost && !peer.is_stopping) {
+            hashes.entry(&peer.zone).or_default().push(peer.rank.hash());
+        }
+        NodesByZone {
+            peers: self,
+            hashes,
+        }
+    }
+}
+
+impl NodesByZone<'_> {
+    /// Place of this node among the first so many of those that send to a back end of a zone;
+    /// `None` behind them. Nodes of that zone come first: they hear at once when one of them ends,
+    /// and a cut that parts them from the others parts the back end from these as well.
+    pub fn place(&self, back_end: u32, zone: &ZoneName, senders: usize) -> Option<usize> {
+        let before = if *zone == self.peers.zone {
+            self.before_own(back_end, |other| other == zone)
+        } else {
+            let there = self.hashes.get(zone).map_or(0, Vec::len);
+            if there >= senders {
+                return None;
+            }
+            there + self.before_own(back_end, |other| other != zone)
+        };
+        (before < senders).then_some(before)
+    }
+
+    /// Nodes of some zones that come before this one in the order for a back end.
+    fn before_own(&self, back_end: u32, counts: impl Fn(&ZoneName) -> bool) -> usize {
+        let own = sender_rank(self.peers.own_hash(), back_end);
+        let zones = self.hashes.iter().filter(|(zone, _)| counts(zone));
+        let hashes = zones.flat_map(|(_, hashes)| hashes);
+        hashes
+            .filter(|hash| sender_rank(**hash, back_end) > own)
+            .count()
+    }
+}
--- a/crates/coordination/dispatch/src/fleet/message.rs
+++ b/crates/coordination/dispatch/src/fleet/message.rs
@@ -1,7 +1,7 @@
 //! What nodes tell each other.
 
-use crate::Change;
 use crate::fleet::traffic::MessageKind;
+use crate::{Change, LimitReport};
 use eiderferry_quarantine::RequestReport;
 use eiderferry_routing::{NodeName, PartId, ZoneName};
 use serde::{Deserialize, Serialize};
@@ -143,6 +143,8 @@
     pub news: Option<News>,
     /// Requests under which back ends crashed.
     pub crashing_requests: Vec<RequestReport>,
+    /// What back ends said of their rate limits.
+    pub limits: Vec<LimitReport>,
 }
 
 impl LoadReport {
--- a/crates/coordination/dispatch/src/fleet/peers.rs
+++ b/crates/coordination/dispatch/src/fleet/peers.rs
@@ -94,6 +94,11 @@
         let hash = address_hash(address);
         Self { link_mbps, hash }
     }
+
+    /// Hash of the node's address.
+    pub fn hash(self) -> u64 {
+        self.hash
+    }
 }
 
 fn address_hash(address: SocketAddr) -> u64 {
@@ -121,6 +126,11 @@
         }
     }
 
+    /// Hash of this node's address.
+    pub(super) fn own_hash(&self) -> u64 {
+        self.own_hash
+    }
+
     /// Takes over new seeds.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
         self.seeds = seeds;
--- a/crates/coordination/dispatch/src/load.rs
+++ b/crates/coordination/dispatch/src/load.rs
@@ -8,6 +8,8 @@
 pub(crate) mod engine_model;
 pub(crate) mod health;
 pub(crate) mod holders;
+pub(crate) mod limit_words;
+pub(crate) mod limiter;
 pub(crate) mod notices;
 pub(crate) mod outcomes;
 pub(crate) mod pacing;
--- /dev/null
+++ b/crates/coordination/dispatch/src/load/limiter.rs
@@ -0,0 +1,191 @@
+//! What this node may send to a back end that has named a rate limit.
+//!
+//! The limit holds for the sum over all nodes, and no node can ask the others before each
+//! request. So a few nodes, the first in an order that all compute alike by hashing, share it
+//! and send at a steady pace; all others send nothing. A node keeps no credit for time in which
+//! it had nothing to send: with one saved request on each of 2,200 nodes a burst would bring
+//! all of them at once.
+
+use crate::RateLimit;
+use eiderferry_routing::InstanceId;
+use eiderferry_types::{Span, Timestamp};
+
+/// Requests a second from which on a further node sends: with fewer for each, more nodes would
+/// add up to more than the limit within a few seconds, as each sends whole requests.
+const RATE_OF_A_SENDER: f64 = 1.0;
+/// Lowest rate at which a back end is sent requests, whatever it names: with none nobody would
+/// hear that the limit is over.
+const LOWEST_RATE: f64 = 1.0 / 60.0;
+/// Silence of a limited back end after which other nodes look whether the limit still holds: the
+/// senders may have no requests for it. It is longer than all nodes take to tell each other of an
+/// answer.
+const SHORTEST_SILENCE: Span = Span::from_milliseconds(10_000);
+/// The same in times between two requests at the limit.
+const SILENT_INTERVALS: f64 = 3.0;
+/// Part of the limit that these looks take together.
+const PROBING_PART: f64 = 0.5;
+/// Time for which a node may send such a request once it is its turn.
+pub(crate) const PROBING_TURN: Span = Span::from_milliseconds(1_000);
+
+/// How a node stands to a limited back end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LimitDuty {
+    /// Other nodes send to it.
+    #[default]
+    Others,
+    /// This node is one of those that send to it, one request in so long.
+    Sender(Span),
+}
+
+/// A back end whose limit, or this node's part in it, has changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LimitChange {
+    /// The back end.
+    pub instance: InstanceId,
+    /// The limit and this node's duty; `None` where there is no limit any more.
+    pub stands: Option<(RateLimit, LimitDuty)>,
+}
+
+/// What a back end said last of its limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct LimitWord {
+    /// The limit; `None` where it has none any more.
+    pub limit: Option<RateLimit>,
+    /// When it said so, by this node's clock.
+    pub said_at: Timestamp,
+}
+
+impl LimitWord {
+    /// Whether nothing was heard of the limit for so long that the senders probably have no
+    /// requests for the back end.
+    pub fn is_silent(&self, limit: RateLimit, now: Timestamp) -> bool {
+        let intervals = interval(limit).scaled(SILENT_INTERVALS);
+        now.since(self.said_at) > SHORTEST_SILENCE.max(intervals)
+    }
+}
+
+/// Rate at which requests are sent under a limit, of all nodes.
+fn rate(limit: RateLimit) -> f64 {
+    limit.requests_per_second().max(LOWEST_RATE)
+}
+
+/// Time between two requests of all nodes.
+fn interval(limit: RateLimit) -> Span {
+    Span::from_seconds(1.0 / rate(limit))
+}
+
+/// Time in which back ends with these limits together take one request.
+pub(crate) fn interval_of(limits: impl Iterator<Item = RateLimit>) -> Option<Span> {
+    let together: f64 = limits.map(rate).sum();
+    (together > 0.0).then(|| Span::from_seconds(1.0 / together))
+}
+
+/// Nodes among which a limit is shared, in a fleet of so many.
+pub(crate) fn senders(limit: RateLimit, nodes: usize) -> usize {
+    // Saturates: an absurdly high limit is shared by all.
+    let senders = (rate(limit) / RATE_OF_A_SENDER) as usize;
+    senders.clamp(1, nodes.max(1))
+}
+
+/// Chance of each of so many nodes to have a turn at a back end of which nothing is heard.
+pub(crate) fn probing_chance(limit: RateLimit, nodes: usize) -> f64 {
+    let turns = rate(limit) * PROBING_PART * PROBING_TURN.seconds();
+    (turns / nodes.max(1) as f64).min(1.0)
+}
+
+/// What a back end said of its limit, and this node's part in it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Limiter {
+    word: Option<LimitWord>,
+    duty: LimitDuty,
+    last_sent: Option<Timestamp>,
+    /// When this node's first request as a sender may be sent.
+    first_at: Timestamp,
+    probes_until: Option<Timestamp>,
+    logged: Option<(RateLimit, LimitDuty)>,
+}
+
+impl Limiter {
+    /// Takes over what the back end said last.
+    pub fn take_word(&mut self, word: Option<LimitWord>) {
+        self.word = word;
+    }
+
+    /// The limit, where there is one.
+    pub fn limit(&self) -> Option<RateLimit> {
+        self.word?.limit
+    }
+
+    /// How this node stands to the back end.
+    pub fn duty(&self) -> LimitDuty {
+        self.duty
+    }
+
+    /// Whether a request may be sent to the back end now.
+    pub fn takes_request(&self, now: Timestamp) -> bool {
+        let is_probe = self.probes_until.is_some_and(|until| now < until);
+        self.limit().is_none() || is_probe || self.is_paced(now)
+    }
+
+    fn is_paced(&self, now: Timestamp) -> bool {
+        let LimitDuty::Sender(interval) = self.duty else {
+            return false;
+        };
+        let last = self.last_sent;
+        now >= self.first_at && last.is_none_or(|last| now.since(last) >= interval)
+    }
+
+    /// Notes a request of this node.
+    pub fn note_sent(&mut self, now: Timestamp) {
+        self.last_sent = Some(now);
+        self.probes_until = None;
+    }
+
+    /// Renews this node's part in the limit; `share` tells it by the number of senders.
+    pub fn renew_duty(&mut self, share: impl FnOnce(RateLimit) -> Option<Share>) {
+        let limited = self.word.and_then(|word| Some((word.limit?, word.said_at)));
+        let share = limited.and_then(|(limit, said_at)| Some((limit, said_at, share(limit)?)));
+        let Some((limit, said_at, share)) = share else {
+            self.duty = LimitDuty::Others;
+            return;
+        };
+        let shared = interval(limit).scaled(share.senders as f64);
+        if self.duty == LimitDuty::Others {
+            // Another sender may have sent what was answered last, so that it counts here. Those
+            // that begin together are spread over the time between two requests.
+            let after = 1.0 + share.place as f64 / share.senders as f64;
+            self.first_at = said_at + shared.scaled(after);
+        }
+        self.duty = LimitDuty::Sender(shared);
+    }
+
+    /// The limit, where this node doesn't send and nothing was heard of it for so long that the
+    /// senders probably have no requests for the back end.
+    pub fn silent_limit(&self, now: Timestamp) -> Option<RateLimit> {
+        let word = self.word?;
+        let limit = word.limit?;
+        let is_silent = self.duty == LimitDuty::Others && word.is_silent(limit, now);
+        is_silent.then_some(limit)
+    }
+
+    /// This node may send one request to hear whether the limit still holds.
+    pub fn begin_probing(&mut self, now: Timestamp) {
+        self.probes_until = Some(now + PROBING_TURN);
+    }
+
+    /// How the limit stands for this node, if that has changed since the last call.
+    pub fn change(&mut self) -> Option<Option<(RateLimit, LimitDuty)>> {
+        let stands = self.limit().map(|limit| (limit, self.duty));
+        let before = std::mem::replace(&mut self.logged, stands);
+        (before != stands).then_some(stands)
+    }
+}
+
+/// A sender's part of a limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Share {
+    /// Its place among the senders, from 0 on.
+    pub place: usize,
+    /// Number of senders.
+    pub senders: usize,
+}
--- a/crates/coordination/dispatch/src/load/registry.rs
+++ b/crates/coordination/dispatch/src/load/registry.rs
@@ -1,9 +1,13 @@
 //! The back ends that may get work, with what this node knows of each.
 
+mod noting;
+
 use crate::load::back_end_load::Counted;
 use crate::load::cold_start::Warmth;
 use crate::load::health::{Health, HealthChange};
 use crate::load::holders::Holders;
+use crate::load::limit_words::LimitWords;
+use crate::load::limiter::Limiter;
 use crate::load::notices::{Notice, Notices};
 use crate::load::pool_index::{HashGroups, PoolIndex};
 use crate::placement::planning::SENSITIVE_CHANCE;
@@ -16,7 +20,7 @@
 use eiderferry_routing::{
     BackEnd, EngineSpecification, InstanceId, PartId, PoolName, RoutingTable, ZoneName,
 };
-use eiderferry_types::{Span, Timestamp};
+use eiderferry_types::Timestamp;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
@@ -42,6 +46,8 @@
     pub warmth: Warmth,
     /// What it said of itself in its answers.
     pub notice: Notice,
+    /// What it said of a rate limit, and this node's part in it.
+    pub limiter: Limiter,
 }
 
 impl BackEndState {
@@ -69,6 +75,7 @@
     placed_lately: Vec<PartId>,
     holders: Holders,
     notices: Notices,
+    limit_words: LimitWords,
     /// How often back ends were listed anew, changed or removed.
     version: u64,
     /// Sums of the shares of failures that this node saw, by pool.
@@ -253,63 +260,20 @@
         let pool = self.pools.entry(back_end.pool.clone()).or_default();
         pool.add(digest, &instance, &back_end.zone);
         self.by_digest.insert(digest, instance.clone());
+        let mut limiter = Limiter::default();
+        limiter.take_word(self.limit_words.of(digest, &back_end));
         let state = BackEndState {
             digest,
             load: BackEndLoad::new(tokens, speed),
             health: Health::default(),
             warmth: Warmth::default(),
             notice: self.notices.of(&back_end),
+            limiter,
             back_end,
         };
         self.states.insert(instance, state);
     }
 
-    /// A run that started then says that it is leaving. Returns whether that is new.
-    pub fn note_leaving(&mut self, instance: &InstanceId, started_unix_ms: Option<u64>) -> bool {
-        let notice = self.note(instance, started_unix_ms, |notice| notice.is_leaving = true);
-        let is_new = notice.is_some_and(|before| !before.is_leaving);
-        self.version += u64::from(is_new);
-        is_new
-    }
-
-    /// A run that started then wants nothing from this node until then.
-    pub fn note_rest(
-        &mut self,
-        instance: &InstanceId,
-        started_unix_ms: Option<u64>,
-        until: Timestamp,
-    ) {
-        self.note(instance, started_unix_ms, |notice| notice.rest(until));
-    }
-
-    /// Time until the first of a pool's back ends that rest wants requests again.
-    pub fn shortest_rest(&self, pool: &PoolName, now: Timestamp) -> Option<Span> {
-        let working = self.pool(pool).filter(|state| state.takes_work());
-        let rests = working.filter_map(|state| state.notice.rest_left(now));
-        rests.min()
-    }
-
-    /// A run that started then says something of itself. Returns what it had said before;
-    /// `None` where it is not listed, or another run has its name now.
-    fn note(
-        &mut self,
-        instance: &InstanceId,
-        started_unix_ms: Option<u64>,
-        change: impl FnOnce(&mut Notice),
-    ) -> Option<Notice> {
-        let state = self.states.get_mut(instance);
-        let is_over = state
-            .as_ref()
-            .is_some_and(|state| !state.back_end.may_have_started(started_unix_ms));
-        if is_over {
-            return None;
-        }
-        self.notices.note(instance, started_unix_ms, change);
-        let state = state?;
-        let notice = self.notices.of(&state.back_end);
-        Some(std::mem::replace(&mut state.notice, notice))
-    }
-
     /// Removes a back end.
     pub fn remove(&mut self, instance: &InstanceId) {
         let Some(state) = self.states.remove(instance) else {
--- /dev/null
+++ b/crates/coordination/dispatch/src/load/registry/noting.rs
@@ -0,0 +1,137 @@
+//! What back ends say of themselves: in answers to this node, and as other nodes tell it.
+
+use super::{Registry, instance_digest};
+use crate::LimitReport;
+use crate::load::limit_words::Run;
+use crate::load::limiter::{LimitWord, interval_of};
+use crate::load::notices::Notice;
+use eiderferry_routing::{InstanceId, PoolName};
+use eiderferry_types::{Span, Timestamp};
+
+impl Registry {
+    /// A run that started then says that it is leaving. Returns whether that is new.
+    pub fn note_leaving(&mut self, instance: &InstanceId, started_unix_ms: Option<u64>) -> bool {
+        let notice = self.note(instance, started_unix_ms, |notice| notice.is_leaving = true);
+        let is_new = notice.is_some_and(|before| !before.is_leaving);
+        self.version += u64::from(is_new);
+        is_new
+    }
+
+    /// A run that started then wants nothing from this node until then.
+    pub fn note_rest(
+        &mut self,
+        instance: &InstanceId,
+        started_unix_ms: Option<u64>,
+        until: Timestamp,
+    ) {
+        self.note(instance, started_unix_ms, |notice| notice.rest(until));
+    }
+
+    /// Time until the first of a pool's back ends that rest wants requests again.
+    pub fn shortest_rest(&self, pool: &PoolName, now: Timestamp) -> Option<Span> {
+        let working = self.pool(pool).filter(|state| state.takes_work());
+        let rests = working.filter_map(|state| state.notice.rest_left(now));
+        rests.min()
+    }
+
+    /// A run that started then says something of itself. Returns what it had said before;
+    /// `None` where it is not listed, or another run has its name now.
+    fn note(
+        &mut self,
+        instance: &InstanceId,
+        started_unix_ms: Option<u64>,
+        change: impl FnOnce(&mut Notice),
+    ) -> Option<Notice> {
+        let state = self.states.get_mut(instance);
+        let is_over = state
+            .as_ref()
+            .is_some_and(|state| !state.back_end.may_have_started(started_unix_ms));
+        if is_over {
+            return None;
+        }
+        self.notices.note(instance, started_unix_ms, change);
+        let state = state?;
+        let notice = self.notices.of(&state.back_end);
+        Some(std::mem::replace(&mut state.notice, notice))
+    }
+
+    /// A run that started then says something of its rate limit.
+    pub fn note_limit(
+        &mut self,
+        instance: &InstanceId,
+        started_unix_ms: Option<u64>,
+        word: LimitWord,
+        now: Timestamp,
+    ) {
+        let run = Run {
+            back_end: instance_digest(instance),
+            started_unix_ms,
+        };
+        self.note_limit_of(run, word, now);
+    }
+
+    /// Takes over what another node tells of limits.
+    pub fn take_limit_reports(&mut self, reports: &[LimitReport], now: Timestamp) {
+        for report in reports {
+            let age = Span::from_milliseconds(u64::from(report.age_ms));
+            let word = LimitWord {
+                limit: report.limit,
+                said_at: now - age,
+            };
+            let run = Run {
+                back_end: report.back_end,
+                started_unix_ms: report.started_unix_ms,
+            };
+            self.note_limit_of(run, word, now);
+        }
+    }
+
+    fn note_limit_of(&mut self, run: Run, word: LimitWord, now: Timestamp) {
+        let instance = self.by_digest.get(&run.back_end);
+        let state = instance.and_then(|instance| self.states.get_mut(instance));
+        let Some(state) = state else {
+            self.limit_words.note(run, word, now);
+            return;
+        };
+        if state.back_end.may_have_started(run.started_unix_ms) {
+            self.limit_words.note(run, word, now);
+            let word = self.limit_words.of(state.digest, &state.back_end);
+            state.limiter.take_word(word);
+        }
+    }
+
+    /// What the next message tells of limits.
+    pub fn limit_reports(&mut self, now: Timestamp) -> Vec<LimitReport> {
+        self.limit_words.reports(now)
+    }
+
+    /// What a node that has just started is told of limits.
+    pub fn limit_reports_at_start(&mut self, now: Timestamp) -> Vec<LimitReport> {
+        self.limit_words.reports_at_start(now)
+    }
+
+    /// Whether a limit has changed lately, which other nodes have to hear.
+    pub fn has_limit_news(&self, now: Timestamp) -> bool {
+        self.limit_words.has_news(now)
+    }
+
+    /// Back ends that have, or had lately, a limit, as far as they are listed.
+    pub fn with_limits(&self) -> Vec<InstanceId> {
+        let known = self.limit_words.back_ends();
+        let listed = known.filter_map(|digest| self.by_digest.get(&digest));
+        listed.cloned().collect()
+    }
+
+    /// Forgets limits that are long over, and those of back ends that are gone.
+    pub fn expire_limits(&mut self, now: Timestamp) {
+        let listed = &self.by_digest;
+        self.limit_words
+            .expire(|digest| !listed.contains_key(&digest), now);
+    }
+
+    /// Time in which the limited back ends of a pool together take one request.
+    pub fn limited_interval(&self, pool: &PoolName) -> Option<Span> {
+        let working = self.pool(pool).filter(|state| state.takes_work());
+        interval_of(working.filter_map(|state| state.limiter.limit()))
+    }
+}
--- a/crates/coordination/dispatch/src/placement/demand.rs
+++ b/crates/coordination/dispatch/src/placement/demand.rs
@@ -84,6 +84,8 @@
     pub copy_from: Option<SocketAddr>,
     /// Engine at which a replica of the run is kept up.
     pub replica: Option<Box<ReplicaTarget>>,
+    /// Whether the back end has named a rate limit: an answer that names none ends it.
+    pub has_limit: bool,
     /// What was expected of the back end when it was chosen.
     pub candidate: Box<Candidate>,
     /// Revision of the list of back ends that the choice rests on.
--- a/crates/coordination/dispatch/src/placement/eligibility.rs
+++ b/crates/coordination/dispatch/src/placement/eligibility.rs
@@ -14,6 +14,9 @@
     /// many good answers that turned one request away got 120 of 120 further ones in 3 s of rest
     /// while only failures were weighed, where 2 are allowed.
     Resting,
+    /// All nodes together send it what its rate limit allows, and it is not this node's turn. A
+    /// cost would not do: what one node spares, each of the others may send.
+    Limited,
     /// The request may not run in its region.
     Region,
     /// Its zone is being evacuated.
@@ -29,6 +32,8 @@
         Some(Obstacle::Leaving)
     } else if state.notice.rest_left(view.now).is_some() {
         Some(Obstacle::Resting)
+    } else if !state.limiter.takes_request(view.now) {
+        Some(Obstacle::Limited)
     } else if !demand.allowed_regions.allow(zone, view.regions) {
         Some(Obstacle::Region)
     } else if view.evacuated.contains(zone) {
@@ -57,6 +62,7 @@
     let count = |obstacle| obstacles.iter().filter(|found| **found == obstacle).count();
     let counted = [
         (count(Obstacle::Resting), Reason::BackEndsRest),
+        (count(Obstacle::Limited), Reason::BackEndsLimited),
         (count(Obstacle::Region), Reason::RegionNotAllowed),
         (count(Obstacle::Evacuated), Reason::ZoneEvacuated),
         (count(Obstacle::Cold), Reason::ColdBackEnds),
--- a/crates/coordination/dispatch/tests/support/mod.rs
+++ b/crates/coordination/dispatch/tests/support/mod.rs
@@ -274,6 +274,8 @@
     pub cut: BTreeSet<(usize, usize)>,
     /// Nodes that neither send nor receive.
     pub dark: BTreeSet<usize>,
+    /// Nodes that run on, but hear no other and are not heard.
+    pub isolated: BTreeSet<usize>,
     pub lost: Vec<(usize, NodeName)>,
     pub messages: u64,
     pub fetches: u64,
@@ -351,6 +353,7 @@
             zones,
             cut: BTreeSet::new(),
             dark: BTreeSet::new(),
+            isolated: BTreeSet::new(),
             lost: Vec::new(),
             messages: 0,
             fetches: 0,
@@ -409,7 +412,8 @@
     fn hears(&self, from: usize, to: usize) -> bool {
         let (one, two) = (self.zones[from], self.zones[to]);
         let is_cut = self.cut.contains(&(one, two)) || self.cut.contains(&(two, one));
-        !is_cut && !self.dark.contains(&from) && !self.dark.contains(&to)
+        let is_off = |node| self.dark.contains(&node) || self.isolated.contains(&node);
+        !is_cut && !is_off(from) && !is_off(to)
     }
 
     /// One tick of every node, and the messages that follow from it; documents that a
--- a/crates/state/types/src/verdict.rs
+++ b/crates/state/types/src/verdict.rs
@@ -62,6 +62,8 @@
     ColdBackEnds,
     /// The pool's back ends have asked this node for a rest.
     BackEndsRest,
+    /// The pool's back ends get what the rate limits allow that they have named.
+    BackEndsLimited,
     /// The node that holds the queue did not answer.
     HolderUnreachable,
     /// This node is stopping.
@@ -101,6 +103,7 @@
             Reason::ZoneEvacuated => "zone_evacuated",
             Reason::ColdBackEnds => "cold_back_ends",
             Reason::BackEndsRest => "back_ends_rest",
+            Reason::BackEndsLimited => "back_ends_limited",
             Reason::HolderUnreachable => "holder_unreachable",
             Reason::Draining => "draining",
             Reason::NotReady => "not_ready",
--- a/crates/transport/relay/src/control.rs
+++ b/crates/transport/relay/src/control.rs
@@ -12,7 +12,7 @@
 use eiderferry_clock::Clock;
 use eiderferry_dispatch::{
     Applied, CacheOrder, Change, Decision, Demand, Dispatcher, DocumentKey, Envelope, LeaseId,
-    MessageKind, Outcome, QuarantineChange, ReadingDuty, StreamPacing, TICK, TakenNews,
+    MessageKind, Outcome, QuarantineChange, RateLimit, ReadingDuty, StreamPacing, TICK, TakenNews,
 };
 use eiderferry_routing::{InstanceId, RoutingTable, ZoneName};
 use eiderferry_types::{RequestDigest, Span, Timestamp};
@@ -53,6 +53,8 @@
     Leaving(LeaseId),
     /// The back end of a place wants nothing from this node for so long.
     Rests(LeaseId, Span),
+    /// The back end of a place names a rate limit, or none any more.
+    Limited(LeaseId, Option<RateLimit>),
     /// A place is given back.
     End(LeaseId, Outcome, StreamPacing),
     /// A back end crashed under a request.
@@ -111,6 +113,10 @@
         self.tell(Command::Rests(lease, rest));
     }
 
+    pub fn limited(&self, lease: LeaseId, limit: Option<RateLimit>) {
+        self.tell(Command::Limited(lease, limit));
+    }
+
     pub fn end(&self, lease: LeaseId, outcome: Outcome, pacing: StreamPacing) {
         self.tell(Command::End(lease, outcome, pacing));
     }
@@ -218,6 +224,7 @@
                 }
             }
             Command::Rests(lease, rest) => dispatcher.note_rest(lease, rest, now),
+            Command::Limited(lease, limit) => dispatcher.note_limit(lease, limit, now),
             Command::End(lease, outcome, pacing) => {
                 dispatcher.note_pacing(lease, &pacing);
                 let ended = dispatcher.end(lease, outcome, now);
@@ -277,6 +284,9 @@
         for change in &output.warmth_changes {
             events::warmth(change);
         }
+        for change in &output.limit_changes {
+            events::rate_limit(change);
+        }
         for change in &output.split_changes {
             events::pool_split(change);
         }
@@ -298,6 +308,9 @@
         if let Some(rest) = notice.rest {
             dispatcher.note_called_rest(order, rest, now);
         }
+        if let Some(limit) = notice.limit.named() {
+            dispatcher.note_called_limit(order, limit, now);
+        }
     }
 
     fn note_quarantine<'a>(
--- a/crates/transport/relay/src/events.rs
+++ b/crates/transport/relay/src/events.rs
@@ -10,8 +10,9 @@
 use crate::own_answer::OwnAnswer;
 use crate::upstream::ConnectionCheck;
 use eiderferry_dispatch::{
-    Applied, CacheNews, ColdDuty, DocumentKey, ExpiredLease, Grant, HealthChange, Outcome,
-    PeerChange, QuarantineChange, SplitChange, StreamPacing, TakenNews, UnknownName, WarmthChange,
+    Applied, CacheNews, ColdDuty, DocumentKey, ExpiredLease, Grant, HealthChange, LimitChange,
+    LimitDuty, Outcome, PeerChange, QuarantineChange, SplitChange, StreamPacing, TakenNews,
+    UnknownName, WarmthChange,
 };
 use eiderferry_routing::InstanceId;
 use eiderferry_types::{Reason, RequestDigest, Span, Timestamp};
@@ -69,6 +70,25 @@
     }
 }
 
+/// A back end's rate limit changed, or this node became, or no longer is, one of those that send
+/// to it.
+pub(crate) fn rate_limit(change: &LimitChange) {
+    let back_end = change.instance.as_str();
+    let Some((limit, duty)) = change.stands else {
+        log::info!(event = "back_end_unlimited", back_end = back_end; "a rate limit is over");
+        return;
+    };
+    let each = match duty {
+        LimitDuty::Sender(each) => Some(each),
+        LimitDuty::Others => None,
+    };
+    log::info!(
+        event = "back_end_limited", back_end = back_end, limit:% = limit, sender = each.is_some(),
+        each_ms = each.unwrap_or_default().milliseconds();
+        "a rate limit, or who sends under it, changed"
+    );
+}
+
 /// A back end turned cold or warm, or this node became, or no longer is, one of the few that
 /// send to it.
 pub(crate) fn warmth(change: &WarmthChange) {
--- a/crates/transport/relay/src/gossip.rs
+++ b/crates/transport/relay/src/gossip.rs
@@ -7,7 +7,7 @@
 use std::net::{SocketAddr, UdpSocket};
 
 /// First byte of each datagram: the version of the format.
-const FORMAT_VERSION: u8 = 6;
+const FORMAT_VERSION: u8 = 7;
 /// Largest datagram that UDP carries.
 const RECEIVE_BYTES: usize = 65_536;
 
--- a/crates/transport/relay/src/lease.rs
+++ b/crates/transport/relay/src/lease.rs
@@ -2,7 +2,7 @@
 
 use crate::control::ControlHandle;
 use crate::metrics;
-use eiderferry_dispatch::{Grant, Outcome, StreamPacing};
+use eiderferry_dispatch::{Grant, Outcome, RateLimit, StreamPacing};
 use eiderferry_types::{Span, Timestamp};
 
 /// A place on a back end. Dropped without a word, it was abandoned.
@@ -40,6 +40,11 @@
         self.control.rests(self.grant.lease, rest);
     }
 
+    /// Its back end names a rate limit, or none any more.
+    pub fn note_limit(&self, limit: Option<RateLimit>) {
+        self.control.limited(self.grant.lease, limit);
+    }
+
     /// The whole answer came.
     pub fn first_event(&self) {
         self.control.first_event(self.grant.lease);
--- a/crates/transport/relay/src/metrics.rs
+++ b/crates/transport/relay/src/metrics.rs
@@ -174,6 +174,8 @@
     metrics::gauge!("eiderferry_back_ends").set(snapshot.back_ends as f64);
     metrics::gauge!("eiderferry_back_ends_ejected").set(snapshot.ejected as f64);
     metrics::gauge!("eiderferry_back_ends_cold").set(snapshot.cold as f64);
+    metrics::gauge!("eiderferry_back_ends_limited").set(snapshot.limited as f64);
+    metrics::gauge!("eiderferry_back_ends_limited_sender").set(snapshot.limit_sender_for as f64);
     metrics::gauge!("eiderferry_back_ends_cold_sender").set(snapshot.cold_sender_for as f64);
     let aggregates = f64::from(u8::from(snapshot.is_aggregator));
     metrics::gauge!("eiderferry_aggregates").set(aggregates);
--- a/crates/transport/relay/src/sending.rs
+++ b/crates/transport/relay/src/sending.rs
@@ -4,7 +4,7 @@
 use crate::exchange::Exchange;
 use crate::forwarding::Told;
 use crate::lease::Lease;
-use crate::notice::Notice;
+use crate::notice::{NamedLimit, Notice};
 use crate::upstream::{Connection, SendError};
 use crate::{events, metrics};
 use eiderferry_dispatch::Outcome;
@@ -142,8 +142,9 @@
             return Err(Outcome::Replaced);
         }
         let may_be_ours = id.is_none_or(|_| is_ours);
+        let notice = Notice::read(&response, vocabulary);
         if may_be_ours {
-            self.take_notice(lease, Notice::read(&response, vocabulary));
+            self.take_notice(lease, notice);
         }
         if response.headers().contains_key(&vocabulary.not_run) && may_be_ours {
             return Err(Outcome::Shed);
@@ -152,6 +153,9 @@
         if !is_ours || response.headers().contains_key(header::CONTENT_ENCODING) {
             return Err(Outcome::Broken);
         }
+        if lease.grant.has_limit && notice.limit == NamedLimit::Unnamed {
+            lease.note_limit(None);
+        }
         Ok((response, connection))
     }
 
@@ -169,8 +173,9 @@
             metrics::notice("rest");
             lease.note_rest(rest);
         }
-        if notice.limit.named().is_some() {
+        if let Some(limit) = notice.limit.named() {
             metrics::notice("limit");
+            lease.note_limit(Some(limit));
         }
     }
 
--- a/crates/transport/relay/tests/limited_back_ends.rs
+++ b/crates/transport/relay/tests/limited_back_ends.rs
@@ -6,6 +6,14 @@
 //!
 //! In what order: an engine falls into need and names its limit in all answers; nodes of four
 //! zones pass them on, and each goes on sending there what it sent before.
+//!
+//! The cause: the header was read nowhere. And had each node kept what it read for itself, eight
+//! would have sent eight times as much: nothing was shared among nodes that a back end had said
+//! to one of them.
+//!
+//! The evidence: of the first twelve requests that one of the engines got under its limit, eight
+//! came from two nodes, two of them 63 ms apart; six came from nodes that had sent it another one
+//! more than a second before. Below, four nodes send 246 to 772 requests in 4 s after the first word of a limit.
 
 mod support;
 
@@ -14,7 +22,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use support::{Answer, Running, Seen, StandIn, chunk, event, stream_head, whole, write};
+use support::{Answer, PATIENCE, Running, Seen, StandIn, chunk, event, stream_head, whole, write};
 
 /// Nodes before the back ends.
 const NODES: usize = 4;
@@ -143,3 +151,66 @@
     let allowed = allowed(limit);
     assert!(most <= allowed, "{most} requests in 4 s, allowed {allowed}");
 }
+
+/// What the limited back end doesn't take goes to the other one, and nothing is refused for it.
+#[test]
+fn callers_are_served_by_others_and_the_limit_is_used() {
+    let (limited, sound) = (Limited::start(2.0, answer_whole), sound());
+    let fleet = fleet_before(&[&limited.stand_in, &sound]);
+    let answers = press(&fleet, "read");
+    assert!(answers.iter().all(|answer| answer.status == 200));
+    assert!(!limited.counted().is_empty(), "it is not used");
+}
+
+/// Where no other back end is left the caller hears at once that nothing has run, and when the
+/// limit leaves room for one request.
+#[test]
+fn where_all_are_limited_callers_are_refused_with_a_time() {
+    let limited = Limited::start(0.25, answer_whole);
+    let relay = Running::before(&[&limited.stand_in]);
+    assert_eq!(call(&relay, "write", 0).status, 200);
+    let refused = call(&relay, "write", 1);
+    assert_eq!(refused.status, 503);
+    assert_eq!(refused.header("retry-after").as_deref(), Some("4.00"));
+}
+
+/// An answer that names no limit ends it, also that of a failure; one that can't be read doesn't.
+#[rstest]
+#[case::whole("", "200 OK", true)]
+#[case::a_failure("", "500 Error", true)]
+#[case::unreadable("Rate-Limit: soon\r\n", "200 OK", false)]
+#[case::negative("Rate-Limit: -1\r\n", "200 OK", false)]
+fn a_limit_ends_with_the_first_answer_that_names_none(
+    #[case] word: &'static str,
+    #[case] status: &'static str,
+    #[case] ends: bool,
+) {
+    let back_end = StandIn::start(move |stream, seen, number| {
+        let word = if number == 1 {
+            "Rate-Limit: 2\r\n"
+        } else {
+            word
+        };
+        let answer = with_word(&whole(seen, "back"), word);
+        let answer = if number == 2 {
+            answer.replacen("200 OK", status, 1)
+        } else {
+            answer
+        };
+        write(stream, &answer);
+        true
+    });
+    let relay = Running::before(&[&back_end]);
+    let begun = Instant::now();
+    let mut number = 0;
+    while back_end.count() < 2 {
+        assert!(
+            begun.elapsed() < PATIENCE,
+            "it gets nothing under its limit"
+        );
+        call(&relay, "write", number);
+        number += 1;
+    }
+    let later = (0..5).map(|number| call(&relay, "write", 1_000 + number).status);
+    assert_eq!(later.filter(|status| *status == 200).count() == 5, ends);
+}
