Limits: runs whose start not every node knows, and a bounded store of notices

A node that knows when a run started, and one that doesn't, took each other's notices for those of another run: the end of a limit heard by one was dropped by the other. And an engine whose notice gave way to newer ones stayed limited for good. Found by reading, each with a test. What a back end says of its limit is a notice everywhere now, as for leaving and rests.

--- a/crates/coordination/dispatch/src/dispatcher/aggregation.rs
+++ b/crates/coordination/dispatch/src/dispatcher/aggregation.rs
@@ -11,7 +11,7 @@
     Envelope, FleetSummary, Gossip, HeardZone, LoadReport, Member, Placement,
 };
 use crate::fleet::traffic::MessageKind;
-use crate::load::limit_words::Audience;
+use crate::load::limit_notices::Audience;
 use crate::{LoadSource, PeerChange};
 use eiderferry_routing::{PartId, ZoneName};
 use eiderferry_types::{Span, Timestamp};
@@ -247,7 +247,7 @@
         let has_changed = loads != self.aggregation.last_report
             || !self.placements.is_empty()
             || !digests.is_empty()
-            || self.back_ends.limit_words().has_news(now);
+            || self.back_ends.limit_notices().has_news(now);
         if !has_changed && rested < UNCHANGED_REPORT_TICKS {
             return Vec::new();
         }
--- a/crates/coordination/dispatch/src/dispatcher/messages.rs
+++ b/crates/coordination/dispatch/src/dispatcher/messages.rs
@@ -5,7 +5,7 @@
 use super::{Dispatcher, OUTCOME_LIFETIME, PLACEMENTS_PER_MESSAGE, TickOutput};
 use crate::fleet::message::{Envelope, Gossip, LoadReport, News};
 use crate::fleet::traffic::MessageKind;
-use crate::load::limit_words::Audience;
+use crate::load::limit_notices::Audience;
 use crate::load::registry::BackEndState;
 use crate::{ColdDuty, SplitChange};
 use eiderferry_routing::InstanceId;
@@ -203,7 +203,7 @@
         if self.settings.features.quarantine {
             answer.crashing_requests = self.quarantine.reports_at_start(now);
         }
-        let limits = self.back_ends.limit_words();
+        let limits = self.back_ends.limit_notices();
         answer.limits = limits.reports_at_start(now, &mut self.random);
         answer.members = self.peers.sample_for(zone.as_ref(), now, &mut self.random);
         answer
--- a/crates/coordination/dispatch/src/dispatcher/rate_limiting.rs
+++ b/crates/coordination/dispatch/src/dispatcher/rate_limiting.rs
@@ -1,8 +1,8 @@
 //! Rate limits that back ends name: what answers say of them, and this node's part in each.
 
 use super::{CacheOrder, Dispatcher, TICK};
-use crate::load::limit_words::{Audience, HeardFrom};
-use crate::load::limiter::{LimitWord, PROBING_TURN, Share, probing_chance, senders};
+use crate::load::limit_notices::{Audience, HeardFrom};
+use crate::load::limiter::{LimitNotice, PROBING_TURN, Share, probing_chance, senders};
 use crate::{Gossip, LeaseId, LimitChange, LimitDuty, LimitReport, RateLimit};
 use eiderferry_types::{Span, Timestamp};
 use rand::Rng;
@@ -22,20 +22,22 @@
         // Answers overtake each other: that a limit is over is shown only by the answer to a
         // request that was sent after the limit was named last.
         let said_at = if limit.is_some() { now } else { lease.granted };
-        let word = LimitWord { limit, said_at };
+        let notice = LimitNotice { limit, said_at };
         let start = lease.started_unix_ms;
-        self.back_ends.note_limit(&lease.instance, start, word, now);
+        self.back_ends
+            .note_limit(&lease.instance, start, notice, now);
     }
 
     /// The answer of an engine that was called for what it keeps names a limit. Only answers to
     /// requests show that it is over.
     pub fn note_called_limit(&mut self, order: &CacheOrder, limit: RateLimit, now: Timestamp) {
-        let word = LimitWord {
+        let notice = LimitNotice {
             limit: Some(limit),
             said_at: now,
         };
         let start = order.started_unix_ms;
-        self.back_ends.note_limit(&order.instance, start, word, now);
+        self.back_ends
+            .note_limit(&order.instance, start, notice, now);
     }
 
     /// Takes over what another node tells of limits.
@@ -51,8 +53,8 @@
 
     /// What a message for an audience tells of limits.
     pub(super) fn limits_for(&mut self, audience: Audience, now: Timestamp) -> Vec<LimitReport> {
-        let words = self.back_ends.limit_words();
-        words.reports(audience, now, &mut self.random)
+        let notices = self.back_ends.limit_notices();
+        notices.reports(audience, now, &mut self.random)
     }
 
     /// Renews which limited back ends this node sends to, and gives it a turn at those of which
--- a/crates/coordination/dispatch/src/dispatcher/zone_digest.rs
+++ b/crates/coordination/dispatch/src/dispatcher/zone_digest.rs
@@ -8,7 +8,7 @@
 use crate::LoadSource;
 use crate::fleet::message::{Envelope, Gossip, LoadReport, Member, Placement, ZoneDigest};
 use crate::fleet::traffic::MessageKind;
-use crate::load::limit_words::Audience;
+use crate::load::limit_notices::Audience;
 use eiderferry_routing::{PartId, ZoneName};
 use eiderferry_types::{Span, Timestamp};
 use std::collections::BTreeMap;
--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -38,7 +38,7 @@
 pub use load::cold_start::{ColdBound, ColdDuty, LONGEST_COLD, WarmthChange};
 pub use load::engine_model::{EngineSpeed, PoolModel};
 pub use load::health::{Health, HealthChange};
-pub use load::limit_words::LimitReport;
+pub use load::limit_notices::LimitReport;
 pub use load::limiter::{LimitChange, LimitDuty};
 pub use load::outcomes::{OutcomeCounts, RecentOutcomes};
 pub use load::pacing::StreamPacing;
--- a/crates/coordination/dispatch/src/load.rs
+++ b/crates/coordination/dispatch/src/load.rs
@@ -8,7 +8,7 @@
 pub(crate) mod engine_model;
 pub(crate) mod health;
 pub(crate) mod holders;
-pub(crate) mod limit_words;
+pub(crate) mod limit_notices;
 pub(crate) mod limiter;
 pub(crate) mod notices;
 pub(crate) mod outcomes;
--- a/crates/coordination/dispatch/src/load/limit_words.rs
+++ b/crates/coordination/dispatch/src/load/limit_notices.rs
@@ -1,11 +1,11 @@
 //! What back ends said of their rate limits, to this node or to others, and what is told of it.
 //!
 //! Nodes that send nothing to a back end hear neither that its limit changed nor that it is over,
-//! so each word is passed on; of two the one that was said later counts. A run's word holds until
-//! the run says otherwise, however long ago it was said.
+//! so each notice is passed on; of two the later one counts. A run's notice holds until the run says
+//! otherwise, however long ago that was.
 
 use crate::RateLimit;
-use crate::load::limiter::LimitWord;
+use crate::load::limiter::LimitNotice;
 use eiderferry_routing::BackEnd;
 use eiderferry_types::{Span, Timestamp};
 use rand::Rng;
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// Runs whose word is kept, some 100 bytes each: nearly half of a fleet of 10,000 back ends may
+/// Runs whose notice is kept, some 100 bytes each: nearly half of a fleet of 10,000 back ends may
 /// be limited at once.
 const MOST_RUNS: usize = 4_096;
 /// Time for which what has changed is told with each message to the own zone: its peers, or its
@@ -23,19 +23,19 @@
 const FAR_TELLING_TIME: Span = Span::from_milliseconds(2_000);
 /// Rounds in which an aggregator tells what has changed; there are two aggregators.
 const ROUNDS_TOLD: f64 = 1.5;
-/// Changed words told in one message, at some 15 bytes each: with them a message is a third
+/// Changed notices told in one message, at some 15 bytes each: with them a message is a third
 /// longer than a summary of an aggregator.
 const MOST_CHANGED_TOLD: usize = 96;
-/// Words told to a node that has just started.
+/// Notices told to a node that has just started.
 const MOST_TOLD_AT_START: usize = 64;
-/// Time for which it is remembered that a limit is over: older words of it may still be on their
-/// way.
+/// Time for which it is remembered that a limit is over: older notices of it may still be on
+/// their way.
 const OVER_KEPT: Span = Span::from_milliseconds(60_000);
-/// What the messages of one word may take on their way in all. The same limit, said no later than
-/// that after the known word, is taken for that word: passed on and back it would never age.
+/// What the messages of one notice may take on their way in all. The same limit, said no later than
+/// that after the known notice, is taken for that one: passed on and back it would never age.
 const LATEST_ECHO: Span = Span::from_milliseconds(500);
 /// What a message may take on its way, added where a limit is said to be over: passed on and
-/// back, that word must not grow younger than one that names the limit.
+/// back, that notice must not grow younger than one that names the limit.
 const ON_THE_WAY: Span = Span::from_milliseconds(10);
 
 /// What a back end said of its limit, as nodes tell each other.
@@ -51,7 +51,7 @@
     pub age_ms: u32,
 }
 
-/// Where this node heard a word.
+/// Where this node heard of a limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum HeardFrom {
     /// In an answer to this node.
@@ -77,7 +77,7 @@
 }
 
 impl Audience {
-    /// Whether it has not been told by those from whom this node heard a word: told back and
+    /// Whether it has not been told by those from whom this node heard: told back and
     /// forth, 100 limits named at once took 13 kB a second of each of 72 nodes.
     fn lacks(self, heard_from: HeardFrom) -> bool {
         match self {
@@ -96,7 +96,7 @@
         }
     }
 
-    /// Words told in each message besides, drawn anew: nodes that were cut off, paused or started
+    /// Notices told in each message besides, drawn anew: nodes that were cut off, paused or started
     /// anew hear of them, and all hear that a limit still holds.
     fn others_told(self) -> usize {
         match self {
@@ -109,29 +109,49 @@
 #[derive(Clone, Debug)]
 struct Entry {
     started_unix_ms: Option<u64>,
-    word: LimitWord,
+    notice: LimitNotice,
     heard_from: HeardFrom,
     /// When this node heard of the limit, or that it is over.
     changed_at: Timestamp,
 }
 
 impl Entry {
+    /// Whether it may be of a run: not every entry of a list tells when its run started.
+    fn may_be_of(&self, run: Run) -> bool {
+        let starts = self.started_unix_ms.zip(run.started_unix_ms);
+        starts.is_none_or(|(known, other)| known == other)
+    }
+
+    /// Takes over what the same run said, if it is later.
+    fn renew(&mut self, notice: LimitNotice, heard_from: HeardFrom, now: Timestamp) {
+        let is_change = notice.limit != self.notice.limit;
+        let margin = if is_change { Span::ZERO } else { LATEST_ECHO };
+        if notice.said_at <= self.notice.said_at + margin {
+            return;
+        }
+        if is_change {
+            self.changed_at = now;
+            self.heard_from = heard_from;
+        }
+        self.notice = notice;
+    }
+
     /// Whether it has changed lately and an audience has to hear it from this node.
     fn is_news(&self, audience: Audience, now: Timestamp) -> bool {
         now.since(self.changed_at) < audience.telling_time() && audience.lacks(self.heard_from)
     }
 
     fn report(&self, back_end: u32, now: Timestamp) -> LimitReport {
-        let margin = if self.word.limit.is_none() {
+        let margin = if self.notice.limit.is_none() {
             ON_THE_WAY
         } else {
             Span::ZERO
         };
-        let age = now.since(self.word.said_at) + margin;
+        let age = now.since(self.notice.said_at) + margin;
         LimitReport {
             back_end,
             started_unix_ms: self.started_unix_ms,
-            limit: self.word.limit,
+            limit: self.notice.limit,
             age_ms: u32::try_from(age.milliseconds()).unwrap_or(u32::MAX),
         }
     }
@@ -145,19 +165,19 @@
     pub started_unix_ms: Option<u64>,
 }
 
-/// The words of runs that named a limit, by the digests of their instances: a node that starts
+/// The notices of runs that named a limit, by the digests of their instances: a node that starts
 /// hears of limits before it hears which back ends there are.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct LimitWords {
+pub(crate) struct LimitNotices {
     entries: BTreeMap<u32, Entry>,
 }
 
-impl LimitWords {
+impl LimitNotices {
     /// What a listed run said last.
-    pub fn of(&self, digest: u32, back_end: &BackEnd) -> Option<LimitWord> {
+    pub fn of(&self, digest: u32, back_end: &BackEnd) -> Option<LimitNotice> {
         let entry = self.entries.get(&digest)?;
         let is_its_own = back_end.may_have_started(entry.started_unix_ms);
-        is_its_own.then_some(entry.word)
+        is_its_own.then_some(entry.notice)
     }
 
     /// Back ends that have, or had lately, a limit.
@@ -165,54 +185,52 @@
         self.entries.keys().copied()
     }
 
-    /// Takes in what a run said, here or elsewhere, unless it has said something since.
-    pub fn note(&mut self, run: Run, word: LimitWord, heard_from: HeardFrom, now: Timestamp) {
+    /// Takes in what a run said, here or elsewhere, unless it has said something since. Returns a
+    /// back end whose notice gave way to it.
+    pub fn note(
+        &mut self,
+        run: Run,
+        notice: LimitNotice,
+        heard_from: HeardFrom,
+        now: Timestamp,
+    ) -> Option<u32> {
         let known = self.entries.get_mut(&run.back_end);
-        let known = known.filter(|entry| entry.started_unix_ms == run.started_unix_ms);
-        if let Some(entry) = known {
-            let is_change = word.limit != entry.word.limit;
-            let margin = if is_change { Span::ZERO } else { LATEST_ECHO };
-            if word.said_at <= entry.word.said_at + margin {
-                return;
-            }
-            if is_change {
-                entry.changed_at = now;
-                entry.heard_from = heard_from;
-            }
-            entry.word = word;
-            return;
-        }
-        if word.limit.is_none() {
-            return;
+        if let Some(entry) = known.filter(|entry| entry.may_be_of(run)) {
+            entry.renew(notice, heard_from, now);
+            entry.started_unix_ms = run.started_unix_ms.or(entry.started_unix_ms);
+            return None;
         }
-        self.make_room();
+        // That a run has no limit is no news where none was known.
+        notice.limit?;
+        let evicted = self.make_room();
         let entry = Entry {
             started_unix_ms: run.started_unix_ms,
-            word,
+            notice,
             heard_from,
             changed_at: now,
         };
         self.entries.insert(run.back_end, entry);
+        evicted
     }
 
     /// Forgets limits that are long over, and all of runs for which `is_gone` holds.
     pub fn expire(&mut self, is_gone: impl Fn(u32) -> bool, now: Timestamp) {
         self.entries.retain(|back_end, entry| {
-            let age = now.since(entry.word.said_at);
-            age < OVER_KEPT || (entry.word.limit.is_some() && !is_gone(*back_end))
+            let age = now.since(entry.notice.said_at);
+            age < OVER_KEPT || (entry.notice.limit.is_some() && !is_gone(*back_end))
         });
     }
 
-    /// The word heard longest ago gives way.
-    fn make_room(&mut self) {
+    /// The notice heard longest ago gives way.
+    fn make_room(&mut self) -> Option<u32> {
         if self.entries.len() < MOST_RUNS {
-            return;
+            return None;
         }
         let oldest = self.entries.iter();
-        let oldest = oldest.min_by_key(|(_, entry)| entry.word.said_at);
-        if let Some(oldest) = oldest.map(|(back_end, _)| *back_end) {
-            self.entries.remove(&oldest);
-        }
+        let oldest = oldest.min_by_key(|(_, entry)| entry.notice.said_at);
+        let oldest = oldest.map(|(back_end, _)| *back_end)?;
+        self.entries.remove(&oldest);
+        Some(oldest)
     }
 
     /// Whether anything has changed that nodes of the own zone have to hear from this one.
--- a/crates/coordination/dispatch/src/load/limiter.rs
+++ b/crates/coordination/dispatch/src/load/limiter.rs
@@ -48,14 +48,14 @@
 
 /// What a back end said last of its limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct LimitWord {
+pub(crate) struct LimitNotice {
     /// The limit; `None` where it has none any more.
     pub limit: Option<RateLimit>,
     /// When it said so, by this node's clock.
     pub said_at: Timestamp,
 }
 
-impl LimitWord {
+impl LimitNotice {
     /// Whether nothing was heard of the limit for so long that the senders probably have no
     /// requests for the back end.
     pub fn is_silent(&self, limit: RateLimit, now: Timestamp) -> bool {
@@ -96,7 +96,7 @@
 /// What a back end said of its limit, and this node's part in it.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Limiter {
-    word: Option<LimitWord>,
+    notice: Option<LimitNotice>,
     duty: LimitDuty,
     last_sent: Option<Timestamp>,
     /// When this node's first request as a sender may be sent.
@@ -107,13 +107,13 @@
 
 impl Limiter {
     /// Takes over what the back end said last.
-    pub fn take_word(&mut self, word: Option<LimitWord>) {
-        self.word = word;
+    pub fn take_notice(&mut self, notice: Option<LimitNotice>) {
+        self.notice = notice;
     }
 
     /// The limit, where there is one.
     pub fn limit(&self) -> Option<RateLimit> {
-        self.word?.limit
+        self.notice?.limit
     }
 
     /// How this node stands to the back end.
@@ -143,7 +143,9 @@
 
     /// Renews this node's part in the limit; `share` tells it by the number of senders.
     pub fn renew_duty(&mut self, share: impl FnOnce(RateLimit) -> Option<Share>) {
-        let limited = self.word.and_then(|word| Some((word.limit?, word.said_at)));
+        let limited = self
+            .notice
+            .and_then(|notice| Some((notice.limit?, notice.said_at)));
         let share = limited.and_then(|(limit, said_at)| Some((limit, said_at, share(limit)?)));
         let Some((limit, said_at, share)) = share else {
             self.duty = LimitDuty::Others;
@@ -162,9 +164,9 @@
     /// The limit, where this node doesn't send and nothing was heard of it for so long that the
     /// senders probably have no requests for the back end.
     pub fn silent_limit(&self, now: Timestamp) -> Option<RateLimit> {
-        let word = self.word?;
-        let limit = word.limit?;
-        let is_silent = self.duty == LimitDuty::Others && word.is_silent(limit, now);
+        let notice = self.notice?;
+        let limit = notice.limit?;
+        let is_silent = self.duty == LimitDuty::Others && notice.is_silent(limit, now);
         is_silent.then_some(limit)
     }
 
--- a/crates/coordination/dispatch/src/load/registry.rs
+++ b/crates/coordination/dispatch/src/load/registry.rs
@@ -1,12 +1,12 @@
 //! The back ends that may get work, with what this node knows of each.
 
-mod noting;
+mod notices;
 
 use crate::load::back_end_load::Counted;
 use crate::load::cold_start::Warmth;
 use crate::load::health::{Health, HealthChange};
 use crate::load::holders::Holders;
-use crate::load::limit_words::LimitWords;
+use crate::load::limit_notices::LimitNotices;
 use crate::load::limiter::Limiter;
 use crate::load::notices::{Notice, Notices};
 use crate::load::pool_index::{HashGroups, PoolIndex};
@@ -75,7 +75,7 @@
     placed_lately: Vec<PartId>,
     holders: Holders,
     notices: Notices,
-    limit_words: LimitWords,
+    limit_notices: LimitNotices,
     /// How often back ends were listed anew, changed or removed.
     version: u64,
     /// Sums of the shares of failures that this node saw, by pool.
@@ -261,7 +261,7 @@
         pool.add(digest, &instance, &back_end.zone);
         self.by_digest.insert(digest, instance.clone());
         let mut limiter = Limiter::default();
-        limiter.take_word(self.limit_words.of(digest, &back_end));
+        limiter.take_notice(self.limit_notices.of(digest, &back_end));
         let state = BackEndState {
             digest,
             load: BackEndLoad::new(tokens, speed),
--- a/crates/coordination/dispatch/src/load/registry/noting.rs
+++ b/crates/coordination/dispatch/src/load/registry/notices.rs
@@ -2,8 +2,8 @@
 
 use super::{Registry, instance_digest};
 use crate::LimitReport;
-use crate::load::limit_words::{HeardFrom, LimitWords, Run};
-use crate::load::limiter::{LimitWord, interval_of};
+use crate::load::limit_notices::{HeardFrom, LimitNotices, Run};
+use crate::load::limiter::{LimitNotice, interval_of};
 use crate::load::notices::Notice;
 use eiderferry_routing::{InstanceId, PoolName};
 use eiderferry_types::{Span, Timestamp};
@@ -60,14 +60,14 @@
         &mut self,
         instance: &InstanceId,
         started_unix_ms: Option<u64>,
-        word: LimitWord,
+        notice: LimitNotice,
         now: Timestamp,
     ) {
         let run = Run {
             back_end: instance_digest(instance),
             started_unix_ms,
         };
-        self.note_limit_of(run, word, HeardFrom::BackEnd, now);
+        self.note_limit_of(run, notice, HeardFrom::BackEnd, now);
     }
 
     /// Takes over what another node tells of limits.
@@ -79,7 +79,7 @@
     ) {
         for report in reports {
             let age = Span::from_milliseconds(u64::from(report.age_ms));
-            let word = LimitWord {
+            let notice = LimitNotice {
                 limit: report.limit,
                 said_at: now - age,
             };
@@ -87,32 +87,43 @@
                 back_end: report.back_end,
                 started_unix_ms: report.started_unix_ms,
             };
-            self.note_limit_of(run, word, heard_from, now);
+            self.note_limit_of(run, notice, heard_from, now);
         }
     }
 
-    fn note_limit_of(&mut self, run: Run, word: LimitWord, heard_from: HeardFrom, now: Timestamp) {
-        let instance = self.by_digest.get(&run.back_end);
-        let state = instance.and_then(|instance| self.states.get_mut(instance));
-        let Some(state) = state else {
-            self.limit_words.note(run, word, heard_from, now);
+    fn note_limit_of(
+        &mut self,
+        run: Run,
+        notice: LimitNotice,
+        heard_from: HeardFrom,
+        now: Timestamp,
+    ) {
+        let state = self.by_digest_mut(run.back_end);
+        if state.is_some_and(|state| !state.back_end.may_have_started(run.started_unix_ms)) {
             return;
-        };
-        if state.back_end.may_have_started(run.started_unix_ms) {
-            self.limit_words.note(run, word, heard_from, now);
-            let word = self.limit_words.of(state.digest, &state.back_end);
-            state.limiter.take_word(word);
+        }
+        let evicted = self.limit_notices.note(run, notice, heard_from, now);
+        for changed in evicted.into_iter().chain([run.back_end]) {
+            self.renew_limiter(changed);
+        }
+    }
+
+    fn renew_limiter(&mut self, back_end: u32) {
+        let instance = self.by_digest.get(&back_end);
+        if let Some(state) = instance.and_then(|instance| self.states.get_mut(instance)) {
+            let notice = self.limit_notices.of(back_end, &state.back_end);
+            state.limiter.take_notice(notice);
         }
     }
 
     /// What is told of limits.
-    pub fn limit_words(&self) -> &LimitWords {
-        &self.limit_words
+    pub fn limit_notices(&self) -> &LimitNotices {
+        &self.limit_notices
     }
 
     /// Back ends that have, or had lately, a limit, as far as they are listed.
     pub fn with_limits(&self) -> Vec<InstanceId> {
-        let known = self.limit_words.back_ends();
+        let known = self.limit_notices.back_ends();
         let listed = known.filter_map(|digest| self.by_digest.get(&digest));
         listed.cloned().collect()
     }
@@ -120,7 +131,7 @@
     /// Forgets limits that are long over, and those of back ends that are gone.
     pub fn expire_limits(&mut self, now: Timestamp) {
         let listed = &self.by_digest;
-        self.limit_words
+        self.limit_notices
             .expire(|digest| !listed.contains_key(&digest), now);
     }
 
--- a/crates/coordination/dispatch/tests/limited_back_ends.rs
+++ b/crates/coordination/dispatch/tests/limited_back_ends.rs
@@ -3,8 +3,8 @@
 
 mod support;
 
-use eiderferry_dispatch::{Decision, Dispatcher, LeaseId, Outcome, RateLimit};
-use eiderferry_routing::BackEnd;
+use eiderferry_dispatch::{Decision, Dispatcher, LeaseId, LimitReport, Outcome, RateLimit};
+use eiderferry_routing::{BackEnd, InstanceId};
 use eiderferry_types::{Reason, Span, Timestamp};
 use rstest::rstest;
 use std::collections::{BTreeMap, BTreeSet};
@@ -571,3 +571,63 @@
     assert!(first < MOST_AT_FIRST, "{first} bytes a second at first");
     assert!(later < MOST_BYTES_A_SECOND, "{later} bytes a second");
 }
+
+/// What another node of the zone tells of a limit.
+fn report(back_end: &str, started_unix_ms: Option<u64>, rate: Option<f64>) -> LimitReport {
+    LimitReport {
+        back_end: InstanceId::from(back_end).digest() as u32,
+        started_unix_ms,
+        limit: rate.map(limit),
+        age_ms: 0,
+    }
+}
+
+fn hear(subject: &mut Dispatcher, limits: Vec<LimitReport>, now: Timestamp) {
+    let mut teller = dispatcher(1, 0, vec![node_address(0)]);
+    let mut message = teller.gossip(false, now);
+    message.limits = limits;
+    subject.receive(node_address(1), &message, now);
+}
+
+/// Not every node knows when a run started: its entry may tell that only later.
+#[rstest]
+#[case::known_here(None, Some(5))]
+#[case::known_there(Some(5), None)]
+fn a_limit_ends_for_nodes_that_know_different_starts(
+    #[case] told: Option<u64>,
+    #[case] listed: Option<u64>,
+) {
+    let (mut subject, now) = alone(1);
+    let engine = BackEnd {
+        started_unix_ms: listed,
+        ..back_end("engine-0", 0, 0)
+    };
+    subject.apply(back_end_change(engine, 3), now);
+    hear(
+        &mut subject,
+        vec![report("engine-0", told, Some(10.0))],
+        now,
+    );
+    // The other node was heard only now: who sends is settled a second later.
+    assert_eq!(subject.snapshot(now).limited, 1);
+    let settled = now + Span::from_milliseconds(1_500);
+    subject.tick(settled);
+    let later = settled + Span::from_milliseconds(1_500);
+    subject.tick(later);
+    answer_with(&mut subject, 0, None, later);
+    assert_eq!(subject.snapshot(later).limited, 0);
+}
+
+/// Only so many notices are kept; an engine whose notice gave way is not limited for good.
+#[test]
+fn a_flood_of_limits_is_bounded_and_leaves_no_engine_limited_for_good() {
+    let (mut subject, now) = alone(1);
+    answer_with(&mut subject, 0, Some(0.1), now);
+    let later = now + Span::from_milliseconds(100);
+    let flood = (0..5_000).map(|number| report(&format!("other-{number}"), None, Some(1.0)));
+    hear(&mut subject, flood.collect(), later);
+    assert_eq!(subject.snapshot(later).limited, 0);
+    let told = subject.answer(node_address(1), later).limits.len();
+    assert!(told <= 64, "{told} limits in one message");
+    assert_eq!(sent_at(&mut subject, later, 300), [0, 100, 200]);
+}
