--- a/crates/transport/relay/tests/leaving_back_ends.rs
+++ b/crates/transport/relay/tests/leaving_back_ends.rs
@@ -22,7 +22,8 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 use support::{
-    Answer, PATIENCE, Running, Seen, StandIn, chunk, event, shed, stream_head, whole, write,
+    Answer, PATIENCE, Running, Seen, StandIn, answering, chunk, event, shed, stream_head, whole,
+    with_line, write,
 };
 
 /// Requests that were sent to the node this long after it had passed the word on may not reach
@@ -35,7 +36,7 @@
 const ANSWERED_BEFORE: usize = 40;
 
 fn with_word(answer: &str) -> String {
-    answer.replacen("\r\n", "\r\nLeaving: 1\r\n", 1)
+    with_line(answer, "Leaving: 1")
 }
 
 fn answer_whole(stream: &mut TcpStream, seen: &Seen) {
@@ -69,13 +70,6 @@
     })
 }
 
-fn staying() -> StandIn {
-    StandIn::start(|stream, seen, _| {
-        write(stream, &whole(seen, "staying"));
-        true
-    })
-}
-
 fn call(relay: &Running, route: &str, number: usize) -> Answer {
     relay.call("POST", &format!("/{route}/{number}"), "", "x")
 }
@@ -100,7 +94,7 @@
     #[case] route: &str,
     #[case] answer: fn(&mut TcpStream, &Seen),
 ) {
-    let (leaving, staying) = (leaving(answer), staying());
+    let (leaving, staying) = (leaving(answer), answering("staying"));
     let relay = Running::before(&[&leaving, &staying]);
     call_until_told(&relay, route, &leaving);
     std::thread::sleep(DRAIN_TIME);
--- a/crates/transport/relay/tests/limited_back_ends.rs
+++ b/crates/transport/relay/tests/limited_back_ends.rs
@@ -20,9 +20,11 @@
 use rstest::rstest;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use support::{Answer, PATIENCE, Running, Seen, StandIn, chunk, event, stream_head, whole, write};
+use support::{
+    Answer, PATIENCE, Running, Seen, StandIn, answering, chunk, event, stream_head, whole,
+    with_line, write,
+};
 
 /// Nodes before the back ends.
 const NODES: usize = 4;
@@ -40,32 +42,21 @@
 
 type Respond = fn(&mut TcpStream, &str, &Seen);
 
-/// A back end that names a limit from its first answer on, and when requests reached it.
-struct Limited {
-    stand_in: StandIn,
-    arrivals: Arc<Mutex<Vec<Instant>>>,
+/// A back end that names a limit from its first answer on.
+fn limited(limit: f64, respond: Respond) -> StandIn {
+    let line = format!("Rate-Limit: {limit}");
+    StandIn::start(move |stream, seen, _| {
+        respond(stream, &line, seen);
+        true
+    })
 }
 
-impl Limited {
-    fn start(limit: f64, respond: Respond) -> Self {
-        let arrivals: Arc<Mutex<Vec<Instant>>> = Arc::default();
-        let noted = Arc::clone(&arrivals);
-        let word = format!("Rate-Limit: {limit}\r\n");
-        let stand_in = StandIn::start(move |stream, seen, _| {
-            noted.lock().expect("lock").push(Instant::now());
-            respond(stream, &word, seen);
-            true
-        });
-        Self { stand_in, arrivals }
-    }
-
-    /// Moments of the requests that came after all nodes had time to know of the limit.
-    fn counted(&self) -> Vec<Instant> {
-        let arrivals = self.arrivals.lock().expect("lock");
-        let first = arrivals.first().copied().expect("it was asked");
-        let counted = arrivals.iter().copied();
-        counted.filter(|at| *at >= first + KNOWN_WITHIN).collect()
-    }
+/// Moments of the requests that came after all nodes had time to know of the limit.
+fn counted(limited: &StandIn) -> Vec<Instant> {
+    let arrivals = limited.arrivals();
+    let first = arrivals.first().copied().expect("it was asked");
+    let counted = arrivals.into_iter();
+    counted.filter(|at| *at >= first + KNOWN_WITHIN).collect()
 }
 
 fn most_in_window(times: &[Instant]) -> usize {
@@ -81,27 +72,16 @@
     (OVERAGE * limit * WINDOW.as_secs_f64() + SLACK) as usize
 }
 
-fn with_word(answer: &str, word: &str) -> String {
-    answer.replacen("\r\n", &format!("\r\n{word}"), 1)
-}
-
-fn answer_whole(stream: &mut TcpStream, word: &str, seen: &Seen) {
-    write(stream, &with_word(&whole(seen, "limited"), word));
+fn answer_whole(stream: &mut TcpStream, line: &str, seen: &Seen) {
+    write(stream, &with_line(&whole(seen, "limited"), line));
 }
 
-fn answer_with_stream(stream: &mut TcpStream, word: &str, seen: &Seen) {
-    write(stream, &with_word(&stream_head(seen, "s"), word));
+fn answer_with_stream(stream: &mut TcpStream, line: &str, seen: &Seen) {
+    write(stream, &with_line(&stream_head(seen, "s"), line));
     write(stream, &chunk(&event(1)));
     write(stream, "0\r\n\r\n");
 }
 
-fn sound() -> StandIn {
-    StandIn::start(|stream, seen, _| {
-        write(stream, &whole(seen, "sound"));
-        true
-    })
-}
-
 fn call(relay: &Running, route: &str, number: usize) -> Answer {
     std::thread::sleep(PACE);
     relay.call("POST", &format!("/{route}/{number}"), "", "x")
@@ -144,10 +124,10 @@
     #[case] limit: f64,
     #[case] respond: Respond,
 ) {
-    let (limited, sound) = (Limited::start(limit, respond), sound());
-    let fleet = fleet_before(&[&limited.stand_in, &sound]);
+    let (limited, sound) = (limited(limit, respond), answering("sound"));
+    let fleet = fleet_before(&[&limited, &sound]);
     press(&fleet, route);
-    let most = most_in_window(&limited.counted());
+    let most = most_in_window(&counted(&limited));
     let allowed = allowed(limit);
     assert!(most <= allowed, "{most} requests in 4 s, allowed {allowed}");
 }
@@ -155,19 +135,19 @@
 /// What the limited back end doesn't take goes to the other one, and nothing is refused for it.
 #[test]
 fn callers_are_served_by_others_and_the_limit_is_used() {
-    let (limited, sound) = (Limited::start(2.0, answer_whole), sound());
-    let fleet = fleet_before(&[&limited.stand_in, &sound]);
+    let (limited, sound) = (limited(2.0, answer_whole), answering("sound"));
+    let fleet = fleet_before(&[&limited, &sound]);
     let answers = press(&fleet, "read");
     assert!(answers.iter().all(|answer| answer.status == 200));
-    assert!(!limited.counted().is_empty(), "it is not used");
+    assert!(!counted(&limited).is_empty(), "it is not used");
 }
 
 /// Where no other back end is left the caller hears at once that nothing has run, and when the
 /// limit leaves room for one request.
 #[test]
 fn where_all_are_limited_callers_are_refused_with_a_time() {
-    let limited = Limited::start(0.25, answer_whole);
-    let relay = Running::before(&[&limited.stand_in]);
+    let limited = limited(0.25, answer_whole);
+    let relay = Running::before(&[&limited]);
     assert_eq!(call(&relay, "write", 0).status, 200);
     let refused = call(&relay, "write", 1);
     assert_eq!(refused.status, 503);
@@ -176,22 +156,18 @@
 
 /// An answer that names no limit ends it, also that of a failure; one that can't be read doesn't.
 #[rstest]
-#[case::whole("", "200 OK", true)]
-#[case::a_failure("", "500 Error", true)]
-#[case::unreadable("Rate-Limit: soon\r\n", "200 OK", false)]
-#[case::negative("Rate-Limit: -1\r\n", "200 OK", false)]
+#[case::whole("Other: 1", "200 OK", true)]
+#[case::a_failure("Other: 1", "500 Error", true)]
+#[case::unreadable("Rate-Limit: soon", "200 OK", false)]
+#[case::negative("Rate-Limit: -1", "200 OK", false)]
 fn a_limit_ends_with_the_first_answer_that_names_none(
-    #[case] word: &'static str,
+    #[case] line: &'static str,
     #[case] status: &'static str,
     #[case] ends: bool,
 ) {
     let back_end = StandIn::start(move |stream, seen, number| {
-        let word = if number == 1 {
-            "Rate-Limit: 2\r\n"
-        } else {
-            word
-        };
-        let answer = with_word(&whole(seen, "back"), word);
+        let line = if number == 1 { "Rate-Limit: 2" } else { line };
+        let answer = with_line(&whole(seen, "back"), line);
         let answer = if number == 2 {
             answer.replacen("200 OK", status, 1)
         } else {
--- a/crates/transport/relay/tests/resting_back_ends.rs
+++ b/crates/transport/relay/tests/resting_back_ends.rs
@@ -19,9 +19,8 @@
 
 use rstest::rstest;
 use std::net::TcpStream;
-use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use support::{Answer, PATIENCE, Running, Seen, StandIn, shed, whole, write};
+use support::{Answer, PATIENCE, Running, Seen, StandIn, answering, shed, whole, with_line, write};
 
 /// What the back end asks for.
 const REST: Duration = Duration::from_secs(3);
@@ -35,41 +34,33 @@
 /// Time between two requests to the node.
 const PACE: Duration = Duration::from_millis(20);
 
-/// A back end that asks for a rest once, and the moments at which requests reached it.
-struct Resting {
-    stand_in: StandIn,
-    arrivals: Arc<Mutex<Vec<Instant>>>,
-}
-
 type TurnAway = fn(&mut TcpStream, &Seen);
 
+/// A back end that asks for a rest once.
+struct Resting(StandIn);
+
 impl Resting {
     fn start(turn_away: TurnAway) -> Self {
-        let arrivals: Arc<Mutex<Vec<Instant>>> = Arc::default();
-        let noted = Arc::clone(&arrivals);
-        let stand_in = StandIn::start(move |stream, seen, number| {
-            noted.lock().expect("lock").push(Instant::now());
+        Self(StandIn::start(move |stream, seen, number| {
             if number == ANSWERED_BEFORE + 1 {
                 turn_away(stream, seen);
             } else {
                 write(stream, &whole(seen, "back"));
             }
             true
-        });
-        Self { stand_in, arrivals }
+        }))
     }
 
     /// When it asked for a rest, if it has.
     fn asked_at(&self) -> Option<Instant> {
-        let arrivals = self.arrivals.lock().expect("lock");
-        arrivals.get(ANSWERED_BEFORE).copied()
+        self.0.arrivals().get(ANSWERED_BEFORE).copied()
     }
 
     /// Requests that came so long after it asked.
     fn arrivals_between(&self, from: Duration, to: Duration) -> usize {
         let asked = self.asked_at().expect("it has asked");
-        let arrivals = self.arrivals.lock().expect("lock");
-        let after = arrivals.iter().skip(ANSWERED_BEFORE + 1);
+        let arrivals = self.0.arrivals().into_iter();
+        let after = arrivals.skip(ANSWERED_BEFORE + 1);
         let after = after.map(|at| at.duration_since(asked));
         after.filter(|after| (from..to).contains(after)).count()
     }
@@ -77,7 +68,7 @@
 
 fn with_rest(answer: &str) -> String {
     let seconds = REST.as_secs();
-    answer.replacen("\r\n", &format!("\r\nRetry-After: {seconds}\r\n"), 1)
+    with_line(answer, &format!("Retry-After: {seconds}"))
 }
 
 fn not_run(stream: &mut TcpStream, seen: &Seen) {
@@ -116,11 +107,8 @@
     #[case] turn_away: TurnAway,
 ) {
     let resting = Resting::start(turn_away);
-    let sound = StandIn::start(|stream, seen, _| {
-        write(stream, &whole(seen, "sound"));
-        true
-    });
-    let relay = Running::before(&[&resting.stand_in, &sound]);
+    let sound = answering("sound");
+    let relay = Running::before(&[&resting.0, &sound]);
     call_through_rest(&relay, route, &resting);
     let in_rest = resting.arrivals_between(ON_THEIR_WAY, REST);
     assert!(in_rest <= MOST_IN_REST, "{in_rest} requests in its rest");
@@ -130,10 +118,10 @@
 #[test]
 fn it_gets_requests_again_after_its_rest() {
     let resting = Resting::start(not_run);
-    let relay = Running::before(&[&resting.stand_in]);
+    let relay = Running::before(&[&resting.0]);
     call_through_rest(&relay, "read", &resting);
     let begun = Instant::now();
-    while resting.stand_in.count() == ANSWERED_BEFORE + 1 {
+    while resting.0.count() == ANSWERED_BEFORE + 1 {
         assert!(begun.elapsed() < PATIENCE, "it gets nothing any more");
         call(&relay, "read", 0);
     }
@@ -145,7 +133,7 @@
 #[test]
 fn where_all_rest_callers_are_refused_at_once_with_a_time() {
     let resting = Resting::start(not_run);
-    let relay = Running::before(&[&resting.stand_in]);
+    let relay = Running::before(&[&resting.0]);
     let answers = call_through_rest(&relay, "write", &resting);
     let in_rest = resting.arrivals_between(ON_THEIR_WAY, REST);
     assert!(in_rest <= MOST_IN_REST, "{in_rest} requests in its rest");
@@ -168,8 +156,8 @@
 fn a_rest_that_is_no_number_of_seconds_is_not_kept(#[case] rest: &'static str) {
     let back_end = StandIn::start(move |stream, seen, number| {
         if number == 1 {
-            let rest = format!("\r\nRetry-After: {rest}\r\n");
-            write(stream, &shed(seen).replacen("\r\n", &rest, 1));
+            let rest = format!("Retry-After: {rest}");
+            write(stream, &with_line(&shed(seen), &rest));
         } else {
             write(stream, &whole(seen, "back"));
         }
--- a/crates/transport/relay/tests/support/back_end.rs
+++ b/crates/transport/relay/tests/support/back_end.rs
@@ -11,15 +11,13 @@
 pub struct Seen {
     pub head: String,
     pub body: Vec<u8>,
+    /// When its head was there.
+    pub at: Instant,
 }
 
 impl Seen {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let mut lines = self.head.lines().skip(1);
-        lines.find_map(|line| {
-            let (found, value) = line.split_once(':')?;
-            found.eq_ignore_ascii_case(name).then(|| value.trim())
-        })
+        header_of(&self.head, name)
     }
 
     pub fn id(&self) -> &str {
@@ -27,6 +25,15 @@
     }
 }
 
+/// A header's value in the head of a message.
+pub fn header_of<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let mut lines = head.lines().skip(1);
+    lines.find_map(|line| {
+        let (found, value) = line.split_once(':')?;
+        found.eq_ignore_ascii_case(name).then(|| value.trim())
+    })
+}
+
 /// What a back end does with one request; returns whether it keeps the connection.
 pub type Script = dyn Fn(&mut TcpStream, &Seen, usize) -> bool + Send + Sync;
 
@@ -86,6 +93,12 @@
         self.seen.lock().expect("lock").len()
     }
 
+    /// Moments at which requests reached it.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        let seen = self.seen.lock().expect("lock");
+        seen.iter().map(|seen| seen.at).collect()
+    }
+
     pub fn first(&self) -> Seen {
         self.seen.lock().expect("lock")[0].clone()
     }
@@ -118,6 +131,7 @@
     let mut seen = Seen {
         head,
         body: bytes[end..].to_vec(),
+        at: Instant::now(),
     };
     let length: usize = seen
         .header("content-length")
@@ -144,6 +158,19 @@
     )
 }
 
+/// An answer with one line more in its head.
+pub fn with_line(answer: &str, line: &str) -> String {
+    answer.replacen("\r\n", &format!("\r\n{line}\r\n"), 1)
+}
+
+/// A back end that answers each request with the same body.
+pub fn answering(body: &'static str) -> StandIn {
+    StandIn::start(move |stream, seen, _| {
+        write(stream, &whole(seen, body));
+        true
+    })
+}
+
 /// A back end's word that it has not run the request.
 pub fn shed(seen: &Seen) -> String {
     let id = seen.id();
--- a/crates/transport/relay/tests/support/caller.rs
+++ b/crates/transport/relay/tests/support/caller.rs
@@ -1,6 +1,7 @@
 //! Callers, and the answers that they read.
 
-use super::{HOST, KEY, Seen, find, write};
+use super::back_end::header_of;
+use super::{HOST, KEY, find, write};
 use std::io::{ErrorKind, Read};
 use std::net::TcpStream;
 
@@ -20,11 +21,7 @@
 
 impl Answer {
     pub fn header(&self, name: &str) -> Option<String> {
-        let seen = Seen {
-            head: self.head.clone(),
-            body: Vec::new(),
-        };
-        seen.header(name).map(str::to_owned)
+        header_of(&self.head, name).map(str::to_owned)
     }
 }
 
--- a/crates/transport/relay/tests/support/mod.rs
+++ b/crates/transport/relay/tests/support/mod.rs
@@ -10,8 +10,8 @@
 mod running;
 
 pub use back_end::{
-    Seen, StandIn, chunk, event, find, read_request, reset, shed, stream_head, wait_for_close,
-    whole, write,
+    Seen, StandIn, answering, chunk, event, find, read_request, reset, shed, stream_head,
+    wait_for_close, whole, with_line, write,
 };
 pub use caller::{Answer, Caller};
 pub use documents::{cache_protocol, vocabulary};
