--- /dev/null
+++ b/crates/coordination/dispatch/tests/limit_notices.rs
@@ -0,0 +1,145 @@
+//! What nodes tell each other of the rate limits that back ends name.
+
+mod support;
+
+use eiderferry_dispatch::{Dispatcher, LimitReport, Outcome, RateLimit};
+use eiderferry_routing::{BackEnd, InstanceId};
+use eiderferry_types::{Span, Timestamp};
+use rstest::rstest;
+use support::limits::{SETTLING_MS, alone, answer_with, give_documents, limit, sent_at};
+use support::{
+    Fleet, back_end, back_end_change, demand, dispatcher, granted, node_address, table_change,
+};
+
+/// Time in which all nodes come to know of a limit, in seconds.
+const KNOWN_WITHIN: u64 = 3;
+
+/// A node that starts is told of limits before it hears which back ends there are.
+#[test]
+fn a_node_that_hears_of_a_limit_before_the_engine_is_listed_keeps_it() {
+    let (mut teller, now) = alone(1);
+    answer_with(&mut teller, 0, Some(1.0), now);
+    let answer = teller.answer(node_address(1), now);
+    let mut starting = dispatcher(1, 0, vec![node_address(0)]);
+    starting.receive(node_address(0), &answer, now);
+    starting.apply(table_change(1), now);
+    starting.apply(back_end_change(back_end("engine-0", 0, 0), 2), now);
+    assert_eq!(sent_at(&mut starting, now, 1_000), []);
+}
+
+/// Engines that name a limit at once, where a whole rack is in need.
+const MANY: usize = 100;
+/// Bytes a second that a node may send for them: a quarter of what control may take in all, and
+/// in the first seconds as much as all of it.
+const MOST_BYTES_A_SECOND: f64 = 500.0;
+const MOST_AT_FIRST: f64 = 2_000.0;
+
+/// Bytes that each node sent in a second, over some seconds.
+fn bytes_a_second(fleet: &mut Fleet, seconds: u64) -> f64 {
+    fleet.bytes = 0;
+    fleet.run(seconds * 1_000);
+    fleet.bytes as f64 / fleet.nodes.len() as f64 / seconds as f64
+}
+
+/// A node sends a request to each of many engines, whose answers name a limit or none. Returns
+/// the bytes a second and node in the next three seconds, and later.
+fn bytes_of_answers(nodes: usize, zones: usize, named: Option<RateLimit>) -> [f64; 2] {
+    let mut fleet = Fleet::new(nodes, zones);
+    let engines = (0..MANY).map(|number| {
+        let engine = back_end(&format!("engine-{number}"), number, number % zones);
+        back_end_change(engine, 1)
+    });
+    fleet.first_documents = engines.collect();
+    for number in 0..nodes {
+        give_documents(&mut fleet, number);
+    }
+    fleet.run_with_platform(SETTLING_MS, 1);
+    fleet.measure_bytes();
+    let now = fleet.now;
+    for number in 0..MANY {
+        let mut demand = demand(number as u64, 1_000, 100);
+        demand.only = Some(format!("engine-{number}").as_str().into());
+        let lease = granted(fleet.nodes[0].ask(&demand, now)).lease;
+        fleet.nodes[0].note_limit(lease, named, now);
+        fleet.nodes[0].end(lease, Outcome::Completed, now);
+    }
+    let first = bytes_a_second(&mut fleet, KNOWN_WITHIN);
+    let knowing = fleet.nodes.iter();
+    let knowing = knowing.filter(|node| node.snapshot(fleet.now).limited == MANY);
+    let expected = if named.is_some() { nodes } else { 0 };
+    assert_eq!(knowing.count(), expected, "nodes that know all limits");
+    fleet.run(3_000);
+    [first, bytes_a_second(&mut fleet, 5)]
+}
+
+#[rstest]
+#[case::with_aggregators(72, 3)]
+#[case::large(295, 5)]
+fn limits_of_many_engines_reach_all_nodes_in_few_bytes(#[case] nodes: usize, #[case] zones: usize) {
+    let [first_without, later_without] = bytes_of_answers(nodes, zones, None);
+    let [first, later] = bytes_of_answers(nodes, zones, Some(limit(1.0)));
+    let (first, later) = (first - first_without, later - later_without);
+    println!("{first} bytes a second and node at first, {later} later");
+    assert!(first < MOST_AT_FIRST, "{first} bytes a second at first");
+    assert!(later < MOST_BYTES_A_SECOND, "{later} bytes a second");
+}
+
+/// What another node of the zone tells of a limit.
+fn report(back_end: &str, started_unix_ms: Option<u64>, rate: Option<f64>) -> LimitReport {
+    LimitReport {
+        back_end: InstanceId::from(back_end).digest() as u32,
+        started_unix_ms,
+        limit: rate.map(limit),
+        age_ms: 0,
+    }
+}
+
+fn hear(subject: &mut Dispatcher, limits: Vec<LimitReport>, now: Timestamp) {
+    let mut teller = dispatcher(1, 0, vec![node_address(0)]);
+    let mut message = teller.gossip(false, now);
+    message.limits = limits;
+    subject.receive(node_address(1), &message, now);
+}
+
+/// Not every node knows when a run started: its entry may tell that only later.
+#[rstest]
+#[case::known_here(None, Some(5))]
+#[case::known_there(Some(5), None)]
+fn a_limit_ends_for_nodes_that_know_different_starts(
+    #[case] told: Option<u64>,
+    #[case] listed: Option<u64>,
+) {
+    let (mut subject, now) = alone(1);
+    let engine = BackEnd {
+        started_unix_ms: listed,
+        ..back_end("engine-0", 0, 0)
+    };
+    subject.apply(back_end_change(engine, 3), now);
+    hear(
+        &mut subject,
+        vec![report("engine-0", told, Some(10.0))],
+        now,
+    );
+    // The other node was heard only now: who sends is settled a second later.
+    assert_eq!(subject.snapshot(now).limited, 1);
+    let settled = now + Span::from_milliseconds(1_500);
+    subject.tick(settled);
+    let later = settled + Span::from_milliseconds(1_500);
+    subject.tick(later);
+    answer_with(&mut subject, 0, None, later);
+    assert_eq!(subject.snapshot(later).limited, 0);
+}
+
+/// Only so many notices are kept; an engine whose notice gave way is not limited for good.
+#[test]
+fn a_flood_of_limits_is_bounded_and_leaves_no_engine_limited_for_good() {
+    let (mut subject, now) = alone(1);
+    answer_with(&mut subject, 0, Some(0.1), now);
+    let later = now + Span::from_milliseconds(100);
+    let flood = (0..5_000).map(|number| report(&format!("other-{number}"), None, Some(1.0)));
+    hear(&mut subject, flood.collect(), later);
+    assert_eq!(subject.snapshot(later).limited, 0);
+    let told = subject.answer(node_address(1), later).limits.len();
+    assert!(told <= 64, "{told} limits in one message");
+    assert_eq!(sent_at(&mut subject, later, 300), [0, 100, 200]);
+}
--- a/crates/coordination/dispatch/tests/limited_back_ends.rs
+++ b/crates/coordination/dispatch/tests/limited_back_ends.rs
@@ -1,21 +1,16 @@
 //! Back ends that name a rate limit: what all nodes together send them, whatever becomes of the
-//! nodes, and what callers hear.
+//! nodes.
 
 mod support;
 
-use eiderferry_dispatch::{Decision, Dispatcher, LeaseId, LimitReport, Outcome, RateLimit};
-use eiderferry_routing::{BackEnd, InstanceId};
-use eiderferry_types::{Reason, Span, Timestamp};
+use eiderferry_dispatch::{Decision, LeaseId, Outcome};
+use eiderferry_types::{Span, Timestamp};
 use rstest::rstest;
 use std::collections::{BTreeMap, BTreeSet};
-use support::{
-    Fleet, START, back_end, back_end_change, demand, dispatcher, engine_number, granted,
-    lapsed_change, node_address, table_change, with_engines,
-};
+use support::limits::{SETTLING_MS, give_documents, limit};
+use support::{Fleet, START, back_end, back_end_change, demand};
 
 const LIMITED: &str = "engine-1";
-/// Time in which the nodes of a fleet come to know each other.
-const SETTLING_MS: u64 = 15_000;
 /// Span over which requests are counted, and the bound in it over all nodes: half as many again
 /// as the limit allows, and some that were on their way.
 const WINDOW: Span = Span::from_milliseconds(4_000);
@@ -30,10 +25,6 @@
 /// Requests to each node between two ticks.
 const ASKED_PER_TICK: u64 = 3;
 
-fn limit(rate: f64) -> RateLimit {
-    RateLimit::from_requests_per_second(rate).expect("a limit")
-}
-
 /// A request that reached the limited engine.
 #[derive(Clone, Copy, Debug)]
 struct Arrival {
@@ -179,13 +170,6 @@
     }
 }
 
-fn give_documents(fleet: &mut Fleet, number: usize) {
-    let now = fleet.now;
-    for change in fleet.first_documents.clone() {
-        fleet.nodes[number].apply(change, now);
-    }
-}
-
 #[rstest]
 #[case::small_and_low(8, 4, 0.2)]
 #[case::small(8, 4, 1.0)]
@@ -361,273 +345,3 @@
     let free = day.arrivals_within(1);
     assert!(free > nodes, "{free} requests in a second once it is over");
 }
-
-/// A node alone before engines, long after its start.
-fn alone(engines: usize) -> (Dispatcher, Timestamp) {
-    let mut subject = with_engines(engines);
-    subject.tick(START);
-    let now = START + Span::from_milliseconds(SETTLING_MS);
-    subject.tick(now);
-    (subject, now)
-}
-
-/// Sends a request to the engine of that number, whose answer names a limit or none.
-fn answer_with(subject: &mut Dispatcher, number: usize, rate: Option<f64>, now: Timestamp) {
-    let lease = lease_at(subject, number, now);
-    subject.note_limit(lease, rate.map(limit), now);
-    subject.end(lease, Outcome::Completed, now);
-}
-
-fn lease_at(subject: &mut Dispatcher, number: usize, now: Timestamp) -> LeaseId {
-    for thing in 0..200 {
-        let grant = granted(subject.ask(&demand(thing, 1_000, 100), now));
-        if engine_number(&grant) == number {
-            return grant.lease;
-        }
-        subject.end(grant.lease, Outcome::Completed, now);
-    }
-    panic!("engine {number} got nothing");
-}
-
-/// When the only engine gets requests while many are sent.
-fn sent_at(subject: &mut Dispatcher, from: Timestamp, milliseconds: u64) -> Vec<u64> {
-    let ticks = (0..milliseconds / 100).filter(|tick| {
-        let now = from + Span::from_milliseconds(tick * 100);
-        subject.tick(now);
-        let decision = subject.ask(&demand(*tick, 1_000, 100), now);
-        let Decision::Grant(grant) = decision else {
-            return false;
-        };
-        subject.end(grant.lease, Outcome::Completed, now);
-        true
-    });
-    ticks.map(|tick| tick * 100).collect()
-}
-
-#[test]
-fn a_sender_sends_at_the_pace_of_the_limit_and_saves_nothing_up() {
-    let (mut subject, now) = alone(1);
-    answer_with(&mut subject, 0, Some(0.5), now);
-    assert_eq!(sent_at(&mut subject, now, 6_000), [2_000, 4_000]);
-    let later = now + Span::from_milliseconds(9_900);
-    assert_eq!(sent_at(&mut subject, later, 4_000), [0, 2_000]);
-}
-
-/// It would be lost to its pool for good: nobody would hear that it takes requests again.
-#[test]
-fn one_that_takes_nothing_is_asked_once_a_minute() {
-    let (mut subject, now) = alone(1);
-    answer_with(&mut subject, 0, Some(0.0), now);
-    assert_eq!(sent_at(&mut subject, now, 130_000), [60_000, 120_000]);
-}
-
-#[test]
-fn what_a_limited_engine_does_not_take_goes_to_others() {
-    let (mut subject, now) = alone(2);
-    answer_with(&mut subject, 1, Some(1.0), now);
-    for thing in 0..40 {
-        let grant = granted(subject.ask(&demand(thing, 1_000, 100), now));
-        assert_eq!(engine_number(&grant), 0);
-        subject.end(grant.lease, Outcome::Completed, now);
-    }
-}
-
-/// The limits hold for all nodes together, so that no other one takes the caller sooner.
-#[rstest]
-#[case::one_low([0.1, 0.1], 5_000)]
-#[case::together([0.5, 0.25], 1_333)]
-#[case::high([20.0, 20.0], 500)]
-fn where_all_are_limited_callers_hear_when_one_takes_a_request(
-    #[case] rates: [f64; 2],
-    #[case] milliseconds: u64,
-) {
-    let (mut subject, now) = alone(2);
-    for (number, rate) in rates.into_iter().enumerate() {
-        let lease = lease_at(&mut subject, number, now);
-        subject.note_limit(lease, Some(limit(rate)), now);
-    }
-    match subject.ask(&demand(7, 1_000, 100), now) {
-        Decision::Refuse(reason, retry_after) => {
-            assert_eq!(reason, Reason::BackEndsLimited);
-            assert_eq!(retry_after.milliseconds(), milliseconds);
-        }
-        granted => panic!("expected a refusal, got {granted:?}"),
-    }
-}
-
-/// Answers overtake each other: one to a request sent before the limit was named says nothing of
-/// its end.
-#[test]
-fn an_older_answer_without_a_limit_does_not_end_it() {
-    let (mut subject, now) = alone(1);
-    let older = lease_at(&mut subject, 0, now);
-    answer_with(
-        &mut subject,
-        0,
-        Some(1.0),
-        now + Span::from_milliseconds(10),
-    );
-    let later = now + Span::from_milliseconds(500);
-    subject.note_limit(older, None, later);
-    assert_eq!(sent_at(&mut subject, later, 400), []);
-    let next = now + Span::from_milliseconds(1_100);
-    answer_with(&mut subject, 0, None, next);
-    assert_eq!(sent_at(&mut subject, next, 300), [0, 100, 200]);
-}
-
-#[test]
-fn it_holds_for_an_entry_that_lapses_and_returns_and_not_for_the_next_run() {
-    let (mut subject, now) = alone(1);
-    let started = |at: u64| BackEnd {
-        started_unix_ms: Some(at),
-        ..back_end("engine-0", 0, 0)
-    };
-    subject.apply(back_end_change(started(1), 3), now);
-    answer_with(&mut subject, 0, Some(0.01), now);
-    subject.apply(lapsed_change("engine-0", 4), now);
-    subject.tick(now + Span::from_milliseconds(2_500));
-    let back = now + Span::from_milliseconds(3_000);
-    subject.apply(back_end_change(started(1), 5), back);
-    assert_eq!(sent_at(&mut subject, back, 1_000), []);
-    let again = now + Span::from_milliseconds(5_000);
-    subject.apply(back_end_change(started(2), 6), again);
-    assert_eq!(sent_at(&mut subject, again, 300), [0, 100, 200]);
-}
-
-/// A node that starts is told of limits before it hears which back ends there are.
-#[test]
-fn a_node_that_hears_of_a_limit_before_the_engine_is_listed_keeps_it() {
-    let (mut teller, now) = alone(1);
-    answer_with(&mut teller, 0, Some(1.0), now);
-    let answer = teller.answer(node_address(1), now);
-    let mut starting = dispatcher(1, 0, vec![node_address(0)]);
-    starting.receive(node_address(0), &answer, now);
-    starting.apply(table_change(1), now);
-    starting.apply(back_end_change(back_end("engine-0", 0, 0), 2), now);
-    assert_eq!(sent_at(&mut starting, now, 1_000), []);
-}
-
-#[rstest]
-#[case::negative(-1.0)]
-#[case::endless(f64::INFINITY)]
-#[case::not_a_number(f64::NAN)]
-fn some_numbers_are_no_limits(#[case] rate: f64) {
-    assert_eq!(RateLimit::from_requests_per_second(rate), None);
-}
-
-/// Engines that name a limit at once, where a whole rack is in need.
-const MANY: usize = 100;
-/// Bytes a second that a node may send for them: a quarter of what control may take in all, and
-/// in the first seconds as much as all of it.
-const MOST_BYTES_A_SECOND: f64 = 500.0;
-const MOST_AT_FIRST: f64 = 2_000.0;
-
-/// Bytes that each node sent in a second, over some seconds.
-fn bytes_a_second(fleet: &mut Fleet, seconds: u64) -> f64 {
-    fleet.bytes = 0;
-    fleet.run(seconds * 1_000);
-    fleet.bytes as f64 / fleet.nodes.len() as f64 / seconds as f64
-}
-
-/// A node sends a request to each of many engines, whose answers name a limit or none. Returns
-/// the bytes a second and node in the next three seconds, and later.
-fn bytes_of_answers(nodes: usize, zones: usize, named: Option<RateLimit>) -> [f64; 2] {
-    let mut fleet = Fleet::new(nodes, zones);
-    let engines = (0..MANY).map(|number| {
-        let engine = back_end(&format!("engine-{number}"), number, number % zones);
-        back_end_change(engine, 1)
-    });
-    fleet.first_documents = engines.collect();
-    for number in 0..nodes {
-        give_documents(&mut fleet, number);
-    }
-    fleet.run_with_platform(SETTLING_MS, 1);
-    fleet.measure_bytes();
-    let now = fleet.now;
-    for number in 0..MANY {
-        let mut demand = demand(number as u64, 1_000, 100);
-        demand.only = Some(format!("engine-{number}").as_str().into());
-        let lease = granted(fleet.nodes[0].ask(&demand, now)).lease;
-        fleet.nodes[0].note_limit(lease, named, now);
-        fleet.nodes[0].end(lease, Outcome::Completed, now);
-    }
-    let first = bytes_a_second(&mut fleet, 3);
-    let knowing = fleet.nodes.iter();
-    let knowing = knowing.filter(|node| node.snapshot(fleet.now).limited == MANY);
-    let expected = if named.is_some() { nodes } else { 0 };
-    assert_eq!(knowing.count(), expected, "nodes that know all limits");
-    fleet.run(3_000);
-    [first, bytes_a_second(&mut fleet, 5)]
-}
-
-#[rstest]
-#[case::with_aggregators(72, 3)]
-#[case::large(295, 5)]
-fn limits_of_many_engines_reach_all_nodes_in_few_bytes(#[case] nodes: usize, #[case] zones: usize) {
-    let [first_without, later_without] = bytes_of_answers(nodes, zones, None);
-    let [first, later] = bytes_of_answers(nodes, zones, Some(limit(1.0)));
-    let (first, later) = (first - first_without, later - later_without);
-    println!("{first} bytes a second and node at first, {later} later");
-    assert!(first < MOST_AT_FIRST, "{first} bytes a second at first");
-    assert!(later < MOST_BYTES_A_SECOND, "{later} bytes a second");
-}
-
-/// What another node of the zone tells of a limit.
-fn report(back_end: &str, started_unix_ms: Option<u64>, rate: Option<f64>) -> LimitReport {
-    LimitReport {
-        back_end: InstanceId::from(back_end).digest() as u32,
-        started_unix_ms,
-        limit: rate.map(limit),
-        age_ms: 0,
-    }
-}
-
-fn hear(subject: &mut Dispatcher, limits: Vec<LimitReport>, now: Timestamp) {
-    let mut teller = dispatcher(1, 0, vec![node_address(0)]);
-    let mut message = teller.gossip(false, now);
-    message.limits = limits;
-    subject.receive(node_address(1), &message, now);
-}
-
-/// Not every node knows when a run started: its entry may tell that only later.
-#[rstest]
-#[case::known_here(None, Some(5))]
-#[case::known_there(Some(5), None)]
-fn a_limit_ends_for_nodes_that_know_different_starts(
-    #[case] told: Option<u64>,
-    #[case] listed: Option<u64>,
-) {
-    let (mut subject, now) = alone(1);
-    let engine = BackEnd {
-        started_unix_ms: listed,
-        ..back_end("engine-0", 0, 0)
-    };
-    subject.apply(back_end_change(engine, 3), now);
-    hear(
-        &mut subject,
-        vec![report("engine-0", told, Some(10.0))],
-        now,
-    );
-    // The other node was heard only now: who sends is settled a second later.
-    assert_eq!(subject.snapshot(now).limited, 1);
-    let settled = now + Span::from_milliseconds(1_500);
-    subject.tick(settled);
-    let later = settled + Span::from_milliseconds(1_500);
-    subject.tick(later);
-    answer_with(&mut subject, 0, None, later);
-    assert_eq!(subject.snapshot(later).limited, 0);
-}
-
-/// Only so many notices are kept; an engine whose notice gave way is not limited for good.
-#[test]
-fn a_flood_of_limits_is_bounded_and_leaves_no_engine_limited_for_good() {
-    let (mut subject, now) = alone(1);
-    answer_with(&mut subject, 0, Some(0.1), now);
-    let later = now + Span::from_milliseconds(100);
-    let flood = (0..5_000).map(|number| report(&format!("other-{number}"), None, Some(1.0)));
-    hear(&mut subject, flood.collect(), later);
-    assert_eq!(subject.snapshot(later).limited, 0);
-    let told = subject.answer(node_address(1), later).limits.len();
-    assert!(told <= 64, "{told} limits in one message");
-    assert_eq!(sent_at(&mut subject, later, 300), [0, 100, 200]);
-}
--- a/crates/coordination/dispatch/tests/support/mod.rs
+++ b/crates/coordination/dispatch/tests/support/mod.rs
@@ -16,6 +16,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+pub mod limits;
 mod traffic;
 
 pub const START: Timestamp = Timestamp(10_000_000_000);
