--- a/crates/transport/relay/src/sending.rs
+++ b/crates/transport/relay/src/sending.rs
@@ -142,10 +142,12 @@
             return Err(Outcome::Replaced);
         }
         let may_be_ours = id.is_none_or(|_| is_ours);
-        let notice = Notice::read(&response, vocabulary);
-        if may_be_ours {
-            self.take_notice(lease, notice);
-        }
+        let notice = if may_be_ours {
+            Notice::read(&response, vocabulary)
+        } else {
+            Notice::default()
+        };
+        self.take_notice(lease, notice);
         if response.headers().contains_key(&vocabulary.not_run) && may_be_ours {
             return Err(Outcome::Shed);
         }
@@ -153,6 +155,7 @@
         if !is_ours || response.headers().contains_key(header::CONTENT_ENCODING) {
             return Err(Outcome::Broken);
         }
+        // Unlike a refusal, the answer of a run that names no limit shows that it is over.
         if lease.grant.has_limit && notice.limit == NamedLimit::Unnamed {
             lease.note_limit(None);
         }
