The limit of a back end that is gone is no longer told for good

Cause: limits were expired after the early return for nodes without a listed limited back end, so that with the last of them gone its notice stayed, and up to four went with every message. Change: they are expired first.

--- a/crates/coordination/dispatch/src/dispatcher/rate_limiting.rs
+++ b/crates/coordination/dispatch/src/dispatcher/rate_limiting.rs
@@ -60,6 +60,7 @@
     /// Renews which limited back ends this node sends to, and gives it a turn at those of which
     /// nothing is heard. Returns what has changed.
     pub(super) fn renew_limit_duties(&mut self, now: Timestamp) -> Vec<LimitChange> {
+        self.back_ends.expire_limits(now);
         let limited = self.back_ends.with_limits();
         if limited.is_empty() {
             return Vec::new();
@@ -96,7 +97,6 @@
                 changes.push(LimitChange { instance, stands });
             }
         }
-        self.back_ends.expire_limits(now);
         changes
     }
 
--- a/crates/coordination/dispatch/tests/limit_notices.rs
+++ b/crates/coordination/dispatch/tests/limit_notices.rs
@@ -2,7 +2,9 @@
 
 mod support;
 
-use eiderferry_dispatch::{Dispatcher, LimitReport, Outcome, RateLimit};
+use eiderferry_dispatch::{
+    Change, Content, Dispatcher, DocumentKey, LimitReport, Outcome, RateLimit,
+};
 use eiderferry_routing::{BackEnd, InstanceId};
 use eiderferry_types::{Span, Timestamp};
 use rstest::rstest;
@@ -143,3 +145,19 @@
     assert!(told <= 64, "{told} limits in one message");
     assert_eq!(sent_at(&mut subject, later, 300), [0, 100, 200]);
 }
+
+/// The back end is gone, and nobody needs to hear of it any more.
+#[test]
+fn the_limit_of_a_back_end_that_is_gone_is_not_told_for_good() {
+    let (mut subject, now) = alone(1);
+    answer_with(&mut subject, 0, Some(1.0), now);
+    let gone = Change {
+        key: DocumentKey::BackEnd(InstanceId::from("engine-0")),
+        revision: 3,
+        content: Content::Gone,
+    };
+    subject.apply(gone, now);
+    let later = now + Span::from_milliseconds(70_000);
+    subject.tick(later);
+    assert_eq!(subject.answer(node_address(1), later).limits, []);
+}
