Rate limits: what was there before is called, and the limiter is told more simply

Cause, on reading the change once more: the order of senders in the own zone was counted anew, beside Peers::sender_place, which keeps the hashes; whether two starts may be of one run stood three times; LimitNotice::is_silent was handed its own limit, and a change of standing was an option of an option. Now sender_place serves both, over Peers::before_own and Peers::staying; may_be_same_start of the routing crate serves the list, notices and limits. Comments of notices say notice where they said word, and give reasons without figures.

--- a/crates/coordination/dispatch/src/dispatcher/rate_limiting.rs
+++ b/crates/coordination/dispatch/src/dispatcher/rate_limiting.rs
@@ -93,9 +93,7 @@
             {
                 state.limiter.begin_probing(now);
             }
-            if let Some(stands) = state.limiter.change() {
-                changes.push(LimitChange { instance, stands });
-            }
+            changes.extend(state.limiter.change(&instance));
         }
         changes
     }
--- a/crates/coordination/dispatch/src/fleet/limit_senders.rs
+++ b/crates/coordination/dispatch/src/fleet/limit_senders.rs
@@ -1,7 +1,6 @@
 //! Which nodes send to a back end that has named a rate limit.
 
 use super::peers::Peers;
-use crate::load::cold_start::sender_rank;
 use eiderferry_routing::ZoneName;
 use std::collections::BTreeMap;
 
@@ -16,8 +15,7 @@
     /// Sorts the other nodes by their zones.
     pub(crate) fn by_zone(&self) -> NodesByZone<'_> {
         let mut hashes: BTreeMap<&ZoneName, Vec<u64>> = BTreeMap::new();
-        let staying = self.peers.values();
-        for peer in staying.filter(|peer| !peer.is_lost && !peer.is_stopping) {
+        for (_, peer) in self.staying() {
             hashes.entry(&peer.zone).or_default().push(peer.rank.hash());
         }
         NodesByZone {
@@ -33,24 +31,16 @@
     /// and a cut that parts them from the others parts the back end from these as well.
     pub fn place(&self, back_end: u32, zone: &ZoneName, senders: usize) -> Option<usize> {
         let before = if *zone == self.peers.zone {
-            self.before_own(back_end, |other| other == zone)
+            self.peers.sender_place(back_end)
         } else {
             let there = self.hashes.get(zone).map_or(0, Vec::len);
             if there >= senders {
                 return None;
             }
-            there + self.before_own(back_end, |other| other != zone)
+            let elsewhere = self.hashes.iter().filter(|(other, _)| **other != zone);
+            let elsewhere = elsewhere.flat_map(|(_, hashes)| hashes);
+            there + self.peers.before_own(back_end, elsewhere)
         };
         (before < senders).then_some(before)
     }
-
-    /// Nodes of some zones that come before this one in the order for a back end.
-    fn before_own(&self, back_end: u32, counts: impl Fn(&ZoneName) -> bool) -> usize {
-        let own = sender_rank(self.peers.own_hash(), back_end);
-        let zones = self.hashes.iter().filter(|(zone, _)| counts(zone));
-        let hashes = zones.flat_map(|(_, hashes)| hashes);
-        hashes
-            .filter(|hash| sender_rank(**hash, back_end) > own)
-            .count()
-    }
 }
--- a/crates/coordination/dispatch/src/fleet/peers.rs
+++ b/crates/coordination/dispatch/src/fleet/peers.rs
@@ -126,11 +126,6 @@
         }
     }
 
-    /// Hash of this node's address.
-    pub(super) fn own_hash(&self) -> u64 {
-        self.own_hash
-    }
-
     /// Takes over new seeds.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
         self.seeds = seeds;
@@ -393,18 +388,31 @@
     /// Place of a node of the own zone among those that send to a cold back end: the number
     /// of living nodes before it that are not stopping.
     pub(crate) fn sender_place(&self, back_end: u32) -> usize {
+        self.before_own(back_end, &self.staying_hashes)
+    }
+
+    /// How many of some nodes come before this one in the order of senders to a back end.
+    pub(super) fn before_own<'a>(
+        &self,
+        back_end: u32,
+        others: impl IntoIterator<Item = &'a u64>,
+    ) -> usize {
         let own = sender_rank(self.own_hash, back_end);
-        let others = self.staying_hashes.iter();
+        let others = others.into_iter();
         others
             .filter(|hash| sender_rank(**hash, back_end) > own)
             .count()
     }
 
-    /// Peers of the own zone that are there and not stopping.
+    /// Peers that are there and not stopping.
+    pub(super) fn staying(&self) -> impl Iterator<Item = (&SocketAddr, &Peer)> {
+        let peers = self.peers.iter();
+        peers.filter(|(_, peer)| !peer.is_lost && !peer.is_stopping)
+    }
+
+    /// Those of the own zone.
     fn staying_near(&self) -> impl Iterator<Item = (&SocketAddr, &Peer)> {
-        let near = self.peers.iter();
-        let near = near.filter(|(_, peer)| !peer.is_lost && peer.zone == self.zone);
-        near.filter(|(_, peer)| !peer.is_stopping)
+        self.staying().filter(|(_, peer)| peer.zone == self.zone)
     }
 
     /// Living peers that know documents beyond a revision.
--- a/crates/coordination/dispatch/src/load/limit_notices.rs
+++ b/crates/coordination/dispatch/src/load/limit_notices.rs
@@ -6,7 +6,7 @@
 
 use crate::RateLimit;
 use crate::load::limiter::LimitNotice;
-use eiderferry_routing::BackEnd;
+use eiderferry_routing::{BackEnd, may_be_same_start};
 use eiderferry_types::{Span, Timestamp};
 use rand::Rng;
 use rand::seq::IteratorRandom;
@@ -77,8 +77,8 @@
 }
 
 impl Audience {
-    /// Whether it has not been told by those from whom this node heard: told back and
-    /// forth, 100 limits named at once took 13 kB a second of each of 72 nodes.
+    /// Whether it has not been told by those from whom this node heard: back and forth, each
+    /// notice would fill the messages of all nodes.
     fn lacks(self, heard_from: HeardFrom) -> bool {
         match self {
             Audience::OwnZone => heard_from != HeardFrom::OwnZone,
@@ -116,12 +116,6 @@
 }
 
 impl Entry {
-    /// Whether it may be of a run: not every entry of a list tells when its run started.
-    fn may_be_of(&self, run: Run) -> bool {
-        let starts = self.started_unix_ms.zip(run.started_unix_ms);
-        starts.is_none_or(|(known, other)| known == other)
-    }
-
     /// Takes over what the same run said, if it is later.
     fn renew(&mut self, notice: LimitNotice, heard_from: HeardFrom, now: Timestamp) {
         let is_change = notice.limit != self.notice.limit;
@@ -195,7 +189,9 @@
         now: Timestamp,
     ) -> Option<u32> {
         let known = self.entries.get_mut(&run.back_end);
-        if let Some(entry) = known.filter(|entry| entry.may_be_of(run)) {
+        let is_same =
+            |entry: &&mut Entry| may_be_same_start(entry.started_unix_ms, run.started_unix_ms);
+        if let Some(entry) = known.filter(is_same) {
             entry.renew(notice, heard_from, now);
             entry.started_unix_ms = run.started_unix_ms.or(entry.started_unix_ms);
             return None;
--- a/crates/coordination/dispatch/src/load/limiter.rs
+++ b/crates/coordination/dispatch/src/load/limiter.rs
@@ -55,15 +55,6 @@
     pub said_at: Timestamp,
 }
 
-impl LimitNotice {
-    /// Whether nothing was heard of the limit for so long that the senders probably have no
-    /// requests for the back end.
-    pub fn is_silent(&self, limit: RateLimit, now: Timestamp) -> bool {
-        let intervals = interval(limit).scaled(SILENT_INTERVALS);
-        now.since(self.said_at) > SHORTEST_SILENCE.max(intervals)
-    }
-}
-
 /// Rate at which requests are sent under a limit, of all nodes.
 fn rate(limit: RateLimit) -> f64 {
     limit.requests_per_second().max(LOWEST_RATE)
@@ -113,7 +104,7 @@
 
     /// The limit, where there is one.
     pub fn limit(&self) -> Option<RateLimit> {
-        self.notice?.limit
+        self.limit_and_time().map(|(limit, _)| limit)
     }
 
     /// How this node stands to the back end.
@@ -141,33 +132,38 @@
         self.probes_until = None;
     }
 
-    /// Renews this node's part in the limit; `share` tells it by the number of senders.
+    /// Renews this node's part in the limit; `share` tells it by the limit.
     pub fn renew_duty(&mut self, share: impl FnOnce(RateLimit) -> Option<Share>) {
-        let limited = self
-            .notice
-            .and_then(|notice| Some((notice.limit?, notice.said_at)));
-        let share = limited.and_then(|(limit, said_at)| Some((limit, said_at, share(limit)?)));
-        let Some((limit, said_at, share)) = share else {
-            self.duty = LimitDuty::Others;
+        let before = std::mem::take(&mut self.duty);
+        let Some((limit, said_at)) = self.limit_and_time() else {
             return;
         };
-        let shared = interval(limit).scaled(share.senders as f64);
-        if self.duty == LimitDuty::Others {
+        let Some(share) = share(limit) else {
+            return;
+        };
+        let interval = interval(limit).scaled(share.senders as f64);
+        if before == LimitDuty::Others {
             // Another sender may have sent what was answered last, so that it counts here. Those
             // that begin together are spread over the time between two requests.
             let after = 1.0 + share.place as f64 / share.senders as f64;
-            self.first_at = said_at + shared.scaled(after);
+            self.first_at = said_at + interval.scaled(after);
         }
-        self.duty = LimitDuty::Sender(shared);
+        self.duty = LimitDuty::Sender(interval);
     }
 
     /// The limit, where this node doesn't send and nothing was heard of it for so long that the
     /// senders probably have no requests for the back end.
     pub fn silent_limit(&self, now: Timestamp) -> Option<RateLimit> {
+        let (limit, said_at) = self.limit_and_time()?;
+        let longest = SHORTEST_SILENCE.max(interval(limit).scaled(SILENT_INTERVALS));
+        let is_silent = now.since(said_at) > longest;
+        (self.duty == LimitDuty::Others && is_silent).then_some(limit)
+    }
+
+    /// The limit, where there is one, and when the back end named it last.
+    fn limit_and_time(&self) -> Option<(RateLimit, Timestamp)> {
         let notice = self.notice?;
-        let limit = notice.limit?;
-        let is_silent = self.duty == LimitDuty::Others && notice.is_silent(limit, now);
-        is_silent.then_some(limit)
+        Some((notice.limit?, notice.said_at))
     }
 
     /// This node may send one request to hear whether the limit still holds.
@@ -175,11 +171,14 @@
         self.probes_until = Some(now + PROBING_TURN);
     }
 
-    /// How the limit stands for this node, if that has changed since the last call.
-    pub fn change(&mut self) -> Option<Option<(RateLimit, LimitDuty)>> {
+    /// How the limit of the back end stands for this node, if that has changed since the last call.
+    pub fn change(&mut self, instance: &InstanceId) -> Option<LimitChange> {
         let stands = self.limit().map(|limit| (limit, self.duty));
         let before = std::mem::replace(&mut self.logged, stands);
-        (before != stands).then_some(stands)
+        (before != stands).then(|| LimitChange {
+            instance: instance.clone(),
+            stands,
+        })
     }
 }
 
--- a/crates/coordination/dispatch/src/load/notices.rs
+++ b/crates/coordination/dispatch/src/load/notices.rs
@@ -1,15 +1,15 @@
 //! What back ends said of themselves in their answers.
 //!
-//! It is a run's own word, and holds for as long as the run does: while the platform is away no
-//! list says it, and an entry that lapses may come back as it was written before.
+//! It holds for as long as the run does: while the platform is away no list says it, and an entry
+//! that lapses may come back as it was written before.
 
-use eiderferry_routing::{BackEnd, InstanceId};
+use eiderferry_routing::{BackEnd, InstanceId, may_be_same_start};
 use eiderferry_types::{Span, Timestamp};
 use std::collections::{HashMap, VecDeque};
 
-/// Runs whose word is kept beyond their entries, some 100 bytes each. Of a fleet of 10,000 back
-/// ends, a tenth of which is replaced within an hour, this is the word of four hours; a listed
-/// back end keeps its own in any case.
+/// Runs whose notices are kept beyond their entries, some 100 bytes each: those of four hours in a
+/// fleet of 10,000 back ends, a tenth of which is replaced within an hour. A listed back end keeps
+/// its own in any case.
 const MOST_RUNS: usize = 4_096;
 
 /// What a run said of itself.
@@ -40,7 +40,7 @@
     notice: Notice,
 }
 
-/// The word of each run that said anything.
+/// The notices of all runs that said anything.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Notices {
     runs: HashMap<InstanceId, NoticedRun>,
@@ -68,8 +68,7 @@
             self.order.push_back(instance.clone());
         }
         let run = self.runs.entry(instance.clone()).or_default();
-        let starts = run.started_unix_ms.zip(started_unix_ms);
-        if starts.is_some_and(|(known, other)| known != other) {
+        if !may_be_same_start(run.started_unix_ms, started_unix_ms) {
             *run = NoticedRun::default();
         }
         run.started_unix_ms = started_unix_ms.or(run.started_unix_ms);
--- a/crates/coordination/dispatch/src/load/registry.rs
+++ b/crates/coordination/dispatch/src/load/registry.rs
@@ -51,9 +51,9 @@
 }
 
 impl BackEndState {
-    /// Whether it takes new work at all. Its own word counts as the list's does: while the
-    /// platform is away the list stays as it was, and what is sent to a back end that leaves is
-    /// lost when it ends. Unread, requests went there 6 s after the word, where 2 s are allowed.
+    /// Whether it takes new work at all. Its own notice counts as the list does: while the platform
+    /// is away the list stays as it was, and what is sent to a back end that leaves is lost when it
+    /// ends.
     pub fn takes_work(&self) -> bool {
         !self.back_end.draining && !self.notice.is_leaving && !self.health.is_replaced()
     }
--- a/crates/state/routing/src/back_end.rs
+++ b/crates/state/routing/src/back_end.rs
@@ -37,7 +37,13 @@
 
     /// Whether the run may be the one of this name that started then.
     pub fn may_have_started(&self, started_unix_ms: Option<u64>) -> bool {
-        let starts = self.started_unix_ms.zip(started_unix_ms);
-        starts.is_none_or(|(own, other)| own == other)
+        may_be_same_start(self.started_unix_ms, started_unix_ms)
     }
 }
+
+/// Whether two starts, of back ends of one name, may be those of one run: not everyone who speaks
+/// of a run knows when it started.
+pub fn may_be_same_start(one_unix_ms: Option<u64>, other_unix_ms: Option<u64>) -> bool {
+    let starts = one_unix_ms.zip(other_unix_ms);
+    starts.is_none_or(|(one, other)| one == other)
+}
--- a/crates/state/routing/src/lib.rs
+++ b/crates/state/routing/src/lib.rs
@@ -13,7 +13,7 @@
 mod table;
 mod urgency;
 
-pub use back_end::BackEnd;
+pub use back_end::{BackEnd, may_be_same_start};
 pub use cold_start::ColdStart;
 pub use error::TableError;
 pub use identity::{InstanceId, NodeName, PartId, PoolName, RegionName, ZoneName};
