What a back end says in one answer reaches the control thread as one notice

Cause: each header that a back end speaks by had a command, a method of the control handle and of the lease, and two methods of the dispatcher, for answers to requests and to calls, so that a further header had eight places to be forgotten in: the class of this incident. Now the notice itself goes through, taken in at one place for both (take_notice), and the dispatcher finds the run that answered (NoticeSource).

--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -19,6 +19,7 @@
 pub use cache_index::{CacheNews, CacheOrder};
 pub use granting::{Ended, ExpiredLease};
 pub(crate) use messages::{FAR_FANOUT, FAR_TICKS, NEAR_FANOUT, SPARSE_FAR_FANOUT};
+pub use noticing::NoticeSource;
 pub use reading::ReadingDuty;
 pub use unknown_names::UnknownName;
 
--- a/crates/coordination/dispatch/src/dispatcher/noticing.rs
+++ b/crates/coordination/dispatch/src/dispatcher/noticing.rs
@@ -1,43 +1,103 @@
 //! What back ends say of themselves in their answers, as it bears on this node's decisions.
 
 use super::{CacheOrder, Dispatcher};
-use crate::LeaseId;
+use crate::load::limiter::LimitNotice;
+use crate::{LeaseId, RateLimit};
 use eiderferry_routing::InstanceId;
 use eiderferry_types::{Span, Timestamp};
 
-impl Dispatcher {
-    /// An answer says that its back end is leaving: the back end gets nothing more from here.
-    /// Returns it if that was not known.
-    pub fn note_leaving(&mut self, lease: LeaseId) -> Option<InstanceId> {
-        let lease = self.leases.get(&lease)?;
-        let (instance, start) = (lease.instance.clone(), lease.started_unix_ms);
-        self.note_run_leaving(&instance, start).then_some(instance)
+/// What a back end has answered.
+#[derive(Clone, Copy, Debug)]
+pub enum NoticeSource<'a> {
+    /// A request, at a granted place.
+    Request(LeaseId),
+    /// A call for what an engine keeps.
+    Call(&'a CacheOrder),
+}
+
+impl From<LeaseId> for NoticeSource<'_> {
+    fn from(lease: LeaseId) -> Self {
+        Self::Request(lease)
     }
+}
 
-    /// The same of an engine that was called for what it keeps. Returns whether it is news.
-    pub fn note_called_leaving(&mut self, order: &CacheOrder) -> bool {
-        self.note_run_leaving(&order.instance, order.started_unix_ms)
+impl<'a> From<&'a CacheOrder> for NoticeSource<'a> {
+    fn from(order: &'a CacheOrder) -> Self {
+        Self::Call(order)
     }
+}
 
-    fn note_run_leaving(&mut self, instance: &InstanceId, started_unix_ms: Option<u64>) -> bool {
-        let is_new = self.back_ends.note_leaving(instance, started_unix_ms);
+/// The run of a back end that has answered.
+struct AnsweringRun {
+    instance: InstanceId,
+    started_unix_ms: Option<u64>,
+    /// When the request was sent, if it was one.
+    requested: Option<Timestamp>,
+}
+
+impl Dispatcher {
+    /// An answer says that its back end is leaving: the back end gets nothing more from here.
+    /// Returns it if that was not known.
+    pub fn note_leaving<'a>(&mut self, source: impl Into<NoticeSource<'a>>) -> Option<InstanceId> {
+        let run = self.answering_run(source.into())?;
+        let is_new = self
+            .back_ends
+            .note_leaving(&run.instance, run.started_unix_ms);
         if is_new {
             self.home_scopes.note_back_end();
         }
-        is_new
+        is_new.then_some(run.instance)
     }
 
     /// An answer says that its back end wants nothing from this node for so long.
-    pub fn note_rest(&mut self, lease: LeaseId, rest: Span, now: Timestamp) {
-        if let Some(lease) = self.leases.get(&lease) {
-            let start = lease.started_unix_ms;
-            self.back_ends.note_rest(&lease.instance, start, now + rest);
+    pub fn note_rest<'a>(
+        &mut self,
+        source: impl Into<NoticeSource<'a>>,
+        rest: Span,
+        now: Timestamp,
+    ) {
+        if let Some(run) = self.answering_run(source.into()) {
+            let until = now + rest;
+            self.back_ends
+                .note_rest(&run.instance, run.started_unix_ms, until);
+        }
+    }
+
+    /// An answer names a rate limit of its back end, or none.
+    pub fn note_limit<'a>(
+        &mut self,
+        source: impl Into<NoticeSource<'a>>,
+        limit: Option<RateLimit>,
+        now: Timestamp,
+    ) {
+        let Some(run) = self.answering_run(source.into()) else {
+            return;
+        };
+        // Answers overtake each other: that a limit is over is shown only by the answer to a
+        // request that was sent after the limit was named last.
+        let said_at = limit.map(|_| now).or(run.requested);
+        if let Some(said_at) = said_at {
+            let notice = LimitNotice { limit, said_at };
+            self.back_ends
+                .note_limit(&run.instance, run.started_unix_ms, notice, now);
         }
     }
 
-    /// The same of an engine that was called for what it keeps.
-    pub fn note_called_rest(&mut self, order: &CacheOrder, rest: Span, now: Timestamp) {
-        let start = order.started_unix_ms;
-        self.back_ends.note_rest(&order.instance, start, now + rest);
+    fn answering_run(&self, source: NoticeSource<'_>) -> Option<AnsweringRun> {
+        Some(match source {
+            NoticeSource::Request(lease) => {
+                let lease = self.leases.get(&lease)?;
+                AnsweringRun {
+                    instance: lease.instance.clone(),
+                    started_unix_ms: lease.started_unix_ms,
+                    requested: Some(lease.granted),
+                }
+            }
+            NoticeSource::Call(order) => AnsweringRun {
+                instance: order.instance.clone(),
+                started_unix_ms: order.started_unix_ms,
+                requested: None,
+            },
+        })
     }
 }
--- a/crates/coordination/dispatch/src/dispatcher/rate_limiting.rs
+++ b/crates/coordination/dispatch/src/dispatcher/rate_limiting.rs
@@ -1,9 +1,9 @@
-//! Rate limits that back ends name: what answers say of them, and this node's part in each.
+//! Rate limits that back ends name: what nodes tell each other, and this node's part in each.
 
-use super::{CacheOrder, Dispatcher, TICK};
+use super::{Dispatcher, TICK};
 use crate::load::limit_notices::{Audience, HeardFrom};
-use crate::load::limiter::{LimitNotice, PROBING_TURN, Share, probing_chance, senders};
-use crate::{Gossip, LeaseId, LimitChange, LimitDuty, LimitReport, RateLimit};
+use crate::load::limiter::{PROBING_TURN, Share, probing_chance, senders};
+use crate::{Gossip, LimitChange, LimitDuty, LimitReport};
 use eiderferry_types::{Span, Timestamp};
 use rand::Rng;
 
@@ -14,32 +14,6 @@
 const PROBING_TICKS: u64 = PROBING_TURN.0 / TICK.0;
 
 impl Dispatcher {
-    /// An answer names a rate limit of its back end, or none.
-    pub fn note_limit(&mut self, lease: LeaseId, limit: Option<RateLimit>, now: Timestamp) {
-        let Some(lease) = self.leases.get(&lease) else {
-            return;
-        };
-        // Answers overtake each other: that a limit is over is shown only by the answer to a
-        // request that was sent after the limit was named last.
-        let said_at = if limit.is_some() { now } else { lease.granted };
-        let notice = LimitNotice { limit, said_at };
-        let start = lease.started_unix_ms;
-        self.back_ends
-            .note_limit(&lease.instance, start, notice, now);
-    }
-
-    /// The answer of an engine that was called for what it keeps names a limit. Only answers to
-    /// requests show that it is over.
-    pub fn note_called_limit(&mut self, order: &CacheOrder, limit: RateLimit, now: Timestamp) {
-        let notice = LimitNotice {
-            limit: Some(limit),
-            said_at: now,
-        };
-        let start = order.started_unix_ms;
-        self.back_ends
-            .note_limit(&order.instance, start, notice, now);
-    }
-
     /// Takes over what another node tells of limits.
     pub(super) fn take_limits(&mut self, message: &Gossip, now: Timestamp) {
         let heard_from = if message.zone == self.settings.zone {
--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -15,8 +15,8 @@
 mod placement;
 
 pub use dispatcher::{
-    CacheNews, CacheOrder, Dispatcher, DispatcherSettings, Ended, ExpiredLease, ReadingDuty,
-    Received, Snapshot, TICK, TakenNews, TickOutput, UnknownName,
+    CacheNews, CacheOrder, Dispatcher, DispatcherSettings, Ended, ExpiredLease, NoticeSource,
+    ReadingDuty, Received, Snapshot, TICK, TakenNews, TickOutput, UnknownName,
 };
 pub use documents::document_service::{Admission, DocumentService, TransferId};
 pub use documents::knowledge::{Applied, Change, Content, DocumentKey, Knowledge};
--- a/crates/transport/relay/src/control.rs
+++ b/crates/transport/relay/src/control.rs
@@ -6,13 +6,14 @@
 use crate::events;
 use crate::gossip::PeerSocket;
 use crate::metrics;
-use crate::notice::Notice;
+use crate::notice::{NamedLimit, Notice};
 use crate::withdrawal::Withdrawals;
 use arc_swap::ArcSwapOption;
 use eiderferry_clock::Clock;
 use eiderferry_dispatch::{
     Applied, CacheOrder, Change, Decision, Demand, Dispatcher, DocumentKey, Envelope, LeaseId,
-    MessageKind, Outcome, QuarantineChange, RateLimit, ReadingDuty, StreamPacing, TICK, TakenNews,
+    MessageKind, NoticeSource, Outcome, QuarantineChange, ReadingDuty, StreamPacing, TICK,
+    TakenNews,
 };
 use eiderferry_routing::{InstanceId, RoutingTable, ZoneName};
 use eiderferry_types::{RequestDigest, Span, Timestamp};
@@ -49,12 +50,8 @@
     },
     /// The first event of a request came.
     FirstEvent(LeaseId),
-    /// The back end of a place says that it is leaving.
-    Leaving(LeaseId),
-    /// The back end of a place wants nothing from this node for so long.
-    Rests(LeaseId, Span),
-    /// The back end of a place names a rate limit, or none any more.
-    Limited(LeaseId, Option<RateLimit>),
+    /// The back end of a place says something of itself.
+    Noticed(LeaseId, Notice),
     /// A place is given back.
     End(LeaseId, Outcome, StreamPacing),
     /// A back end crashed under a request.
@@ -105,16 +102,8 @@
         self.tell(Command::FirstEvent(lease));
     }
 
-    pub fn leaving(&self, lease: LeaseId) {
-        self.tell(Command::Leaving(lease));
-    }
-
-    pub fn rests(&self, lease: LeaseId, rest: Span) {
-        self.tell(Command::Rests(lease, rest));
-    }
-
-    pub fn limited(&self, lease: LeaseId, limit: Option<RateLimit>) {
-        self.tell(Command::Limited(lease, limit));
+    pub fn noticed(&self, lease: LeaseId, notice: Notice) {
+        self.tell(Command::Noticed(lease, notice));
     }
 
     pub fn end(&self, lease: LeaseId, outcome: Outcome, pacing: StreamPacing) {
@@ -171,6 +160,28 @@
     }
 }
 
+/// Takes in what an answer says of its back end.
+fn take_notice(
+    dispatcher: &mut Dispatcher,
+    source: NoticeSource<'_>,
+    notice: Notice,
+    now: Timestamp,
+) {
+    if notice.is_leaving
+        && let Some(instance) = dispatcher.note_leaving(source)
+    {
+        events::back_end_leaving(&instance);
+    }
+    if let Some(rest) = notice.rest {
+        dispatcher.note_rest(source, rest, now);
+    }
+    match notice.limit {
+        NamedLimit::Named(limit) => dispatcher.note_limit(source, Some(limit), now),
+        NamedLimit::Over => dispatcher.note_limit(source, None, now),
+        NamedLimit::Unnamed | NamedLimit::Unreadable => {}
+    }
+}
+
 impl Control {
     pub fn new(
         dispatcher: Dispatcher,
@@ -218,13 +229,9 @@
                 }
             }
             Command::FirstEvent(lease) => dispatcher.first_event(lease, now),
-            Command::Leaving(lease) => {
-                if let Some(instance) = dispatcher.note_leaving(lease) {
-                    events::back_end_leaving(&instance);
-                }
+            Command::Noticed(lease, notice) => {
+                take_notice(&mut dispatcher, lease.into(), notice, now);
             }
-            Command::Rests(lease, rest) => dispatcher.note_rest(lease, rest, now),
-            Command::Limited(lease, limit) => dispatcher.note_limit(lease, limit, now),
             Command::End(lease, outcome, pacing) => {
                 dispatcher.note_pacing(lease, &pacing);
                 let ended = dispatcher.end(lease, outcome, now);
@@ -302,15 +309,7 @@
     /// Takes in what the answer to a call says of its engine.
     pub fn take_call_notice(&self, order: &CacheOrder, notice: Notice, now: Timestamp) {
         let mut dispatcher = self.dispatcher.borrow_mut();
-        if notice.is_leaving && dispatcher.note_called_leaving(order) {
-            events::back_end_leaving(&order.instance);
-        }
-        if let Some(rest) = notice.rest {
-            dispatcher.note_called_rest(order, rest, now);
-        }
-        if let Some(limit) = notice.limit.named() {
-            dispatcher.note_called_limit(order, limit, now);
-        }
+        take_notice(&mut dispatcher, order.into(), notice, now);
     }
 
     fn note_quarantine<'a>(
--- a/crates/transport/relay/src/lease.rs
+++ b/crates/transport/relay/src/lease.rs
@@ -2,8 +2,9 @@
 
 use crate::control::ControlHandle;
 use crate::metrics;
-use eiderferry_dispatch::{Grant, Outcome, RateLimit, StreamPacing};
-use eiderferry_types::{Span, Timestamp};
+use crate::notice::Notice;
+use eiderferry_dispatch::{Grant, Outcome, StreamPacing};
+use eiderferry_types::Timestamp;
 
 /// A place on a back end. Dropped without a word, it was abandoned.
 #[derive(Debug)]
@@ -30,19 +31,9 @@
         self.first_event();
     }
 
-    /// Its back end says that it is leaving.
-    pub fn note_leaving(&self) {
-        self.control.leaving(self.grant.lease);
-    }
-
-    /// Its back end wants nothing from this node for so long.
-    pub fn note_rest(&self, rest: Span) {
-        self.control.rests(self.grant.lease, rest);
-    }
-
-    /// Its back end names a rate limit, or none any more.
-    pub fn note_limit(&self, limit: Option<RateLimit>) {
-        self.control.limited(self.grant.lease, limit);
+    /// Its back end says something of itself.
+    pub fn note(&self, notice: Notice) {
+        self.control.noticed(self.grant.lease, notice);
     }
 
     /// The whole answer came.
--- a/crates/transport/relay/src/notice.rs
+++ b/crates/transport/relay/src/notice.rs
@@ -33,16 +33,8 @@
     Unreadable,
     /// It names this one.
     Named(RateLimit),
-}
-
-impl NamedLimit {
-    /// The limit, where one is named.
-    pub fn named(self) -> Option<RateLimit> {
-        match self {
-            Self::Named(limit) => Some(limit),
-            Self::Unnamed | Self::Unreadable => None,
-        }
-    }
+    /// It names none any more.
+    Over,
 }
 
 impl fmt::Display for NamedLimit {
@@ -51,6 +43,7 @@
             Self::Unnamed => formatter.write_str("none"),
             Self::Unreadable => formatter.write_str("unreadable"),
             Self::Named(limit) => limit.fmt(formatter),
+            Self::Over => formatter.write_str("over"),
         }
     }
 }
--- a/crates/transport/relay/src/sending.rs
+++ b/crates/transport/relay/src/sending.rs
@@ -155,9 +155,12 @@
         if !is_ours || response.headers().contains_key(header::CONTENT_ENCODING) {
             return Err(Outcome::Broken);
         }
-        // Unlike a refusal, the answer of a run that names no limit shows that it is over.
         if lease.grant.has_limit && notice.limit == NamedLimit::Unnamed {
-            lease.note_limit(None);
+            // Unlike a refusal, the answer of a run that names no limit shows that it is over.
+            lease.note(Notice {
+                limit: NamedLimit::Over,
+                ..Notice::default()
+            });
         }
         Ok((response, connection))
     }
@@ -170,16 +173,14 @@
         events::back_end_notice(&self.head.id, &lease.grant.instance, notice);
         if notice.is_leaving {
             metrics::notice("leaving");
-            lease.note_leaving();
         }
-        if let Some(rest) = notice.rest {
+        if notice.rest.is_some() {
             metrics::notice("rest");
-            lease.note_rest(rest);
         }
-        if let Some(limit) = notice.limit.named() {
+        if matches!(notice.limit, NamedLimit::Named(_)) {
             metrics::notice("limit");
-            lease.note_limit(Some(limit));
         }
+        lease.note(notice);
     }
 
     /// Longest wait for the head: until the request's time is over, or shorter where
