Tests: one count of what lies within a span, one way to post a request; comments in plain words

most_within serves cold starts and limits, which each counted for themselves; Running::post three tests of the relay.

--- a/crates/coordination/dispatch/src/placement/eligibility.rs
+++ b/crates/coordination/dispatch/src/placement/eligibility.rs
@@ -10,9 +10,8 @@
 enum Obstacle {
     /// It is leaving, or another run has its address.
     Leaving,
-    /// It has asked this node for a rest. That is neither a failure nor a cost: a back end with
-    /// many good answers that turned one request away got 120 of 120 further ones in 3 s of rest
-    /// while only failures were weighed, where 2 are allowed.
+    /// It has asked this node for a rest. That is neither a failure nor a cost, which its good
+    /// answers would outweigh.
     Resting,
     /// All nodes together send it what its rate limit allows, and it is not this node's turn. A
     /// cost would not do: what one node spares, each of the others may send.
--- a/crates/coordination/dispatch/tests/cold_start.rs
+++ b/crates/coordination/dispatch/tests/cold_start.rs
@@ -9,7 +9,7 @@
 use std::collections::BTreeMap;
 use support::{
     COLD_BOUND, ENGINES, Fleet, START, back_end, back_end_change, demand, dispatcher, granted,
-    table_change,
+    most_within, table_change,
 };
 
 const COLD_START: ColdStart = ColdStart {
@@ -158,17 +158,9 @@
     }
 }
 
-fn most_in_a_second(times: &[Timestamp]) -> usize {
-    let within = |from: &Timestamp| {
-        let later = times.iter().filter(|at| **at >= *from);
-        later.filter(|at| at.since(*from) < SECOND).count()
-    };
-    times.iter().map(within).max().unwrap_or(0)
-}
-
 fn assert_within_bound(arrivals: &Arrivals) {
     for (engine, times) in arrivals {
-        let most = most_in_a_second(times);
+        let most = most_within(times, SECOND, Timestamp::default());
         assert!(most <= MOST_IN_A_SECOND, "{engine}: {most} in a second");
     }
 }
--- a/crates/coordination/dispatch/tests/leaving_back_ends.rs
+++ b/crates/coordination/dispatch/tests/leaving_back_ends.rs
@@ -132,7 +132,7 @@
     assert!(!is_asked(&mut subject, after(9_300)));
 }
 
-/// An answer that was long under way is the word of a run that is over.
+/// An answer that was long under way may be of a run that is over.
 #[test]
 fn the_word_of_the_run_before_says_nothing_of_the_next() {
     let mut subject = before(1);
--- a/crates/coordination/dispatch/tests/limited_back_ends.rs
+++ b/crates/coordination/dispatch/tests/limited_back_ends.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 use std::collections::{BTreeMap, BTreeSet};
 use support::limits::{SETTLING_MS, give_documents, limit};
-use support::{Fleet, START, back_end, back_end_change, demand};
+use support::{Fleet, START, back_end, back_end_change, demand, most_within};
 
 const LIMITED: &str = "engine-1";
 /// Span over which requests are counted, and the bound in it over all nodes: half as many again
@@ -138,13 +138,7 @@
     fn most_in_window(&self) -> usize {
         let counted = self.arrivals.iter().filter(|arrival| arrival.counts);
         let times: Vec<Timestamp> = counted.map(|arrival| arrival.at).collect();
-        let known = self.named_at + KNOWN_WITHIN;
-        let ends = times.iter().filter(|at| **at >= known);
-        let counts = ends.map(|end| {
-            let within = times.iter().filter(|at| *at <= end);
-            within.filter(|at| end.since(**at) < WINDOW).count()
-        });
-        counts.max().unwrap_or(0)
+        most_within(&times, WINDOW, self.named_at + KNOWN_WITHIN)
     }
 
     fn assert_within(&self, rate: f64) {
--- a/crates/coordination/dispatch/tests/support/mod.rs
+++ b/crates/coordination/dispatch/tests/support/mod.rs
@@ -249,6 +249,16 @@
     }
 }
 
+/// Most of some moments that lie within a span which ends at one of them, from a moment on.
+pub fn most_within(times: &[Timestamp], span: Span, from: Timestamp) -> usize {
+    let ends = times.iter().filter(|at| **at >= from);
+    let counts = ends.map(|end| {
+        let before = times.iter().filter(|at| *at <= end);
+        before.filter(|at| end.since(**at) < span).count()
+    });
+    counts.max().unwrap_or(0)
+}
+
 pub fn granted(decision: Decision) -> Grant {
     match decision {
         Decision::Grant(grant) => grant,
--- a/crates/transport/relay/tests/leaving_back_ends.rs
+++ b/crates/transport/relay/tests/leaving_back_ends.rs
@@ -12,9 +12,9 @@
 //! read for what they are to the caller; what their heads say of the back end was dropped.
 //!
 //! The evidence: each of the later requests was granted its place within 4 ms of its coming, from
-//! a list that was 4 to 8 s old, and no entry of the engine was taken between the word and the
-//! next place. Below there is no platform that could say anything, and the next request after
-//! the word goes to the back end that gave it.
+//! a list that was 4 to 8 s old, and no entry of the engine was taken between that answer and
+//! the next place. Below there is no platform that could say anything, and the next request after
+//! such an answer goes to the back end that gave it.
 
 mod support;
 
@@ -22,8 +22,8 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 use support::{
-    Answer, PATIENCE, Running, Seen, StandIn, answering, chunk, event, shed, stream_head, whole,
-    with_line, write,
+    PATIENCE, Running, Seen, StandIn, answering, chunk, event, shed, stream_head, whole, with_line,
+    write,
 };
 
 /// Requests that were sent to the node this long after it had passed the word on may not reach
@@ -70,17 +70,13 @@
     })
 }
 
-fn call(relay: &Running, route: &str, number: usize) -> Answer {
-    relay.call("POST", &format!("/{route}/{number}"), "", "x")
-}
-
 /// Sends requests until an answer has said that the back end leaves.
 fn call_until_told(relay: &Running, route: &str, leaving: &StandIn) {
     let begun = Instant::now();
     let mut number = 0;
     while leaving.count() <= ANSWERED_BEFORE {
         assert!(begun.elapsed() < PATIENCE, "it was asked too rarely");
-        call(relay, route, number);
+        relay.post(route, number);
         number += 1;
     }
 }
@@ -100,7 +96,7 @@
     std::thread::sleep(DRAIN_TIME);
     let before = leaving.count();
     for number in 100..100 + LATER {
-        let answer = call(&relay, route, number);
+        let answer = relay.post(route, number);
         assert_eq!((answer.status, answer.body.as_str()), (200, "staying"));
     }
     assert_eq!(leaving.count() - before, 0, "requests reached it later");
--- a/crates/transport/relay/tests/limited_back_ends.rs
+++ b/crates/transport/relay/tests/limited_back_ends.rs
@@ -84,7 +84,7 @@
 
 fn call(relay: &Running, route: &str, number: usize) -> Answer {
     std::thread::sleep(PACE);
-    relay.call("POST", &format!("/{route}/{number}"), "", "x")
+    relay.post(route, number)
 }
 
 /// Callers press all nodes until the requests that count have come. Returns their answers.
--- a/crates/transport/relay/tests/resting_back_ends.rs
+++ b/crates/transport/relay/tests/resting_back_ends.rs
@@ -83,7 +83,7 @@
 
 fn call(relay: &Running, route: &str, number: usize) -> Answer {
     std::thread::sleep(PACE);
-    relay.call("POST", &format!("/{route}/{number}"), "", "x")
+    relay.post(route, number)
 }
 
 /// Sends requests until the back end has asked for its rest and the rest is over.
--- a/crates/transport/relay/tests/support/running.rs
+++ b/crates/transport/relay/tests/support/running.rs
@@ -273,6 +273,11 @@
         caller.answer()
     }
 
+    /// A request of that number on a route, on a connection of its own.
+    pub fn post(&self, route: &str, number: usize) -> Answer {
+        self.call("POST", &format!("/{route}/{number}"), "", "x")
+    }
+
     /// A caller whose machine takes little that it has not read.
     pub fn connect_slowly(&self) -> Caller {
         let kind = socket2::Type::STREAM;
