--- a/crates/coordination/dispatch/tests/limited_back_ends.rs
+++ b/crates/coordination/dispatch/tests/limited_back_ends.rs
@@ -184,15 +184,21 @@
     assert!((0.5..1.1).contains(&used), "{used} of the limit was used");
 }
 
-/// As many nodes as a run by hand asks for with `LIMIT_NODES` and `LIMIT_ZONES`, and 440 in eight
-/// zones without: in the first seconds most are told by their own answers, later few send.
+/// Nodes and zones: as many as a run by hand asks for with `LIMIT_NODES` and `LIMIT_ZONES`.
+fn size_or(nodes: usize, zones: usize) -> (usize, usize) {
+    let number = |name: &str| std::env::var(name).ok()?.parse::<usize>().ok();
+    (
+        number("LIMIT_NODES").unwrap_or(nodes),
+        number("LIMIT_ZONES").unwrap_or(zones),
+    )
+}
+
+/// In the first seconds most nodes are told by their own answers, later few send.
 #[rstest]
 #[case::one_a_second(1.0)]
 #[case::less(0.25)]
 fn a_fleet_of_many_zones_keeps_the_limit(#[case] rate: f64) {
-    let number = |name: &str| std::env::var(name).ok()?.parse::<usize>().ok();
-    let nodes = number("LIMIT_NODES").unwrap_or(440);
-    let zones = number("LIMIT_ZONES").unwrap_or(8);
+    let (nodes, zones) = size_or(440, 8);
     let mut day = Day::begin(nodes, zones);
     day.name(rate);
     day.press(12_000);
@@ -200,6 +206,49 @@
     assert!(day.used(rate, 8) > 0.4);
 }
 
+/// All of it in one day: the engine's zone starts anew, half of it is lost and comes back, it is
+/// cut off, one of its nodes is, and then the limit changes and ends.
+#[test]
+fn a_fleet_keeps_the_limit_while_nodes_and_the_limit_change() {
+    let (nodes, zones) = size_or(72, 3);
+    let mut day = Day::begin(nodes, zones);
+    day.name(1.0);
+    day.press(6_000);
+    let in_zone: Vec<usize> = (0..nodes).filter(|it| day.fleet.zones[*it] == 1).collect();
+    for node in &in_zone {
+        day.restart(*node);
+    }
+    day.press(5_000);
+    let lost: Vec<usize> = in_zone.iter().copied().step_by(2).collect();
+    day.fleet.dark.extend(lost.iter().copied());
+    day.press(3_000);
+    day.fleet.dark.clear();
+    for node in lost {
+        day.restart(node);
+    }
+    day.press(4_000);
+    let others = (0..zones).filter(|zone| *zone != 1);
+    day.fleet.cut = others.map(|zone| (zone, 1)).collect();
+    day.press(4_000);
+    day.fleet.cut.clear();
+    day.fleet.isolated = [in_zone[0]].into();
+    day.press(4_000);
+    day.fleet.isolated.clear();
+    day.press(4_000);
+    day.assert_within(1.0);
+    day.name(0.25);
+    day.press(8_000);
+    day.assert_within(0.25);
+    day.limit = None;
+    day.press(10_000);
+    let now = day.fleet.now;
+    let limited = day.fleet.nodes.iter();
+    let limited = limited
+        .filter(|node| node.snapshot(now).limited > 0)
+        .count();
+    assert_eq!(limited, 0, "nodes still hold it to be limited");
+}
+
 /// Senders end, stop as planned, come back as new runs, and others take their place.
 #[rstest]
 #[case::small(8, 4)]
