Log revisions behind this node and missing history; count source calls

Cause: after the store has come back, neither logs nor metrics tell whether its revisions have fallen, whether it refuses watches, or whether nodes read it at all.

Change: `history_gone` and `source_behind` are logged with the revisions concerned; `eiderferry_source_calls_total` counts calls by kind and outcome.

--- a/crates/transport/relay/src/events.rs
+++ b/crates/transport/relay/src/events.rs
@@ -54,6 +54,22 @@
     log::info!(event = "source_regained", silent_ms = silent_ms; "the source of documents is back");
 }
 
+/// The source of documents refused a call because it has no history after the given revision.
+pub fn history_gone(after: u64) {
+    log::warn!(
+        event = "history_gone", after = after;
+        "the source has no history after this revision"
+    );
+}
+
+/// A listing from the source of documents has a lower revision than this node has reached.
+pub fn source_behind(known_revision: u64, listed_revision: u64) {
+    log::warn!(
+        event = "source_behind", known = known_revision, named = listed_revision;
+        "listing has a lower revision than this node"
+    );
+}
+
 /// A peer was lost or regained.
 pub(crate) fn peer(change: &PeerChange) {
     match change {
--- a/crates/transport/relay/src/lib.rs
+++ b/crates/transport/relay/src/lib.rs
@@ -45,9 +45,12 @@
 pub use control::DocumentFeed;
 pub use eiderferry_clock::Clock;
 pub use event_stream::EventSplitter;
-pub use events::{document_doubtful, reloaded, source_lost, source_regained};
+pub use events::{
+    document_doubtful, history_gone, reloaded, source_behind, source_lost, source_regained,
+};
 pub use logging::{LogBudget, LogQueue, start as start_logging};
 pub use memory_budget::{HeldKind, MemoryBudget};
+pub use metrics::{SourceCall, source_call};
 pub use node::{Relay, Source, StartError};
 pub use settings::{RelaySettings, StopSettings};
 pub use vocabulary::Vocabulary;
--- a/crates/transport/relay/src/metrics.rs
+++ b/crates/transport/relay/src/metrics.rs
@@ -125,6 +125,26 @@
     .increment(bytes as u64);
 }
 
+/// Kind of call to the source of documents.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SourceCall {
+    /// Lists all documents.
+    List,
+    /// Waits for changes after a revision.
+    Watch,
+}
+
+/// Counts a finished call to the source of documents; a listing counts once, however many pages
+/// it has.
+pub fn source_call(call: SourceCall, outcome: &'static str) {
+    let call = match call {
+        SourceCall::List => "list",
+        SourceCall::Watch => "watch",
+    };
+    metrics::counter!("eiderferry_source_calls_total", "call" => call, "outcome" => outcome)
+        .increment(1);
+}
+
 /// A node that asked for documents was sent on to others.
 pub(crate) fn documents_sent_on() {
     metrics::counter!("eiderferry_documents_sent_on_total").increment(1);
