Own interface: order directories by epoch and version

Cause: nodes of the own interface order directories by the version that the platform assigns. A platform that restores its list from an older copy reuses versions, so a back end that leaves after the restore keeps getting new work until the versions exceed the highest one known.

Change: a directory has an epoch, 0 if the field is absent, which the platform raises with each restore. Nodes compare epoch and version, and send both in their requests.

Limitation: a node that starts between the restore and the rewrite of the lost changes accepts the copy as it is; its peers do not tell it which back ends left before.

--- a/bins/eiderferry-lab/src/capacity.rs
+++ b/bins/eiderferry-lab/src/capacity.rs
@@ -99,6 +99,7 @@
         state: EntryState::Live,
     });
     Directory {
+        epoch: 0,
         version: 1,
         nodes: nodes.collect(),
         back_ends: back_ends.collect(),
--- a/bins/eiderferry-lab/src/fleet.rs
+++ b/bins/eiderferry-lab/src/fleet.rs
@@ -73,6 +73,7 @@
             }
         }
         let directory = Directory {
+            epoch: 0,
             version: 1,
             nodes,
             back_ends,
--- a/crates/coordination/node/src/catalog.rs
+++ b/crates/coordination/node/src/catalog.rs
@@ -1,5 +1,6 @@
 //! The directory and the configuration, arranged for look-ups.
 
+use crate::restored_directory::LeavingOverrides;
 use eiderferry_config::{Configuration, Directory, EntryState, PoolKind};
 use eiderferry_types::{BackEndId, CellId, NodeId, PoolId, ZoneId};
 use std::collections::BTreeMap;
@@ -28,8 +29,12 @@
 }
 
 impl Catalog {
-    /// Arranges a directory by a configuration.
-    pub fn new(directory: &Directory, configuration: Arc<Configuration>) -> Self {
+    /// Arranges a directory by a configuration; back ends in `overrides` count as leaving.
+    pub(crate) fn new(
+        directory: &Directory,
+        configuration: Arc<Configuration>,
+        overrides: &LeavingOverrides,
+    ) -> Self {
         let mut catalog = Self {
             configuration: Some(configuration.clone()),
             ..Self::default()
@@ -52,22 +57,17 @@
                 pool: entry.role,
                 shard: shard_of(entry.id, shards),
             };
-            catalog.add_back_end(entry.id, entry.address, cell, entry.state);
+            let is_leaving = entry.state == EntryState::Leaving || overrides.contains(entry.id);
+            catalog.add_back_end(entry.id, entry.address, cell, is_leaving);
         }
         catalog
     }
 
-    fn add_back_end(
-        &mut self,
-        id: BackEndId,
-        address: SocketAddr,
-        cell: CellId,
-        state: EntryState,
-    ) {
+    fn add_back_end(&mut self, id: BackEndId, address: SocketAddr, cell: CellId, leaving: bool) {
         let entry = BackEndEntry {
             address,
             cell,
-            leaving: state == EntryState::Leaving,
+            leaving,
         };
         self.back_ends.insert(id, entry);
         let members = self.cells.entry(cell).or_default();
--- a/crates/coordination/node/src/documents.rs
+++ b/crates/coordination/node/src/documents.rs
@@ -154,9 +154,14 @@
     }
 
     fn accept_directory(&mut self, document: Directory) {
+        let previous = self.directory.current().cloned();
         if self.directory.offer(document) != Acceptance::Accepted {
             return;
         }
+        if let Some(newer) = self.directory.current() {
+            self.leaving_overrides
+                .update(previous.as_deref(), newer, self.now);
+        }
         self.confirm_directory();
         self.apply_members();
         self.rebuild_catalog();
@@ -166,6 +171,14 @@
         self.announce_version();
     }
 
+    /// Makes back ends available again once their leaving override has expired.
+    pub(crate) fn clear_expired_overrides(&mut self) {
+        if self.leaving_overrides.clear_if_expired(self.now) {
+            self.rebuild_catalog();
+            self.refresh_cell_members();
+        }
+    }
+
     fn apply_members(&mut self) {
         let Some(directory) = self.directory.current().cloned() else {
             return;
@@ -187,7 +200,7 @@
         else {
             return;
         };
-        self.catalog = Catalog::new(directory, configuration.clone());
+        self.catalog = Catalog::new(directory, configuration.clone(), &self.leaving_overrides);
     }
 
     /// Tells a few zone peers and one node elsewhere that there is a newer version.
--- a/crates/coordination/node/src/lib.rs
+++ b/crates/coordination/node/src/lib.rs
@@ -24,6 +24,7 @@
 mod releases;
 mod request;
 mod request_flow;
+mod restored_directory;
 mod retry;
 mod tenant_exchange;
 
--- a/crates/coordination/node/src/node.rs
+++ b/crates/coordination/node/src/node.rs
@@ -10,6 +10,7 @@
 use crate::probes::ProbeSchedule;
 use crate::releases::Releases;
 use crate::request::{LocalRequest, Phase};
+use crate::restored_directory::LeavingOverrides;
 use crate::retry::RetryBudget;
 use eiderferry_admission::{CellPolicy, CellSnapshot};
 use eiderferry_config::{Configuration, Directory};
@@ -78,6 +79,7 @@
     pub(crate) fleet: Fleet,
     pub(crate) configuration: Replica<Configuration>,
     pub(crate) directory: Replica<Directory>,
+    pub(crate) leaving_overrides: LeavingOverrides,
     pub(crate) catalog: Catalog,
     pub(crate) configuration_reads: ReadPlan,
     pub(crate) directory_reads: ReadPlan,
@@ -122,6 +124,7 @@
             fleet: Fleet::new(identity.node, identity.zone),
             configuration: Replica::default(),
             directory: Replica::default(),
+            leaving_overrides: LeavingOverrides::default(),
             catalog: Catalog::default(),
             configuration_reads: ReadPlan::default(),
             directory_reads: ReadPlan::default(),
@@ -195,6 +198,7 @@
         self.enter(now);
         self.probe();
         self.read_documents();
+        self.clear_expired_overrides();
         self.tick_cells();
         self.tick_requests();
         self.resend_releases();
--- a/crates/coordination/node/tests/crashing_requests.rs
+++ b/crates/coordination/node/tests/crashing_requests.rs
@@ -38,6 +38,7 @@
 
 fn directory() -> Directory {
     Directory {
+        epoch: 0,
         version: 1,
         nodes: (1..=NODES)
             .map(|number| DirectoryEntry {
--- a/crates/lab/emulator/src/platform_server.rs
+++ b/crates/lab/emulator/src/platform_server.rs
@@ -1,7 +1,7 @@
 //! The platform's read-only service, and a hand to change what it serves.
 
 use crate::http::{Server, query_number};
-use eiderferry_config::{Configuration, Directory};
+use eiderferry_config::{Configuration, Directory, Versioned, pack_directory_version};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -92,7 +92,7 @@
 impl Handler for PlatformHandler {
     async fn run(&self, conn: Conn) -> Conn {
         self.0.calls.fetch_add(1, Ordering::Relaxed);
-        let have = query_number(&conn, "after");
+        let mut have = query_number(&conn, "after");
         let state = self
             .0
             .state
@@ -106,7 +106,9 @@
             "/configuration" => (state.configuration_version, Some(state.configuration)),
             "/directory" => {
                 let text = serde_json::to_string(&state.directory).ok();
-                (state.directory.version, text)
+                let epoch = query_number(&conn, "epoch") as u16;
+                have = pack_directory_version(epoch, have);
+                (state.directory.version(), text)
             }
             _ => return conn.with_status(Status::NotFound).halt(),
         };
--- a/crates/lab/simulator/src/platform.rs
+++ b/crates/lab/simulator/src/platform.rs
@@ -3,7 +3,7 @@
 use crate::engines::SimBackEnd;
 use crate::nodes::SimNode;
 use crate::scenario::LagPlan;
-use eiderferry_config::{Configuration, Directory, DirectoryEntry, EntryState};
+use eiderferry_config::{Configuration, Directory, DirectoryEntry, EntryState, Versioned};
 use eiderferry_node::{DocumentKind, PlatformDocument};
 use eiderferry_types::{BackEndId, NodeId, Span, Timestamp};
 
@@ -29,6 +29,7 @@
 impl SimPlatform {
     pub fn new(configuration: &Configuration, nodes: &[SimNode], back_ends: &[SimBackEnd]) -> Self {
         let directory = Directory {
+            epoch: 0,
             version: 1,
             nodes: nodes.iter().map(SimNode::entry).collect(),
             back_ends: back_ends.iter().map(SimBackEnd::entry).collect(),
@@ -118,7 +119,7 @@
             DocumentKind::Directory => {
                 let lag = Span::from_milliseconds(lags.directory_ms);
                 let document = at(&self.directories, now - stale - lag);
-                let newer = document.filter(|document| document.version > have);
+                let newer = document.filter(|document| document.version() > have);
                 Ok(newer.cloned().map(PlatformDocument::Directory))
             }
         }
--- a/crates/protocol/platform/src/lib.rs
+++ b/crates/protocol/platform/src/lib.rs
@@ -2,13 +2,16 @@
 //!
 //! `GET /configuration?after=V` and `GET /directory?after=V` answer with the
 //! document if its version is newer than `V`, else with "not modified".
+//! `GET /directory` also takes `epoch=E`, the epoch of version `V`, 0 if absent.
+//! The platform raises the epoch of the directory with each restore from an
+//! older copy; directories are ordered by epoch, then by version.
 //! `GET /load?cache_after=N` is an engine's lagging word on its load, with the
 //! cache events after number `N`.
 
 #![forbid(unsafe_code)]
 
 use eiderferry_admission::LoadReport;
-use eiderferry_config::{Configuration, Directory};
+use eiderferry_config::{Configuration, Directory, unpack_directory_version};
 use eiderferry_node::{CacheNews, DocumentKind, PlatformDocument};
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
@@ -33,11 +36,13 @@
 
 /// Path of a document, with the version known.
 pub fn document_path(kind: DocumentKind, have: u64) -> String {
-    let name = match kind {
-        DocumentKind::Configuration => "configuration",
-        DocumentKind::Directory => "directory",
-    };
-    format!("/{name}?after={have}")
+    match kind {
+        DocumentKind::Configuration => format!("/configuration?after={have}"),
+        DocumentKind::Directory => {
+            let (epoch, version) = unpack_directory_version(have);
+            format!("/directory?after={version}&epoch={epoch}")
+        }
+    }
 }
 
 /// Reads a document as published.
--- a/crates/state/config/src/delta.rs
+++ b/crates/state/config/src/delta.rs
@@ -1,6 +1,9 @@
 //! Differences between two versions of a document, small enough to pass on.
 
-use crate::{Class, Configuration, Directory, DirectoryEntry, Pool, Tenant, Zone};
+use crate::{
+    Class, Configuration, Directory, DirectoryEntry, Pool, Tenant, Zone, pack_directory_version,
+    unpack_directory_version,
+};
 use eiderferry_types::{BackEndId, NodeId, PoolId, TenantId};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -139,13 +142,13 @@
     type Delta = DirectoryDelta;
 
     fn version(&self) -> u64 {
-        self.version
+        pack_directory_version(self.epoch, self.version)
     }
 
     fn delta_to(&self, newer: &Self) -> DirectoryDelta {
         DirectoryDelta {
-            base: self.version,
-            target: newer.version,
+            base: self.version(),
+            target: newer.version(),
             nodes: ListDelta::between(&self.nodes, &newer.nodes, |entry| entry.id),
             back_ends: ListDelta::between(&self.back_ends, &newer.back_ends, |entry| entry.id),
         }
@@ -160,11 +163,13 @@
     }
 
     fn apply(&self, delta: &DirectoryDelta) -> Option<Self> {
-        if delta.base != self.version {
+        if delta.base != self.version() {
             return None;
         }
+        let (epoch, version) = unpack_directory_version(delta.target);
         Some(Directory {
-            version: delta.target,
+            epoch,
+            version,
             nodes: delta.nodes.apply(&self.nodes, |entry| entry.id),
             back_ends: delta.back_ends.apply(&self.back_ends, |entry| entry.id),
         })
--- a/crates/state/config/src/lib.rs
+++ b/crates/state/config/src/lib.rs
@@ -16,6 +16,6 @@
 pub use error::{ConfigurationError, Problem};
 pub use published::{
     Class, Configuration, Directory, DirectoryEntry, EntryState, KeyDigest, Pool, PoolKind, Tenant,
-    TenantLimit, Zone,
+    TenantLimit, Zone, pack_directory_version, unpack_directory_version,
 };
 pub use settings::{LogFormat, OperatorSettings, PeerSettings, Settings};
--- a/crates/state/config/src/published.rs
+++ b/crates/state/config/src/published.rs
@@ -307,7 +307,11 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Default)]
 #[serde(deny_unknown_fields)]
 pub struct Directory {
-    /// Version: each change of the list has a larger one.
+    /// Epoch, 0 if absent: the platform raises it with each restore of the list from an older copy.
+    #[serde(default)]
+    pub epoch: u16,
+    /// Version, below 2^48: each change of the list within an epoch has a larger one. Versions
+    /// lost in a restore are reused in the next epoch.
     pub version: u64,
     /// Entry nodes; the address is the one for messages between nodes.
     pub nodes: Vec<DirectoryEntry<NodeId, ()>>,
@@ -315,6 +319,22 @@
     pub back_ends: Vec<DirectoryEntry<BackEndId, PoolId>>,
 }
 
+/// Width of the version in a packed directory version; the epoch is in the bits above.
+const VERSION_BITS: u32 = 48;
+
+/// Packs an epoch and a version into one number that orders directories by epoch, then by version.
+/// Versions of 2^48 and above are clamped to 2^48 - 1.
+pub fn pack_directory_version(epoch: u16, version: u64) -> u64 {
+    let version = version.min((1 << VERSION_BITS) - 1);
+    u64::from(epoch) << VERSION_BITS | version
+}
+
+/// Splits a packed directory version into its epoch and its version.
+pub fn unpack_directory_version(packed: u64) -> (u16, u64) {
+    let epoch = (packed >> VERSION_BITS) as u16;
+    (epoch, packed & ((1 << VERSION_BITS) - 1))
+}
+
 impl Directory {
     /// The back end with this number.
     pub fn back_end(&self, id: BackEndId) -> Option<&DirectoryEntry<BackEndId, PoolId>> {
