Log and count which part of the retry budget pays for a retry

Grants of retries name their source, the ratio of the node's own requests or its share of the fixed allowance; the number of nodes by which the allowance is divided is a gauge.

--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -144,6 +144,8 @@
 pub struct Snapshot {
     /// Peers held to be alive.
     pub live_peers: usize,
+    /// Largest number of nodes known at once, including this one.
+    pub known_nodes: u32,
     /// Known back ends.
     pub back_ends: usize,
     /// Back ends ejected for failures, which get no requests for now.
@@ -551,6 +553,7 @@
         let (followed_cache_count, cache_counts) = self.cache_counts();
         Snapshot {
             live_peers: self.peers.live_count(),
+            known_nodes: self.peers.max_known(),
             back_ends: self.back_ends.all().count(),
             ejected_back_ends: self
                 .back_ends
--- a/crates/coordination/dispatch/src/dispatcher/leases.rs
+++ b/crates/coordination/dispatch/src/dispatcher/leases.rs
@@ -147,15 +147,20 @@
         if !is_takeover && self.is_full(&plans[index].instance, &candidate, demand, now) {
             return Decision::Refuse(Reason::QueueFull, OVERLOAD_RETRY);
         }
+        let mut retry_source = None;
         if demand.is_retry {
             let nodes = self.peers.max_known();
-            if !self.retry_budget(&demand.pool).try_spend(now, nodes) {
+            retry_source = self.retry_budget(&demand.pool).try_spend(now, nodes);
+            if retry_source.is_none() {
                 return Decision::Refuse(Reason::RetryBudget, NO_BACK_END_RETRY);
             }
         }
         let plan = plans.swap_remove(index);
         match self.grant(plan, demand, now) {
-            Some(grant) => Decision::Grant(grant),
+            Some(grant) => Decision::Grant(Grant {
+                retry_source,
+                ..grant
+            }),
             None => Decision::Refuse(Reason::NoBackEnd, NO_BACK_END_RETRY),
         }
     }
@@ -241,6 +246,7 @@
             copy_from: plan.copy_from,
             replica,
             has_limit,
+            retry_source: None,
             candidate: Box::new(plan.candidate),
             revision,
             list_age,
--- a/crates/coordination/dispatch/src/fleet/retry_budget.rs
+++ b/crates/coordination/dispatch/src/fleet/retry_budget.rs
@@ -28,6 +28,25 @@
     pub window: Span,
 }
 
+/// The part of the limit from which a retry was taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetrySource {
+    /// The ratio of this node's own requests.
+    Requests,
+    /// This node's share of the fixed allowance.
+    Allowance,
+}
+
+impl RetrySource {
+    /// The name in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            RetrySource::Requests => "requests",
+            RetrySource::Allowance => "allowance",
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
     index: u64,
@@ -77,22 +96,23 @@
         self.bucket(now).requests += 1;
     }
 
-    /// Retries that may still be sent now, in a fleet of at most `nodes` nodes.
-    pub fn remaining(&mut self, now: Timestamp, nodes: u32) -> f64 {
+    /// Spends one retry if the budget of a fleet of at most `nodes` nodes allows it.
+    pub fn try_spend(&mut self, now: Timestamp, nodes: u32) -> Option<RetrySource> {
         self.bucket(now);
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
         let nodes = f64::from(nodes.max(ASSUMED_NODES));
-        let allowed = self.settings.ratio * f64::from(requests) + self.settings.allowance / nodes;
-        USABLE_SHARE * allowed - f64::from(retries)
-    }
-
-    /// Spends one retry if the budget allows it.
-    pub fn try_spend(&mut self, now: Timestamp, nodes: u32) -> bool {
-        if self.remaining(now, nodes) < 1.0 {
-            return false;
-        }
+        let from_requests = USABLE_SHARE * self.settings.ratio * f64::from(requests);
+        let from_allowance = USABLE_SHARE * self.settings.allowance / nodes;
+        let after = f64::from(retries + 1);
+        let source = if after <= from_requests {
+            RetrySource::Requests
+        } else if after <= from_requests + from_allowance {
+            RetrySource::Allowance
+        } else {
+            return None;
+        };
         self.bucket(now).retries += 1;
-        true
+        Some(source)
     }
 }
--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -30,7 +30,7 @@
     ChangeBatch, Envelope, FleetSummary, Gossip, LoadReport, Member, Placement, ZoneAge, ZoneDigest,
 };
 pub use fleet::peers::{PeerChange, Peers};
-pub use fleet::retry_budget::{RetryBudget, RetryBudgetSettings};
+pub use fleet::retry_budget::{RetryBudget, RetryBudgetSettings, RetrySource};
 pub use fleet::traffic::{Distance, MessageKind};
 pub use load::back_end_load::{BackEndLoad, Footprint, LoadSource, Occupancy, REPORT_LIFETIME};
 pub use load::cache::PrefixCache;
--- a/crates/coordination/dispatch/src/placement/demand.rs
+++ b/crates/coordination/dispatch/src/placement/demand.rs
@@ -1,6 +1,6 @@
 //! Requirements of a request, and the outcome of placing it.
 
-use crate::{Candidate, Revision};
+use crate::{Candidate, RetrySource, Revision};
 use eiderferry_routing::{AllowedRegions, InstanceId, PartId, PoolName};
 use eiderferry_types::{Reason, RequestDigest, Span};
 use std::net::SocketAddr;
@@ -86,6 +86,8 @@
     pub replica: Option<Box<ReplicaTarget>>,
     /// Whether the back end has stated a rate limit; a response that states none lifts it.
     pub has_limit: bool,
+    /// For a retry, the part of the retry budget that it was taken from.
+    pub retry_source: Option<RetrySource>,
     /// Estimates on which the choice of the back end rests.
     pub candidate: Box<Candidate>,
     /// Revision of the list of back ends on which the decision rests.
--- a/crates/coordination/dispatch/tests/retry_budget.rs
+++ b/crates/coordination/dispatch/tests/retry_budget.rs
@@ -13,7 +13,7 @@
 
 fn spend_all(budget: &mut RetryBudget, now: Timestamp, nodes: u32) -> u32 {
     let mut spent = 0;
-    while budget.try_spend(now, nodes) {
+    while budget.try_spend(now, nodes).is_some() {
         spent += 1;
     }
     spent
@@ -60,7 +60,7 @@
     for step in 0..600_u64 {
         let now = START + Span::from_milliseconds(step * 100);
         budget.record_request(now);
-        while budget.try_spend(now, 8) {
+        while budget.try_spend(now, 8).is_some() {
             spent.push(step);
         }
     }
--- a/crates/transport/relay/src/events.rs
+++ b/crates/transport/relay/src/events.rs
@@ -11,8 +11,8 @@
 use crate::upstream::ConnectionCheck;
 use eiderferry_dispatch::{
     ApplyOutcome, CacheUpdate, ColdRole, DocumentKey, ExpiredLease, Grant, HealthChange,
-    LimitChange, LimitRole, Outcome, PeerChange, QuarantineChange, ReceivedChange, Revision,
-    SplitChange, StreamPacing, UnknownName, WarmupChange,
+    LimitChange, LimitRole, Outcome, PeerChange, QuarantineChange, ReceivedChange, RetrySource,
+    Revision, SplitChange, StreamPacing, UnknownName, WarmupChange,
 };
 use eiderferry_routing::InstanceId;
 use eiderferry_types::{Reason, RequestDigest, Span, Timestamp};
@@ -305,7 +305,8 @@
         others_late_percent = percent(candidate.delayed_streams),
         memory_percent = percent(candidate.memory_fraction), revision:% = grant.revision,
         list_age_ms = grant.list_age.milliseconds(),
-        replica_at = grant.replica.as_ref().map_or("", |replica| replica.instance.as_str());
+        replica_at = grant.replica.as_ref().map_or("", |replica| replica.instance.as_str()),
+        retry_source = grant.retry_source.map_or("", RetrySource::as_str);
         "granted"
     );
 }
--- a/crates/transport/relay/src/exchange.rs
+++ b/crates/transport/relay/src/exchange.rs
@@ -192,6 +192,9 @@
                 if grant.replica.is_some() {
                     metrics::replica_started();
                 }
+                if let Some(source) = grant.retry_source {
+                    metrics::retry(source);
+                }
                 let control = self.traffic.control.clone();
                 Ok(Lease::new(grant, control, self.traffic.clock.now()))
             }
--- a/crates/transport/relay/src/metrics.rs
+++ b/crates/transport/relay/src/metrics.rs
@@ -4,7 +4,7 @@
 //! tenants or requests.
 
 use crate::memory_budget::MemoryBudget;
-use eiderferry_dispatch::{Distance, MessageKind, Snapshot, SplitStats};
+use eiderferry_dispatch::{Distance, MessageKind, RetrySource, Snapshot, SplitStats};
 use eiderferry_routing::{Route, RouteKind};
 use eiderferry_types::Span;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
@@ -72,6 +72,11 @@
         .record(error.seconds());
 }
 
+/// A retry was granted from the retry budget.
+pub(crate) fn retry(source: RetrySource) {
+    metrics::counter!("eiderferry_retries_total", "source" => source.as_str()).increment(1);
+}
+
 /// An attempt at a back end ended.
 pub(crate) fn attempt(outcome: &'static str) {
     metrics::counter!("eiderferry_attempts_total", "outcome" => outcome).increment(1);
@@ -193,6 +198,7 @@
 /// Updates the gauges and counters that show the dispatcher's state.
 pub(crate) fn update_dispatcher_metrics(snapshot: &Snapshot) {
     metrics::gauge!("eiderferry_living_peers").set(snapshot.live_peers as f64);
+    metrics::gauge!("eiderferry_known_nodes").set(f64::from(snapshot.known_nodes));
     metrics::gauge!("eiderferry_back_ends").set(snapshot.back_ends as f64);
     metrics::gauge!("eiderferry_back_ends_ejected").set(snapshot.ejected_back_ends as f64);
     metrics::gauge!("eiderferry_back_ends_cold").set(snapshot.cold_back_ends as f64);
