Count retries that the allowance paid for apart from the others

A retry was labelled by the sum of all retries in the window, so that those paid by later requests counted for the allowance once it was spent. The decision itself is unchanged.

--- a/crates/coordination/dispatch/src/fleet/retry_budget.rs
+++ b/crates/coordination/dispatch/src/fleet/retry_budget.rs
@@ -52,6 +52,8 @@
     index: u64,
     requests: u32,
     retries: u32,
+    /// Those of the retries that the allowance paid for.
+    from_allowance: u32,
 }
 
 /// The retry budget of one pool on one node.
@@ -85,6 +87,7 @@
                 index,
                 requests: 0,
                 retries: 0,
+                from_allowance: 0,
             });
         }
         let last = self.buckets.len() - 1;
@@ -101,18 +104,24 @@
         self.bucket(now);
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
+        let paid: u32 = self
+            .buckets
+            .iter()
+            .map(|bucket| bucket.from_allowance)
+            .sum();
         let nodes = f64::from(nodes.max(ASSUMED_NODES));
         let from_requests = USABLE_SHARE * self.settings.ratio * f64::from(requests);
         let from_allowance = USABLE_SHARE * self.settings.allowance / nodes;
-        let after = f64::from(retries + 1);
-        let source = if after <= from_requests {
-            RetrySource::Requests
-        } else if after <= from_requests + from_allowance {
-            RetrySource::Allowance
-        } else {
+        if f64::from(retries + 1) > from_requests + from_allowance {
             return None;
-        };
-        self.bucket(now).retries += 1;
-        Some(source)
+        }
+        let is_from_requests = f64::from(retries + 1 - paid) <= from_requests;
+        let bucket = self.bucket(now);
+        bucket.retries += 1;
+        if is_from_requests {
+            return Some(RetrySource::Requests);
+        }
+        bucket.from_allowance += 1;
+        Some(RetrySource::Allowance)
     }
 }
