Withhold the retry allowance until a process knows the fleet and a window has passed

Callers saw nothing of it; back ends got more arrivals beyond the first of each request than the fleet-wide limit allows: 180 of 136 at 8 nodes, 1,523 of 1,382 at 78, when all nodes were killed four times 2.5 s apart while engines reset.

Cause: the budget lives in the process. Each restart gave the node its whole share of the fixed allowance again, and until a process had heard more than 8 nodes it divided the allowance by 8, so that 78 nodes that started together could spend almost ten times of it. A process started in a partition divided it by the nodes that it reached.

Now a process spends only the ratio of its own requests, which is safe whatever other processes do, until a window (10 s at least) has passed since its start and it has heard a node of each zone of its settings. Halves that are restarted while partitioned count only themselves, so that each uses half of the allowance at most.

--- a/crates/coordination/dispatch/src/dispatcher/leases.rs
+++ b/crates/coordination/dispatch/src/dispatcher/leases.rs
@@ -1,6 +1,7 @@
 //! Leases on back ends: grants, refusals and releases.
 
 use super::Dispatcher;
+use super::rate_limits::FLEET_SETTLING_TIME;
 use super::replicas::ReplicaLease;
 use crate::load::health::HealthChange;
 use crate::load::registry::BackEndState;
@@ -149,7 +150,7 @@
         }
         let mut retry_source = None;
         if demand.is_retry {
-            let nodes = self.peers.max_known();
+            let nodes = self.allowance_nodes(now);
             retry_source = self.retry_budget(&demand.pool).try_spend(now, nodes);
             if retry_source.is_none() {
                 return Decision::Refuse(Reason::RetryBudget, NO_BACK_END_RETRY);
@@ -165,6 +166,15 @@
         }
     }
 
+    /// Number of nodes that share the allowance for retries; `None` if this process may not use it
+    /// yet.
+    fn allowance_nodes(&self, now: Timestamp) -> Option<u32> {
+        let window = self.settings.retry_budget.window;
+        let has_settled = self.uptime(now) > window.max(FLEET_SETTLING_TIME);
+        let zones = self.settings.regions.keys();
+        (has_settled && self.peers.has_heard_fleet(zones)).then(|| self.peers.max_known())
+    }
+
     /// Whether a back end has too many requests to add this one.
     fn is_full(
         &mut self,
--- a/crates/coordination/dispatch/src/dispatcher/rate_limits.rs
+++ b/crates/coordination/dispatch/src/dispatcher/rate_limits.rs
@@ -9,7 +9,7 @@
 
 /// Time after a start in which a node discovers those of other zones. Earlier it would hold a zone
 /// to have no nodes and send to its back ends, or hold the fleet to be small.
-const FLEET_SETTLING_TIME: Span = Span::from_milliseconds(10_000);
+pub(super) const FLEET_SETTLING_TIME: Span = Span::from_milliseconds(10_000);
 /// Ticks between two probes of back ends whose limit is stale.
 const PROBING_TICKS: u64 = PROBE_WINDOW.0 / TICK.0;
 
--- a/crates/coordination/dispatch/src/fleet/peers.rs
+++ b/crates/coordination/dispatch/src/fleet/peers.rs
@@ -69,6 +69,8 @@
     /// Zone and time of last contact of reported nodes that are not peers yet; probe targets.
     pub(super) indirect: BTreeMap<SocketAddr, (ZoneName, Timestamp)>,
     seeds: Vec<SocketAddr>,
+    /// Zones whose nodes this process has heard directly.
+    heard_zones: BTreeSet<ZoneName>,
     /// Maximum number of nodes known at once, including this one.
     max_known: u32,
     /// Last time at which this node's zone was large.
@@ -120,6 +122,7 @@
             peers: BTreeMap::new(),
             indirect: BTreeMap::new(),
             seeds,
+            heard_zones: BTreeSet::new(),
             max_known: 1,
             last_large_at: Timestamp::default(),
             live_same_zone: 0,
@@ -152,6 +155,16 @@
         self.max_known
     }
 
+    /// Whether this process has heard the fleet whose zones these are: a node of each other zone,
+    /// and at least one node if there are others. Until then it may have been started in a
+    /// partition, in which it can't know the number of nodes.
+    pub fn has_heard_fleet<'a>(&self, zones: impl IntoIterator<Item = &'a ZoneName>) -> bool {
+        let is_only_node = self.seeds.iter().all(|seed| *seed == self.own_address);
+        let has_heard_zone =
+            |zone: &ZoneName| *zone == self.zone || self.heard_zones.contains(zone);
+        (is_only_node || !self.heard_zones.is_empty()) && zones.into_iter().all(has_heard_zone)
+    }
+
     /// Updates the state of the sender, and of the members that the message names.
     pub fn record_message(
         &mut self,
@@ -185,6 +198,9 @@
             is_lost: false,
             is_stopping: message.is_stopping,
         };
+        if !self.heard_zones.contains(&message.zone) {
+            self.heard_zones.insert(message.zone.clone());
+        }
         let previous = self.peers.insert(address, peer);
         self.max_known = self.max_known.max(self.peers.len() as u32 + 1);
         self.update_counts();
--- a/crates/coordination/dispatch/src/fleet/retry_budget.rs
+++ b/crates/coordination/dispatch/src/fleet/retry_budget.rs
@@ -4,18 +4,23 @@
 //! The limit holds for the sum over all nodes. Each node's share is a ratio of its own requests,
 //! plus the fixed allowance divided by the largest number of nodes it has ever known. Nodes that
 //! are partitioned from each other therefore never exceed the limit together.
+//!
+//! A process spends nothing from the allowance before it knows the fleet and a window has passed
+//! since its start: its predecessor may have spent the node's share just before.
 
 use eiderferry_types::{Span, Timestamp};
 use std::collections::VecDeque;
 
-/// Share of the limit that is used. Requests that a node counts in one window may reach the back
+/// Share of the ratio that is used. Requests that a node counts in one window may reach the back
 /// end in a later one than their retries.
-const USABLE_SHARE: f64 = 0.8;
+const USABLE_RATIO_SHARE: f64 = 0.8;
+/// Share of the allowance that is used. Two halves of a fleet that are restarted while they are
+/// partitioned each count only their own nodes.
+const USABLE_ALLOWANCE_SHARE: f64 = 0.5;
 /// Number of buckets into which the window is divided.
 const BUCKETS: u64 = 10;
-/// Minimum number of nodes by which the allowance is divided, until the size of the fleet is
-/// known.
-const ASSUMED_NODES: u32 = 8;
+/// Minimum number of nodes by which the allowance is divided, for fleets that may grow.
+const MIN_NODES: u32 = 8;
 
 /// The limit over all nodes.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -99,23 +104,26 @@
         self.bucket(now).requests += 1;
     }
 
-    /// Spends one retry if the budget of a fleet of at most `nodes` nodes allows it.
-    pub fn try_spend(&mut self, now: Timestamp, nodes: u32) -> Option<RetrySource> {
+    /// Spends one retry if the budget allows it. `allowance_nodes` is the number of nodes that
+    /// share the allowance; `None` if this process may not use it yet.
+    pub fn try_spend(
+        &mut self,
+        now: Timestamp,
+        allowance_nodes: Option<u32>,
+    ) -> Option<RetrySource> {
         self.bucket(now);
-        let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
-        let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
-        let paid: u32 = self
-            .buckets
-            .iter()
-            .map(|bucket| bucket.from_allowance)
-            .sum();
-        let nodes = f64::from(nodes.max(ASSUMED_NODES));
-        let from_requests = USABLE_SHARE * self.settings.ratio * f64::from(requests);
-        let from_allowance = USABLE_SHARE * self.settings.allowance / nodes;
+        let total = |count: fn(&Bucket) -> u32| self.buckets.iter().map(count).sum::<u32>();
+        let requests = total(|bucket| bucket.requests);
+        let retries = total(|bucket| bucket.retries);
+        let paid_by_allowance = total(|bucket| bucket.from_allowance);
+        let from_requests = USABLE_RATIO_SHARE * self.settings.ratio * f64::from(requests);
+        let from_allowance = allowance_nodes.map_or(0.0, |nodes| {
+            USABLE_ALLOWANCE_SHARE * self.settings.allowance / f64::from(nodes.max(MIN_NODES))
+        });
         if f64::from(retries + 1) > from_requests + from_allowance {
             return None;
         }
-        let is_from_requests = f64::from(retries + 1 - paid) <= from_requests;
+        let is_from_requests = f64::from(retries + 1 - paid_by_allowance) <= from_requests;
         let bucket = self.bucket(now);
         bucket.retries += 1;
         if is_from_requests {
--- a/crates/coordination/dispatch/tests/run_replicas.rs
+++ b/crates/coordination/dispatch/tests/run_replicas.rs
@@ -223,6 +223,9 @@
     }
 }
 
+/// Requests whose share of the retry budget pays for one retry.
+const REQUESTS_PER_RETRY: usize = 7;
+
 fn takeover(holder: &InstanceId) -> Demand {
     Demand {
         required_instance: Some(holder.clone()),
@@ -232,6 +235,9 @@
 }
 
 fn lose_run(subject: &mut Dispatcher, now: Timestamp) -> InstanceId {
+    for _ in 0..REQUESTS_PER_RETRY {
+        subject.count_request(&PoolName::from(ENGINE_POOL), now);
+    }
     let grant = granted(subject.dispatch(&stream(1), now));
     subject.release(grant.lease, Outcome::IncompleteResponse, now);
     holder(&grant).expect("a replica")
