--- a/crates/transport/relay/tests/support/mod.rs
+++ b/crates/transport/relay/tests/support/mod.rs
@@ -7,6 +7,7 @@
 mod caller;
 mod crashing_back_end;
 mod documents;
+mod proxy;
 mod relay;
 
 pub use back_end::{
@@ -17,6 +18,7 @@
 pub use caller::{Caller, Response};
 pub use crashing_back_end::CrashingBackEnd;
 pub use documents::{cache_protocol, header_names};
+pub use proxy::{Path, PathProxy};
 pub use relay::TestRelay;
 
 use std::time::Duration;
