Decide on a virtual clock which paths to back ends are broken, and which peer helps

A failed connection does not tell a broken path from a back end that is down; a peer that reaches the back end does. Two broken paths without a direct connection since are a cut from all. Peers are chosen by open tunnels and zone, within the region of the back end; one that could not reach a back end may be cut without knowing it and comes last, unless it reached others lately.

--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -13,6 +13,7 @@
 mod reader_role;
 mod replicas;
 mod round_robin;
+mod tunnels;
 mod unknown_names;
 mod zone_digest;
 
--- a/crates/coordination/dispatch/src/fleet/peers.rs
+++ b/crates/coordination/dispatch/src/fleet/peers.rs
@@ -11,7 +11,7 @@
 use rand::Rng;
 use rand::seq::IteratorRandom;
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Minimum silence after which a peer of this node's zone counts as lost.
@@ -45,10 +45,10 @@
 }
 
 #[derive(Clone, Debug)]
-pub(super) struct Peer {
+pub(crate) struct Peer {
     /// Name of the node; `None` until it is heard directly.
     pub(super) name: Option<NodeName>,
-    pub(super) zone: ZoneName,
+    pub(crate) zone: ZoneName,
     /// The changes that it knows, according to its last message.
     pub(super) version_vector: VersionVector,
     /// Priority for roles that one node has for its zone.
@@ -436,7 +436,7 @@
     }
 
     /// Live peers that are not stopping.
-    pub(super) fn active_peers(&self) -> impl Iterator<Item = (&SocketAddr, &Peer)> {
+    pub(crate) fn active_peers(&self) -> impl Iterator<Item = (&SocketAddr, &Peer)> {
         let peers = self.peers.iter();
         peers.filter(|(_, peer)| !peer.is_lost && !peer.is_stopping)
     }
@@ -464,6 +464,12 @@
         heard.or_else(|| self.indirect.get(&address).map(|(zone, _)| zone))
     }
 
+    /// Whether a node at an address has been heard directly.
+    pub fn is_known(&self, ip: IpAddr) -> bool {
+        let heard = self.peers.iter().filter(|(_, peer)| peer.name.is_some());
+        heard.into_iter().any(|(address, _)| address.ip() == ip)
+    }
+
     /// Whether the peer at an address is live.
     pub fn is_live(&self, address: SocketAddr) -> bool {
         let peer = self.peers.get(&address);
--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 mod features;
 mod fleet;
 mod load;
+mod paths;
 mod placement;
 
 pub use dispatcher::{
@@ -45,6 +46,7 @@
 pub use load::outcomes::{OutcomeCounts, RecentOutcomes};
 pub use load::pacing::StreamPacing;
 pub use load::rate_limit::RateLimit;
+pub use paths::{BackEndPaths, Path, PeerChoice, TunnelPeer};
 pub use placement::candidate::{Candidate, cheapest};
 pub use placement::demand::{Decision, Demand, Grant, LeaseId, Outcome, PromptPart, ReplicaTarget};
 pub use placement::pool_split::{EngineNeed, PoolLoad, SplitChange, SplitStats};
