Reach back ends through a peer while direct connections fail

What callers saw: nodes that were partitioned from all back ends, but reached by callers, peers and the platform, served 0 of 55 and 0 of 54 first attempts, the others 167 of 168 and 177 of 181.

Cause: a node could not tell that it was cut, since only back ends of other zones counted as partitioned; it ejected back ends one by one, tried them again, and let requests wait for three timeouts each. Nor was there another way to a back end than a connection of its own.

Now a peer is asked about a back end that can't be connected to. If the peer reaches it, new connections to it go through a tunnel that the peer provides: the node keeps lease, budget, verdict and stream, the peer copies bytes, one hop, for known peers and listed back ends only. Two such back ends show a cut from all. Pooled connections on a hanging path are closed; while responses are outstanding and no back end sends a byte, direct connections are checked, so that one waiting request suffices to notice. A crash is reported only if no peer reaches the back end.

--- a/crates/transport/relay/src/control.rs
+++ b/crates/transport/relay/src/control.rs
@@ -13,13 +13,13 @@
 use eiderferry_dispatch::{
     ApplyOutcome, Change, Decision, Demand, Dispatcher, DocumentKey, DueCacheCall, Envelope,
     LeaseId, MessageKind, NoticeSource, Outcome, QuarantineChange, ReaderRole, ReceivedChange,
-    Revision, StreamPacing, TICK, VersionVector,
+    Revision, StreamPacing, TICK, TunnelPeer, VersionVector,
 };
 use eiderferry_routing::{InstanceId, RoutingTable, ZoneName};
 use eiderferry_types::{RequestDigest, Span, Timestamp};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -63,6 +63,17 @@
         instance: InstanceId,
         reply: async_channel::Sender<bool>,
     },
+    /// Asks which peers may provide a tunnel to a back end.
+    TunnelPeers {
+        instance: InstanceId,
+        reply: async_channel::Sender<Vec<TunnelPeer>>,
+    },
+    /// Asks to which address a tunnel for a node is to be opened.
+    TunnelTarget {
+        source: IpAddr,
+        instance: InstanceId,
+        reply: async_channel::Sender<Option<SocketAddr>>,
+    },
     /// A planned shutdown has begun.
     Stop,
 }
@@ -100,6 +111,24 @@
         sent.await.is_ok() && receiver.recv().await.unwrap_or(false)
     }
 
+    /// The peers that may provide a tunnel to a back end.
+    pub async fn tunnel_peers(&self, instance: InstanceId) -> Vec<TunnelPeer> {
+        let (reply, receiver) = async_channel::bounded(1);
+        self.enqueue(Command::TunnelPeers { instance, reply });
+        receiver.recv().await.unwrap_or_default()
+    }
+
+    /// The address to which this node opens a tunnel for a node, if it does.
+    pub async fn tunnel_target(&self, source: IpAddr, instance: InstanceId) -> Option<SocketAddr> {
+        let (reply, receiver) = async_channel::bounded(1);
+        self.enqueue(Command::TunnelTarget {
+            source,
+            instance,
+            reply,
+        });
+        receiver.recv().await.ok().flatten()
+    }
+
     pub fn record_first_event(&self, lease: LeaseId) {
         self.enqueue(Command::FirstEvent(lease));
     }
@@ -259,6 +288,16 @@
             Command::IsPresumedDown { instance, reply } => {
                 let _ = reply.try_send(dispatcher.is_presumed_down(&instance, now));
             }
+            Command::TunnelPeers { instance, reply } => {
+                let _ = reply.try_send(dispatcher.tunnel_peers(&instance));
+            }
+            Command::TunnelTarget {
+                source,
+                instance,
+                reply,
+            } => {
+                let _ = reply.try_send(dispatcher.tunnel_target(source, &instance));
+            }
             Command::Stop => dispatcher.stop(),
         }
     }
--- a/crates/transport/relay/src/crash.rs
+++ b/crates/transport/relay/src/crash.rs
@@ -4,15 +4,17 @@
 //! keep serving truncate responses. A crashed back end refuses new connections until it has
 //! restarted, which takes seconds. A back end whose connection became silent without being closed
 //! has crashed too if it refuses new ones: the packet that closed the connection was lost.
+//!
+//! A back end that a peer reaches has not crashed: the path from this node is broken.
 
-use crate::control::ControlHandle;
-use crate::exchange::Exchange;
+use crate::exchange::{Exchange, Traffic};
 use crate::upstream::{ConnectionCheck, check_connection};
 use crate::{events, metrics};
 use eiderferry_dispatch::Outcome;
 use eiderferry_routing::InstanceId;
 use eiderferry_types::RequestDigest;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 /// A run that got no response, and the back end that may have crashed while running it.
 struct LostRun {
@@ -21,7 +23,7 @@
     back_end: InstanceId,
     address: SocketAddr,
     outcome: Outcome,
-    control: ControlHandle,
+    traffic: Rc<Traffic>,
 }
 
 impl Exchange {
@@ -40,7 +42,7 @@
             back_end: back_end.clone(),
             address,
             outcome,
-            control: self.traffic.control.clone(),
+            traffic: Rc::clone(&self.traffic),
         };
         match outcome {
             Outcome::IncompleteResponse => run.report_if_crashed().await,
@@ -62,11 +64,18 @@
             // A back end that responds on neither connection may be partitioned but working.
             ConnectionCheck::TimedOut => self.outcome == Outcome::IncompleteResponse,
         };
-        if !has_crashed {
+        let upstream = &self.traffic.upstream;
+        if !has_crashed
+            || upstream
+                .is_reached_by_peer(self.address, &self.back_end)
+                .await
+        {
             return;
         }
         metrics::crashed_run(check.as_str());
         events::crashed_run(&self.request_id, &self.back_end, self.digest, check);
-        self.control.record_crash(self.digest, self.back_end);
+        self.traffic
+            .control
+            .record_crash(self.digest, self.back_end);
     }
 }
--- a/crates/transport/relay/src/events.rs
+++ b/crates/transport/relay/src/events.rs
@@ -17,7 +17,7 @@
 use eiderferry_routing::InstanceId;
 use eiderferry_types::{Reason, RequestDigest, Span, Timestamp};
 use http::HeaderValue;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 /// This node starts to serve callers.
 pub(crate) fn started(node: &str, zone: &str, address: SocketAddr) {
@@ -320,6 +320,30 @@
     );
 }
 
+/// A live back end can't be connected to from this node.
+pub(crate) fn path_broken(back_end: &InstanceId, is_cut: bool) {
+    log::warn!(
+        event = "path_broken", back_end = back_end.as_str(), cut = is_cut;
+        "only peers reach a back end"
+    );
+}
+
+/// Direct connections to back ends are possible again.
+pub(crate) fn paths_restored(back_end: &InstanceId, remaining: usize) {
+    log::info!(
+        event = "paths_restored", back_end = back_end.as_str(), broken = remaining;
+        "a back end is reached directly again"
+    );
+}
+
+/// A node asked for a tunnel that it may not have.
+pub(crate) fn tunnel_refused(source: IpAddr, back_end: &InstanceId, reason: &'static str) {
+    log::warn!(
+        event = "tunnel_refused", source:% = source, back_end = back_end.as_str(), reason = reason;
+        "tunnel refused"
+    );
+}
+
 /// An attempt at a back end failed.
 pub(crate) fn attempt_failed(
     id: &str,
--- a/crates/transport/relay/src/lib.rs
+++ b/crates/transport/relay/src/lib.rs
@@ -29,6 +29,7 @@
 mod metrics;
 mod node;
 mod notice;
+mod observed_stream;
 mod pending_decision;
 mod progress;
 mod read_ahead;
@@ -39,6 +40,8 @@
 mod server;
 mod settings;
 mod stream;
+mod tunnel;
+mod tunnel_server;
 mod upstream;
 
 pub use cache_follower::{CacheProtocol, MalformedResponse};
--- a/crates/transport/relay/src/metrics.rs
+++ b/crates/transport/relay/src/metrics.rs
@@ -92,6 +92,17 @@
     metrics::counter!("eiderferry_places_expired_total").increment(1);
 }
 
+/// A request for a tunnel to a back end ended, or this node provided one.
+pub(crate) fn tunnel(outcome: &'static str) {
+    metrics::counter!("eiderferry_tunnels_total", "outcome" => outcome).increment(1);
+}
+
+/// Live back ends that this node can't connect to directly, and whether it is cut from all.
+pub(crate) fn set_path_gauges(broken: usize, is_cut: bool) {
+    metrics::gauge!("eiderferry_back_end_paths_broken").set(broken as f64);
+    metrics::gauge!("eiderferry_cut_from_back_ends").set(f64::from(u8::from(is_cut)));
+}
+
 /// A back end crashed while running a request.
 pub(crate) fn crashed_run(connection: &'static str) {
     metrics::counter!("eiderferry_crashed_runs_total", "connection" => connection).increment(1);
--- a/crates/transport/relay/src/node.rs
+++ b/crates/transport/relay/src/node.rs
@@ -10,6 +10,7 @@
 use crate::request_memory::Memory;
 use crate::server::{Phase, Server};
 use crate::settings::{RelaySettings, ShutdownSettings};
+use crate::tunnel::TunnelClient;
 use crate::upstream::Upstream;
 use crate::{events, metrics};
 use arc_swap::ArcSwapOption;
@@ -34,6 +35,8 @@
 const CLOCK_START_OFFSET: Span = Span::from_milliseconds(3_600_000);
 /// Time between two runs of the housekeeping, which closes expired idle connections.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time between two checks of the paths to back ends.
+const PATH_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Send buffer of one caller's connection. The kernel allocates twice this, for its own bookkeeping
 /// too; without a limit it buffers 4 MiB for a caller that does not read. 10 Mbit/s at a round trip
 /// of 70 ms need 88 kB.
@@ -142,10 +145,18 @@
         let executor: Rc<LocalExecutor<'static>> = Rc::new(LocalExecutor::new());
         let (close_connections, connections_closing) = async_channel::bounded::<Infallible>(1);
         let (force_stop, force_stop_signal) = async_channel::bounded::<Infallible>(1);
+        let tunnels = TunnelClient::new(
+            self.control.clone(),
+            self.clock,
+            self.settings.peer_address.ip(),
+            self.settings.tunnel_port,
+        );
         let traffic = Rc::new(Traffic {
             upstream: Upstream::new(
                 Rc::clone(&executor),
                 self.control.clone(),
+                self.clock,
+                tunnels,
                 self.memory.back_end_limit(),
             ),
             memory: Memory::new(Arc::clone(&self.memory)),
@@ -160,6 +171,7 @@
             executor: Rc::clone(&executor),
             phase: Cell::new(Phase::Serving),
             open_requests: Cell::new(0),
+            open_tunnels: Cell::new(0),
             close_connections: connections_closing,
             force_stop: force_stop_signal,
         });
@@ -202,6 +214,13 @@
                 .spawn(Rc::clone(server).serve_metrics(listener, handle))
                 .detach();
         }
+        if let Some(port) = settings.tunnel_port {
+            let address = SocketAddr::new(settings.peer_address.ip(), port);
+            let listener = bind("tunnels", address).await?;
+            executor
+                .spawn(Rc::clone(server).serve_tunnels(listener))
+                .detach();
+        }
         let callers = bind("callers", settings.listen_address).await?;
         if self.memory.is_bounded() {
             limit_send_buffers(&callers);
@@ -210,6 +229,7 @@
             .spawn(Rc::clone(server).accept_callers(callers))
             .detach();
         executor.spawn(run_housekeeping(Rc::clone(server))).detach();
+        executor.spawn(run_path_checks(Rc::clone(server))).detach();
         Ok(())
     }
 }
@@ -246,6 +266,13 @@
     }
 }
 
+async fn run_path_checks(server: Rc<Server>) {
+    loop {
+        Timer::after(PATH_CHECK_INTERVAL).await;
+        server.traffic.upstream.check_paths();
+    }
+}
+
 /// Channels that are closed to signal the phases of a shutdown to connections and requests.
 struct StopSignals {
     close_connections: async_channel::Sender<Infallible>,
--- a/crates/transport/relay/src/server.rs
+++ b/crates/transport/relay/src/server.rs
@@ -57,18 +57,21 @@
     pub executor: Rc<LocalExecutor<'static>>,
     pub phase: Cell<Phase>,
     pub open_requests: Cell<u32>,
+    /// Tunnels that this node provides to peers.
+    pub open_tunnels: Cell<u32>,
     /// Closed when connections have to shut down gracefully.
     pub close_connections: async_channel::Receiver<Infallible>,
     /// Closed when this node has to reply to requests that have no response yet.
     pub force_stop: async_channel::Receiver<Infallible>,
 }
 
-struct OpenRequest {
+/// Counts work that a planned shutdown waits for.
+pub(crate) struct OpenRequest {
     server: Rc<Server>,
 }
 
 impl OpenRequest {
-    fn new(server: Rc<Server>) -> Self {
+    pub fn new(server: Rc<Server>) -> Self {
         server.open_requests.set(server.open_requests.get() + 1);
         Self { server }
     }
--- a/crates/transport/relay/src/settings.rs
+++ b/crates/transport/relay/src/settings.rs
@@ -32,6 +32,9 @@
     pub metrics_address: Option<SocketAddr>,
     /// Address for other nodes: datagrams over UDP, documents over TCP.
     pub peer_address: SocketAddr,
+    /// Port, the same on all nodes, on which a node opens tunnels to back ends for its peers; `None`
+    /// disables tunnels.
+    pub tunnel_port: Option<u16>,
     /// Addresses of other nodes to contact first; some may be out of date.
     pub seeds: Vec<SocketAddr>,
     /// Limit of retries over all nodes.
--- a/crates/transport/relay/src/upstream.rs
+++ b/crates/transport/relay/src/upstream.rs
@@ -1,11 +1,14 @@
 //! Connections to back ends.
 
 use crate::control::ControlHandle;
+use crate::observed_stream::{ObservedStream, ReceivedFlag};
+use crate::tunnel::TunnelClient;
+use crate::{events, metrics};
 use bytes::Bytes;
-use eiderferry_clock::boot_time;
-use eiderferry_dispatch::{Grant, Outcome};
+use eiderferry_clock::{Clock, boot_time};
+use eiderferry_dispatch::{BackEndPaths, Grant, Outcome, Path};
 use eiderferry_routing::InstanceId;
-use eiderferry_types::Span;
+use eiderferry_types::{Span, Timestamp};
 use futures_lite::FutureExt;
 use futures_lite::future::yield_now;
 use http::{HeaderMap, Request, Response};
@@ -17,7 +20,7 @@
 use smol::net::TcpStream;
 use smol::{Async, LocalExecutor, Task, Timer};
 use smol_hyper::rt::FuturesIo;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -34,6 +37,15 @@
 const MAXIMUM_IDLE_NOT_RETRYABLE: Duration = Duration::from_millis(700);
 /// Fraction used of the idle time that a back end allows.
 const IDLE_FRACTION: f64 = 0.7;
+/// Longest wait for a peer's reply after a refused connection.
+const REPLY_WAIT: Duration = Duration::from_millis(50);
+/// Time without a byte from any back end, while responses are outstanding, after which direct
+/// connections are checked.
+const SILENCE_BEFORE_CHECK: Span = Span::from_milliseconds(500);
+/// Minimum time between two such checks.
+const SILENCE_CHECK_INTERVAL: Span = Span::from_milliseconds(1_000);
+/// Back ends with outstanding responses to which one such check connects.
+const SILENCE_CHECK_BACK_ENDS: usize = 3;
 /// Time without acknowledgement of sent bytes after which the kernel closes a connection.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -106,6 +118,8 @@
 /// A connection to a back end; closed when dropped.
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    /// Whether a peer provides the connection.
+    is_tunnel: bool,
     /// The socket that the driver task uses.
     socket: Arc<Async<std::net::TcpStream>>,
     _driver: Task<()>,
@@ -154,24 +168,123 @@
     pools: Pools,
     /// Receives the time that each connection took to establish.
     control: ControlHandle,
+    clock: Clock,
+    paths: Rc<RefCell<BackEndPaths>>,
+    tunnels: Rc<TunnelClient>,
+    /// Whether any back end has sent bytes since the last check of paths.
+    received: ReceivedFlag,
+    /// Since when responses have been outstanding without a byte from any back end.
+    silent_since: Cell<Timestamp>,
+    silence_checked_at: Cell<Timestamp>,
     /// Maximum outstanding body bytes per back end, if limited.
     outstanding_limit: Option<u64>,
 }
 
+/// What the checks of paths need, shared with their tasks.
+#[derive(Clone)]
+struct PathChecks {
+    executor: Rc<LocalExecutor<'static>>,
+    pools: Pools,
+    paths: Rc<RefCell<BackEndPaths>>,
+    tunnels: Rc<TunnelClient>,
+    clock: Clock,
+}
+
 impl Upstream {
     pub fn new(
         executor: Rc<LocalExecutor<'static>>,
         control: ControlHandle,
+        clock: Clock,
+        tunnels: TunnelClient,
         outstanding_limit: Option<u64>,
     ) -> Self {
         Self {
             executor,
+            tunnels: Rc::new(tunnels),
             control,
+            clock,
             outstanding_limit,
+            paths: Rc::default(),
             pools: Rc::default(),
+            received: ReceivedFlag::default(),
+            silent_since: Cell::default(),
+            silence_checked_at: Cell::default(),
+        }
+    }
+
+    fn path_checks(&self) -> PathChecks {
+        PathChecks {
+            executor: Rc::clone(&self.executor),
+            pools: Rc::clone(&self.pools),
+            paths: Rc::clone(&self.paths),
+            tunnels: Rc::clone(&self.tunnels),
+            clock: self.clock,
         }
     }
 
+    /// How a new connection to a back end is established.
+    pub fn path_to(&self, instance: &InstanceId) -> Path {
+        self.paths.borrow().path_to(instance)
+    }
+
+    /// Connects to a back end for a peer. A failure raises no question to further peers, which
+    /// would spread over the fleet.
+    pub async fn connect_for_peer(
+        &self,
+        address: SocketAddr,
+        instance: &InstanceId,
+    ) -> std::io::Result<TcpStream> {
+        let stream = connect_stream(address).await?;
+        let now = self.clock.now();
+        self.path_checks().record_connected(instance, now);
+        Ok(stream)
+    }
+
+    /// Whether a peer reaches a back end to which this node could not connect.
+    pub async fn is_reached_by_peer(&self, address: SocketAddr, instance: &InstanceId) -> bool {
+        let now = self.clock.now();
+        self.paths
+            .borrow_mut()
+            .record_failed(instance, address, now);
+        self.path_checks().ask_peer(instance, true).await
+    }
+
+    /// Checks whether broken paths work again, and direct connections while all back ends are
+    /// silent.
+    pub fn check_paths(&self) {
+        let now = self.clock.now();
+        let mut targets: Vec<PoolKey> = self.paths.borrow_mut().due_checks(now);
+        targets.extend(self.silent_back_ends(now));
+        for (address, instance) in targets {
+            let checks = self.path_checks();
+            self.spawn(async move {
+                let _ = checks.connect(address, &instance).await;
+            });
+        }
+        let paths = self.paths.borrow();
+        metrics::set_path_gauges(paths.broken_count(), paths.is_cut());
+    }
+
+    /// Some back ends whose responses are outstanding, if none has sent anything for a while.
+    fn silent_back_ends(&self, now: Timestamp) -> Vec<PoolKey> {
+        let pools = self.pools.borrow();
+        let waiting = pools
+            .iter()
+            .filter(|(_, pool)| pool.open as usize > pool.idle.len());
+        let waiting = waiting.map(|(key, _)| key.clone());
+        let waiting: Vec<PoolKey> = waiting.take(SILENCE_CHECK_BACK_ENDS).collect();
+        if self.received.take() || waiting.is_empty() {
+            self.silent_since.set(now);
+        }
+        let is_silent = now.since(self.silent_since.get()) >= SILENCE_BEFORE_CHECK;
+        let is_due = now.since(self.silence_checked_at.get()) >= SILENCE_CHECK_INTERVAL;
+        if !is_silent || !is_due || self.paths.borrow().is_cut() {
+            return Vec::new();
+        }
+        self.silence_checked_at.set(now);
+        waiting
+    }
+
     /// Runs a task in the background.
     pub fn spawn(&self, work: impl Future<Output = ()> + 'static) {
         self.executor.spawn(work).detach();
@@ -242,13 +355,9 @@
 
     async fn connect(&self, key: PoolKey, limit: u32) -> Result<Connection, SendError> {
         let guard = self.reserve_connection(&key, limit)?;
-        let started = Instant::now();
-        let stream = connect_stream(key.0)
-            .await
-            .map_err(SendError::Unreachable)?;
-        let round_trip = Span::from_seconds(started.elapsed().as_secs_f64());
-        self.control.record_round_trip(key.1.clone(), round_trip);
+        let (stream, is_tunnel) = self.establish(&key).await?;
         let socket = stream.clone().into();
+        let stream = ObservedStream::new(stream, self.received.clone());
         let handshake = http1::Builder::new()
             .handshake(FuturesIo::new(stream))
             .await;
@@ -260,6 +369,7 @@
         });
         Ok(Connection {
             sender,
+            is_tunnel,
             socket,
             _driver: driver,
             _guard: guard,
@@ -268,6 +378,38 @@
         })
     }
 
+    /// Connects to a back end; returns whether through a peer.
+    async fn establish(&self, key: &PoolKey) -> Result<(TcpStream, bool), SendError> {
+        let (address, instance) = key;
+        if self.path_to(instance) == Path::Direct {
+            let started = Instant::now();
+            match self.path_checks().connect(*address, instance).await {
+                Ok(stream) => {
+                    let round_trip = Span::from_seconds(started.elapsed().as_secs_f64());
+                    self.control.record_round_trip(instance.clone(), round_trip);
+                    return Ok((stream, false));
+                }
+                // Another connection's failure may have shown meanwhile that the path is broken.
+                Err(error) if self.path_to(instance) == Path::Direct => {
+                    return Err(SendError::Unreachable(error));
+                }
+                Err(_) => {}
+            }
+        }
+        match self.tunnels.open(instance).await {
+            Ok(stream) => {
+                let now = self.clock.now();
+                let mut paths = self.paths.borrow_mut();
+                paths.record_reached_by_peer(instance, now);
+                Ok((stream, true))
+            }
+            Err(error) => {
+                let error = std::io::Error::new(ErrorKind::HostUnreachable, error.to_string());
+                Err(SendError::Unreachable(error))
+            }
+        }
+    }
+
     fn reserve_connection(&self, key: &PoolKey, limit: u32) -> Result<ConnectionGuard, SendError> {
         let mut pools = self.pools.borrow_mut();
         let pool = pools.entry(key.clone()).or_default();
@@ -284,6 +426,9 @@
     /// Returns a connection to its pool after its response was read completely.
     pub fn return_connection(&self, mut connection: Connection, headers: &HeaderMap) {
         connection.body = None;
+        if connection.is_tunnel {
+            return;
+        }
         let Some(idle_limit) = allowed_idle(headers) else {
             return;
         };
@@ -323,6 +468,95 @@
     }
 }
 
+impl PathChecks {
+    /// Connects to a back end from this node. After a failure, a peer is asked in the background
+    /// whether it reaches the back end.
+    async fn connect(
+        &self,
+        address: SocketAddr,
+        instance: &InstanceId,
+    ) -> std::io::Result<TcpStream> {
+        let result = connect_stream(address).await;
+        let now = self.clock.now();
+        match &result {
+            Ok(_) => self.record_connected(instance, now),
+            Err(error) => {
+                let is_question_due = self
+                    .paths
+                    .borrow_mut()
+                    .record_failed(instance, address, now);
+                if is_question_due {
+                    let is_refusal = error.kind() == ErrorKind::ConnectionRefused;
+                    self.start_question(instance.clone(), is_refusal).await;
+                }
+            }
+        }
+        result
+    }
+
+    /// Asks a peer in the background. After a refusal, which took no time, waits shortly for the
+    /// reply: all attempts of a request could be refused before it.
+    async fn start_question(&self, instance: InstanceId, is_refusal: bool) {
+        let (sender, reply) = async_channel::bounded::<()>(1);
+        let checks = self.clone();
+        self.executor
+            .spawn(async move {
+                checks.ask_peer(&instance, is_refusal).await;
+                drop(sender);
+            })
+            .detach();
+        if is_refusal {
+            let timeout = async {
+                Timer::after(REPLY_WAIT).await;
+            };
+            let replied = async {
+                let _ = reply.recv().await;
+            };
+            replied.or(timeout).await;
+        }
+    }
+
+    fn record_connected(&self, instance: &InstanceId, now: Timestamp) {
+        let mut paths = self.paths.borrow_mut();
+        let broken_before = paths.broken_count();
+        paths.record_connected(instance, now);
+        if paths.broken_count() < broken_before {
+            events::paths_restored(instance, paths.broken_count());
+        }
+    }
+
+    /// Asks a peer whether it reaches a back end.
+    async fn ask_peer(&self, instance: &InstanceId, is_refusal: bool) -> bool {
+        if self.tunnels.open(instance).await.is_err() {
+            return false;
+        }
+        let now = self.clock.now();
+        let mut paths = self.paths.borrow_mut();
+        if paths.record_reached_by_peer(instance, now) {
+            let is_cut = paths.is_cut();
+            events::path_broken(instance, is_cut);
+            if !is_refusal {
+                self.close_idle_connections(instance, is_cut);
+            }
+        }
+        true
+    }
+
+    /// Closes idle connections whose path is broken: requests sent on them would get no response.
+    fn close_idle_connections(&self, instance: &InstanceId, is_cut: bool) {
+        let mut pools = self.pools.borrow_mut();
+        let broken = pools
+            .iter_mut()
+            .filter(|((_, other), _)| is_cut || other == instance);
+        let closed: Vec<IdleConnection> = broken
+            .flat_map(|(_, pool)| std::mem::take(&mut pool.idle))
+            .collect();
+        // Dropping a connection accesses the pools.
+        drop(pools);
+        drop(closed);
+    }
+}
+
 /// Whether a connection can take a request: its driver may have to be polled once to notice that
 /// the last response is complete.
 async fn is_ready(connection: &Connection) -> bool {
--- a/crates/transport/relay/tests/support/mod.rs
+++ b/crates/transport/relay/tests/support/mod.rs
@@ -19,7 +19,7 @@
 pub use crashing_back_end::CrashingBackEnd;
 pub use documents::{cache_protocol, header_names};
 pub use proxy::{Path, PathProxy};
-pub use relay::TestRelay;
+pub use relay::{TUNNEL_PORT, TestRelay};
 
 use std::time::Duration;
 
--- a/crates/transport/relay/tests/support/relay.rs
+++ b/crates/transport/relay/tests/support/relay.rs
@@ -35,6 +35,7 @@
 const LISTEN_PORT: u16 = 21_001;
 const READINESS_PORT: u16 = 21_002;
 const PEER_PORT: u16 = 21_003;
+pub const TUNNEL_PORT: u16 = 21_004;
 static STARTED_RELAYS: AtomicU32 = AtomicU32::new(0);
 
 /// A loopback address that differs for each relay of a test process and, as far as process ids
@@ -63,6 +64,7 @@
     node_number: usize,
     /// Peer addresses of relays that are known from the start.
     seeds: Vec<SocketAddr>,
+    zone: &'static str,
 }
 
 impl Default for Options {
@@ -73,6 +75,7 @@
             features: Features::ALL,
             node_number: 1,
             seeds: Vec::new(),
+            zone: "a",
         }
     }
 }
@@ -89,7 +92,17 @@
 
     /// Starts a further relay whose seed is the first relay of the fleet.
     pub fn join_fleet(fleet: &[Self], back_ends: &[SocketAddr]) -> Self {
+        Self::join_fleet_in_zone("a", fleet, back_ends)
+    }
+
+    /// Like [`Self::join_fleet`], in the given zone. Back ends are in zone `a`.
+    pub fn join_fleet_in_zone(
+        zone: &'static str,
+        fleet: &[Self],
+        back_ends: &[SocketAddr],
+    ) -> Self {
         let options = Options {
+            zone,
             node_number: fleet.len() + 1,
             seeds: fleet
                 .first()
@@ -199,12 +212,13 @@
         let peer_address = SocketAddr::from((ip, PEER_PORT));
         let settings = RelaySettings {
             node: NodeName::from(format!("node-{}", options.node_number)),
-            zone: ZoneName::from("a"),
+            zone: ZoneName::from(options.zone),
             listen_address,
             readiness_address,
             readiness_path: "/ready".to_owned(),
             metrics_address: None,
             peer_address,
+            tunnel_port: Some(TUNNEL_PORT),
             seeds: options.seeds,
             // A relay that has just started may not use the allowance, and a test sends a few
             // requests only.
