Open tunnels for nodes that are known through other nodes, too

Nodes of large zones hear directly of a few nodes of other zones only. Half of eight relays that are cut are served by the other half, on paths that hang, reset or refuse.

--- a/crates/coordination/dispatch/src/fleet/peers.rs
+++ b/crates/coordination/dispatch/src/fleet/peers.rs
@@ -464,10 +464,10 @@
         heard.or_else(|| self.indirect.get(&address).map(|(zone, _)| zone))
     }
 
-    /// Whether a node at an address has been heard directly.
+    /// Whether a node at an address has been heard, directly or through other nodes.
     pub fn is_known(&self, ip: IpAddr) -> bool {
-        let heard = self.peers.iter().filter(|(_, peer)| peer.name.is_some());
-        heard.into_iter().any(|(address, _)| address.ip() == ip)
+        let addresses = self.peers.keys().chain(self.indirect.keys());
+        addresses.into_iter().any(|address| address.ip() == ip)
     }
 
     /// Whether the peer at an address is live.
--- a/crates/coordination/dispatch/tests/paths.rs
+++ b/crates/coordination/dispatch/tests/paths.rs
@@ -166,3 +166,21 @@
     assert_eq!(target(known, 7), None);
     assert_eq!(target(IpAddr::from([10, 7, 7, 7]), 1), None);
 }
+
+/// Nodes of large zones hear directly of a few nodes of each other zone only.
+#[test]
+fn peers_of_other_large_zones_open_tunnels_for_nodes_that_they_know_indirectly() {
+    let mut fleet = Fleet::new(240, 2);
+    fleet.initial_documents = vec![back_end_change(back_end("engine-0", 0, 0), 2)];
+    fleet.run_with_platform(30_000, 2);
+    let own_ip = node_address(0).ip();
+    for _ in 0..20 {
+        let peers = fleet.nodes[0].tunnel_peers(&instance(0));
+        assert!(peers.iter().any(|peer| !peer.is_same_zone));
+        for peer in peers {
+            let node = (0..240).find(|node| node_address(*node).ip() == peer.ip);
+            let node = &fleet.nodes[node.expect("a node")];
+            assert!(node.tunnel_target(own_ip, &instance(0)).is_some());
+        }
+    }
+}
--- a/crates/transport/relay/tests/cut_from_back_ends.rs
+++ b/crates/transport/relay/tests/cut_from_back_ends.rs
@@ -121,6 +121,35 @@
     assert!(served >= MIN_SERVED, "{served} of {REQUESTS} served");
 }
 
+#[rstest]
+fn half_of_eight_relays_are_served_by_the_other_half(
+    #[values(Path::Hanging, Path::Reset, Path::RefusingNew)] path: Path,
+) {
+    let cluster = Cluster::start(4, 4);
+    cluster.set_path(path);
+    let cut_at = Instant::now();
+    let serve_all = |requests| {
+        std::thread::scope(|scope| {
+            let relays = (0..4).map(|relay| {
+                let cluster = &cluster;
+                scope.spawn(move || cluster.count_served(relay, "write", requests))
+            });
+            let relays: Vec<_> = relays.collect();
+            let served = relays
+                .into_iter()
+                .map(|relay| relay.join().expect("no panic"));
+            served.collect::<Vec<usize>>()
+        })
+    };
+    serve_all(1);
+    std::thread::sleep(RECOVERY_DEADLINE.saturating_sub(cut_at.elapsed()));
+    let served = serve_all(REQUESTS);
+    assert!(
+        served.iter().all(|served| *served >= MIN_SERVED),
+        "{served:?}"
+    );
+}
+
 #[test]
 fn the_end_of_a_cut_is_noticed_within_three_seconds() {
     let cluster = Cluster::start(1, 1);
