Separate establishing connections and the choice of their path from the pools

connecting.rs opens sockets, connector.rs decides between the direct path and a peer's tunnel, upstream.rs keeps the pools.

--- a/crates/coordination/dispatch/src/paths/direct_paths.rs
+++ b/crates/coordination/dispatch/src/paths/direct_paths.rs
@@ -32,6 +32,8 @@
 #[derive(Clone, Copy, Debug)]
 struct BrokenPath {
     address: SocketAddr,
+    /// Whether connections are refused rather than unanswered.
+    is_refusing: bool,
     /// Latest failure of a direct connection.
     failed_at: Timestamp,
     /// When a peer last reached the back end.
@@ -54,6 +56,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Failure {
     address: SocketAddr,
+    is_refusal: bool,
     failed_at: Timestamp,
     asked_at: Timestamp,
 }
@@ -76,6 +79,15 @@
         unreached.count() >= CUT_MIN_BACK_ENDS
     }
 
+    /// Whether connections to a back end get no response, so that those that were open before may
+    /// hang as well. Where new connections are refused, open ones may continue to work.
+    pub fn hangs(&self, instance: &InstanceId) -> bool {
+        match self.broken.get(instance) {
+            Some(path) => !path.is_refusing,
+            None => self.is_cut() && self.broken.values().all(|path| !path.is_refusing),
+        }
+    }
+
     /// Number of live back ends that can't be connected to directly.
     pub fn broken_count(&self) -> usize {
         self.broken.len()
@@ -87,15 +99,18 @@
         &mut self,
         instance: &InstanceId,
         address: SocketAddr,
+        is_refusal: bool,
         now: Timestamp,
     ) -> bool {
         if let Some(path) = self.broken.get_mut(instance) {
             path.failed_at = now;
+            path.is_refusing = is_refusal;
         }
         self.failures
             .retain(|_, failure| now.since(failure.failed_at) < QUESTION_INTERVAL);
         if let Some(failure) = self.failures.get_mut(instance) {
             failure.failed_at = now;
+            failure.is_refusal = is_refusal;
             if now.since(failure.asked_at) < QUESTION_INTERVAL {
                 return false;
             }
@@ -104,6 +119,7 @@
         }
         let failure = Failure {
             address,
+            is_refusal,
             failed_at: now,
             asked_at: now,
         };
@@ -134,6 +150,7 @@
         };
         let path = BrokenPath {
             address: failure.address,
+            is_refusing: failure.is_refusal,
             failed_at: failure.failed_at,
             confirmed_at: now,
         };
--- a/crates/coordination/dispatch/tests/paths.rs
+++ b/crates/coordination/dispatch/tests/paths.rs
@@ -17,7 +17,7 @@
 }
 
 fn fail(paths: &mut BackEndPaths, number: usize, now: Timestamp) -> bool {
-    paths.record_failed(&instance(number), back_end_address(number), now)
+    paths.record_failed(&instance(number), back_end_address(number), false, now)
 }
 
 #[test]
--- a/crates/transport/relay/src/crash.rs
+++ b/crates/transport/relay/src/crash.rs
@@ -7,8 +7,8 @@
 //!
 //! A back end that a peer reaches has not crashed: the path from this node is broken.
 
+use crate::connecting::{ConnectionCheck, check_connection};
 use crate::exchange::{Exchange, Traffic};
-use crate::upstream::{ConnectionCheck, check_connection};
 use crate::{events, metrics};
 use eiderferry_dispatch::Outcome;
 use eiderferry_routing::InstanceId;
--- a/crates/transport/relay/src/events.rs
+++ b/crates/transport/relay/src/events.rs
@@ -4,11 +4,11 @@
 //! prompts are never logged.
 
 use crate::cache_follower::MalformedResponse;
+use crate::connecting::ConnectionCheck;
 use crate::documents::FetchError;
 use crate::local_reply::LocalReply;
 use crate::metrics;
 use crate::notice::Notice;
-use crate::upstream::ConnectionCheck;
 use eiderferry_dispatch::{
     ApplyOutcome, CacheUpdate, ColdRole, DocumentKey, ExpiredLease, Grant, HealthChange,
     LimitChange, LimitRole, Outcome, PeerChange, QuarantineChange, ReceivedChange, RetrySource,
--- a/crates/transport/relay/src/lib.rs
+++ b/crates/transport/relay/src/lib.rs
@@ -12,6 +12,8 @@
 mod cache_follower;
 mod caller_socket;
 mod cancellation;
+mod connecting;
+mod connector;
 mod control;
 mod crash;
 mod documents;
--- a/crates/transport/relay/src/node.rs
+++ b/crates/transport/relay/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::cache_follower::CacheFollower;
 use crate::cancellation::Cancellations;
+use crate::connector::Connector;
 use crate::control::{Control, ControlHandle, DocumentFeed, SharedTable};
 use crate::documents;
 use crate::exchange::Traffic;
@@ -151,12 +152,16 @@
             self.settings.peer_address.ip(),
             self.settings.tunnel_port,
         );
+        let connector = Connector::new(
+            Rc::clone(&executor),
+            self.control.clone(),
+            self.clock,
+            tunnels,
+        );
         let traffic = Rc::new(Traffic {
             upstream: Upstream::new(
                 Rc::clone(&executor),
-                self.control.clone(),
-                self.clock,
-                tunnels,
+                connector,
                 self.memory.back_end_limit(),
             ),
             memory: Memory::new(Arc::clone(&self.memory)),
--- a/crates/transport/relay/src/observed_stream.rs
+++ b/crates/transport/relay/src/observed_stream.rs
@@ -1,5 +1,6 @@
-//! Connections that record that they have received bytes.
+//! Connections that record that they have received bytes, and the check for silence of all.
 
+use eiderferry_types::{Span, Timestamp};
 use futures_lite::{AsyncRead, AsyncWrite};
 use smol::net::TcpStream;
 use std::cell::Cell;
@@ -8,6 +9,12 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
+/// Time without a byte from any back end, while responses are outstanding, after which direct
+/// connections are checked.
+const SILENCE_BEFORE_CHECK: Span = Span::from_milliseconds(500);
+/// Minimum time between two such checks.
+const SILENCE_CHECK_INTERVAL: Span = Span::from_milliseconds(1_000);
+
 /// Whether any of several connections has received bytes since this was last taken. Cheaper than
 /// the time of each read.
 #[derive(Clone, Debug, Default)]
@@ -15,11 +22,39 @@
 
 impl ReceivedFlag {
     /// Returns the flag and clears it.
-    pub fn take(&self) -> bool {
+    fn take(&self) -> bool {
         self.0.replace(false)
     }
 }
 
+/// Notices that no back end sends anything although responses are outstanding.
+#[derive(Debug, Default)]
+pub(crate) struct SilenceCheck {
+    received: ReceivedFlag,
+    silent_since: Cell<Timestamp>,
+    checked_at: Cell<Timestamp>,
+}
+
+impl SilenceCheck {
+    /// The flag for connections to set.
+    pub fn received(&self) -> ReceivedFlag {
+        self.received.clone()
+    }
+
+    /// Whether connections are to be checked now; to be called often.
+    pub fn is_check_due(&self, is_waiting: bool, now: Timestamp) -> bool {
+        if self.received.take() || !is_waiting {
+            self.silent_since.set(now);
+        }
+        let is_silent = now.since(self.silent_since.get()) >= SILENCE_BEFORE_CHECK;
+        let is_due = is_silent && now.since(self.checked_at.get()) >= SILENCE_CHECK_INTERVAL;
+        if is_due {
+            self.checked_at.set(now);
+        }
+        is_due
+    }
+}
+
 /// A connection that sets a flag when it receives bytes.
 pub(crate) struct ObservedStream {
     inner: TcpStream,
--- a/crates/transport/relay/src/tunnel.rs
+++ b/crates/transport/relay/src/tunnel.rs
@@ -3,6 +3,7 @@
 //! The node that asks keeps the request with everything that belongs to it; the peer copies bytes.
 //! One exchange of frames precedes them, each a length in two bytes and a `postcard` message.
 
+use crate::connecting::connect_from;
 use crate::control::ControlHandle;
 use crate::metrics;
 use eiderferry_clock::Clock;
@@ -12,8 +13,8 @@
 use quick_error::quick_error;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use smol::Timer;
 use smol::net::TcpStream;
-use smol::{Async, Timer};
 use std::cell::RefCell;
 use std::io::ErrorKind;
 use std::net::{IpAddr, SocketAddr};
@@ -30,8 +31,6 @@
 /// Peers that fail to reach a back end before it counts as down, unless the first is known to reach
 /// others: one may be cut without knowing it.
 const CONCLUSIVE_FAILURES: usize = 2;
-/// Time without acknowledgement of sent bytes after which the kernel closes a connection.
-const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// A request for a tunnel.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -128,14 +127,6 @@
     write_frame(stream, &reply).await
 }
 
-/// Sets the options of a connection that carries requests.
-pub(crate) fn configure(stream: &TcpStream) -> std::io::Result<()> {
-    let stream: std::sync::Arc<Async<std::net::TcpStream>> = stream.clone().into();
-    let socket = socket2::SockRef::from(stream.get_ref());
-    socket.set_tcp_nodelay(true)?;
-    socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
-}
-
 /// Opens tunnels through peers.
 pub(crate) struct TunnelClient {
     control: ControlHandle,
@@ -219,28 +210,6 @@
     }
 }
 
-/// Connects from this address, by which the peer recognizes this node.
-async fn connect_from(own_ip: IpAddr, address: SocketAddr) -> std::io::Result<TcpStream> {
-    let domain = socket2::Domain::for_address(address);
-    let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None)?;
-    socket.bind(&SocketAddr::new(own_ip, 0).into())?;
-    socket.set_nonblocking(true)?;
-    match socket.connect(&address.into()) {
-        Err(error)
-            if error.raw_os_error() != Some(rustix::io::Errno::INPROGRESS.raw_os_error()) =>
-        {
-            return Err(error);
-        }
-        _ => {}
-    }
-    let stream = Async::new(std::net::TcpStream::from(socket))?;
-    stream.writable().await?;
-    if let Some(error) = stream.get_ref().take_error()? {
-        return Err(error);
-    }
-    Ok(TcpStream::from(stream))
-}
-
 /// Keeps the candidates that are not in the zone of a peer that failed, if there are any: the zone
 /// may be cut as a whole.
 fn prefer_other_zones(candidates: &mut Vec<TunnelPeer>, failed: TunnelPeer) {
@@ -255,8 +224,8 @@
     address: SocketAddr,
     instance: &InstanceId,
 ) -> Result<(TcpStream, TunnelReply), TunnelError> {
+    // Peers recognize this node by the address of its messages.
     let mut stream = connect_from(own_ip, address).await?;
-    configure(&stream)?;
     let request = TunnelRequest {
         version: FORMAT_VERSION,
         back_end: instance.clone(),
--- a/crates/transport/relay/src/tunnel_server.rs
+++ b/crates/transport/relay/src/tunnel_server.rs
@@ -1,15 +1,17 @@
 //! The tunnels that this node provides to its peers.
 
+use crate::connecting::set_options;
 use crate::server::{OpenRequest, Phase, Server};
-use crate::tunnel::{TunnelError, TunnelReply, configure, read_request, write_reply};
+use crate::tunnel::{TunnelError, TunnelReply, read_request, write_reply};
 use crate::{events, metrics};
 use eiderferry_dispatch::Path;
 use eiderferry_routing::InstanceId;
 use futures_lite::{AsyncReadExt, FutureExt};
-use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
+use smol::{Async, Timer};
 use std::net::{IpAddr, Shutdown};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Maximum tunnels that this node provides at once, each with two sockets and 16 kB of buffers.
@@ -79,7 +81,7 @@
             Err(std::io::Error::from(std::io::ErrorKind::TimedOut).into())
         };
         let request = read_request(stream).or(timeout).await?;
-        configure(stream)?;
+        set_options(&Arc::<Async<std::net::TcpStream>>::from(stream.clone()))?;
         let opened = self.connect_for_peer(source, &request.back_end).await;
         let (back_end, _tunnel, _open) = match opened {
             Ok(opened) => opened,
--- a/crates/transport/relay/src/upstream.rs
+++ b/crates/transport/relay/src/upstream.rs
@@ -1,15 +1,11 @@
 //! Connections to back ends.
 
-use crate::control::ControlHandle;
-use crate::observed_stream::{ObservedStream, ReceivedFlag};
-use crate::tunnel::TunnelClient;
-use crate::{events, metrics};
+use crate::connector::Connector;
+use crate::observed_stream::{ObservedStream, SilenceCheck};
 use bytes::Bytes;
-use eiderferry_clock::{Clock, boot_time};
-use eiderferry_dispatch::{BackEndPaths, Grant, Outcome, Path};
+use eiderferry_clock::boot_time;
+use eiderferry_dispatch::{Grant, Outcome, Path};
 use eiderferry_routing::InstanceId;
-use eiderferry_types::{Span, Timestamp};
-use futures_lite::FutureExt;
 use futures_lite::future::yield_now;
 use http::{HeaderMap, Request, Response};
 use http_body::Body;
@@ -18,18 +14,16 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use quick_error::quick_error;
 use smol::net::TcpStream;
-use smol::{Async, LocalExecutor, Task, Timer};
+use smol::{Async, LocalExecutor, Task};
 use smol_hyper::rt::FuturesIo;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-/// Timeout for establishing a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum idle time of a pooled connection.
 const MAXIMUM_IDLE: Duration = Duration::from_secs(10);
 /// Maximum idle time of a pooled connection used for a request that may not be retried: if the back
@@ -37,17 +31,8 @@
 const MAXIMUM_IDLE_NOT_RETRYABLE: Duration = Duration::from_millis(700);
 /// Fraction used of the idle time that a back end allows.
 const IDLE_FRACTION: f64 = 0.7;
-/// Longest wait for a peer's reply after a refused connection.
-const REPLY_WAIT: Duration = Duration::from_millis(50);
-/// Time without a byte from any back end, while responses are outstanding, after which direct
-/// connections are checked.
-const SILENCE_BEFORE_CHECK: Span = Span::from_milliseconds(500);
-/// Minimum time between two such checks.
-const SILENCE_CHECK_INTERVAL: Span = Span::from_milliseconds(1_000);
 /// Back ends with outstanding responses to which one such check connects.
 const SILENCE_CHECK_BACK_ENDS: usize = 3;
-/// Time without acknowledgement of sent bytes after which the kernel closes a connection.
-const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
 
 quick_error! {
     /// Why a request got no response head.
@@ -102,6 +87,12 @@
     outstanding: u64,
 }
 
+impl Pool {
+    fn has_outstanding_response(&self) -> bool {
+        self.open as usize > self.idle.len()
+    }
+}
+
 struct IdleConnection {
     connection: Connection,
     /// Boot time, which includes suspensions: back ends close idle connections during them.
@@ -118,8 +109,7 @@
 /// A connection to a back end; closed when dropped.
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    /// Whether a peer provides the connection.
-    is_tunnel: bool,
+    path: Path,
     /// The socket that the driver task uses.
     socket: Arc<Async<std::net::TcpStream>>,
     _driver: Task<()>,
@@ -166,123 +156,61 @@
 pub(crate) struct Upstream {
     executor: Rc<LocalExecutor<'static>>,
     pools: Pools,
-    /// Receives the time that each connection took to establish.
-    control: ControlHandle,
-    clock: Clock,
-    paths: Rc<RefCell<BackEndPaths>>,
-    tunnels: Rc<TunnelClient>,
-    /// Whether any back end has sent bytes since the last check of paths.
-    received: ReceivedFlag,
-    /// Since when responses have been outstanding without a byte from any back end.
-    silent_since: Cell<Timestamp>,
-    silence_checked_at: Cell<Timestamp>,
+    connector: Connector,
+    silence: SilenceCheck,
     /// Maximum outstanding body bytes per back end, if limited.
     outstanding_limit: Option<u64>,
 }
 
-/// What the checks of paths need, shared with their tasks.
-#[derive(Clone)]
-struct PathChecks {
-    executor: Rc<LocalExecutor<'static>>,
-    pools: Pools,
-    paths: Rc<RefCell<BackEndPaths>>,
-    tunnels: Rc<TunnelClient>,
-    clock: Clock,
-}
-
 impl Upstream {
     pub fn new(
         executor: Rc<LocalExecutor<'static>>,
-        control: ControlHandle,
-        clock: Clock,
-        tunnels: TunnelClient,
+        connector: Connector,
         outstanding_limit: Option<u64>,
     ) -> Self {
         Self {
             executor,
-            tunnels: Rc::new(tunnels),
-            control,
-            clock,
+            connector,
             outstanding_limit,
-            paths: Rc::default(),
             pools: Rc::default(),
-            received: ReceivedFlag::default(),
-            silent_since: Cell::default(),
-            silence_checked_at: Cell::default(),
-        }
-    }
-
-    fn path_checks(&self) -> PathChecks {
-        PathChecks {
-            executor: Rc::clone(&self.executor),
-            pools: Rc::clone(&self.pools),
-            paths: Rc::clone(&self.paths),
-            tunnels: Rc::clone(&self.tunnels),
-            clock: self.clock,
+            silence: SilenceCheck::default(),
         }
     }
 
     /// How a new connection to a back end is established.
     pub fn path_to(&self, instance: &InstanceId) -> Path {
-        self.paths.borrow().path_to(instance)
+        self.connector.path_to(instance)
     }
 
-    /// Connects to a back end for a peer. A failure raises no question to further peers, which
-    /// would spread over the fleet.
+    /// Connects to a back end for a peer.
     pub async fn connect_for_peer(
         &self,
         address: SocketAddr,
         instance: &InstanceId,
     ) -> std::io::Result<TcpStream> {
-        let stream = connect_stream(address).await?;
-        let now = self.clock.now();
-        self.path_checks().record_connected(instance, now);
-        Ok(stream)
+        self.connector.connect_for_peer(address, instance).await
     }
 
     /// Whether a peer reaches a back end to which this node could not connect.
     pub async fn is_reached_by_peer(&self, address: SocketAddr, instance: &InstanceId) -> bool {
-        let now = self.clock.now();
-        self.paths
-            .borrow_mut()
-            .record_failed(instance, address, now);
-        self.path_checks().ask_peer(instance, true).await
+        self.connector.ask_about(address, instance).await
     }
 
     /// Checks whether broken paths work again, and direct connections while all back ends are
     /// silent.
     pub fn check_paths(&self) {
-        let now = self.clock.now();
-        let mut targets: Vec<PoolKey> = self.paths.borrow_mut().due_checks(now);
-        targets.extend(self.silent_back_ends(now));
-        for (address, instance) in targets {
-            let checks = self.path_checks();
-            self.spawn(async move {
-                let _ = checks.connect(address, &instance).await;
-            });
-        }
-        let paths = self.paths.borrow();
-        metrics::set_path_gauges(paths.broken_count(), paths.is_cut());
-    }
-
-    /// Some back ends whose responses are outstanding, if none has sent anything for a while.
-    fn silent_back_ends(&self, now: Timestamp) -> Vec<PoolKey> {
+        let now = self.connector.now();
+        self.connector.check_broken_paths(now);
         let pools = self.pools.borrow();
-        let waiting = pools
+        let mut waiting = pools
             .iter()
-            .filter(|(_, pool)| pool.open as usize > pool.idle.len());
-        let waiting = waiting.map(|(key, _)| key.clone());
-        let waiting: Vec<PoolKey> = waiting.take(SILENCE_CHECK_BACK_ENDS).collect();
-        if self.received.take() || waiting.is_empty() {
-            self.silent_since.set(now);
-        }
-        let is_silent = now.since(self.silent_since.get()) >= SILENCE_BEFORE_CHECK;
-        let is_due = now.since(self.silence_checked_at.get()) >= SILENCE_CHECK_INTERVAL;
-        if !is_silent || !is_due || self.paths.borrow().is_cut() {
-            return Vec::new();
+            .filter(|(_, pool)| pool.has_outstanding_response())
+            .peekable();
+        if self.silence.is_check_due(waiting.peek().is_some(), now) {
+            for ((address, instance), _) in waiting.take(SILENCE_CHECK_BACK_ENDS) {
+                self.connector.start_check(*address, instance.clone());
+            }
         }
-        self.silence_checked_at.set(now);
-        waiting
     }
 
     /// Runs a task in the background.
@@ -344,6 +272,10 @@
         } else {
             MAXIMUM_IDLE_NOT_RETRYABLE
         };
+        // A request sent on a connection that hangs would get no response.
+        if self.connector.hangs(&key.1) {
+            return None;
+        }
         loop {
             let idle = self.pools.borrow_mut().get_mut(key)?.idle.pop()?;
             let is_fresh = idle.age() < idle.idle_limit.min(maximum_idle);
@@ -355,9 +287,13 @@
 
     async fn connect(&self, key: PoolKey, limit: u32) -> Result<Connection, SendError> {
         let guard = self.reserve_connection(&key, limit)?;
-        let (stream, is_tunnel) = self.establish(&key).await?;
+        let (stream, path) = self
+            .connector
+            .establish(key.0, &key.1)
+            .await
+            .map_err(SendError::Unreachable)?;
         let socket = stream.clone().into();
-        let stream = ObservedStream::new(stream, self.received.clone());
+        let stream = ObservedStream::new(stream, self.silence.received());
         let handshake = http1::Builder::new()
             .handshake(FuturesIo::new(stream))
             .await;
@@ -369,7 +305,7 @@
         });
         Ok(Connection {
             sender,
-            is_tunnel,
+            path,
             socket,
             _driver: driver,
             _guard: guard,
@@ -378,38 +314,6 @@
         })
     }
 
-    /// Connects to a back end; returns whether through a peer.
-    async fn establish(&self, key: &PoolKey) -> Result<(TcpStream, bool), SendError> {
-        let (address, instance) = key;
-        if self.path_to(instance) == Path::Direct {
-            let started = Instant::now();
-            match self.path_checks().connect(*address, instance).await {
-                Ok(stream) => {
-                    let round_trip = Span::from_seconds(started.elapsed().as_secs_f64());
-                    self.control.record_round_trip(instance.clone(), round_trip);
-                    return Ok((stream, false));
-                }
-                // Another connection's failure may have shown meanwhile that the path is broken.
-                Err(error) if self.path_to(instance) == Path::Direct => {
-                    return Err(SendError::Unreachable(error));
-                }
-                Err(_) => {}
-            }
-        }
-        match self.tunnels.open(instance).await {
-            Ok(stream) => {
-                let now = self.clock.now();
-                let mut paths = self.paths.borrow_mut();
-                paths.record_reached_by_peer(instance, now);
-                Ok((stream, true))
-            }
-            Err(error) => {
-                let error = std::io::Error::new(ErrorKind::HostUnreachable, error.to_string());
-                Err(SendError::Unreachable(error))
-            }
-        }
-    }
-
     fn reserve_connection(&self, key: &PoolKey, limit: u32) -> Result<ConnectionGuard, SendError> {
         let mut pools = self.pools.borrow_mut();
         let pool = pools.entry(key.clone()).or_default();
@@ -426,7 +330,7 @@
     /// Returns a connection to its pool after its response was read completely.
     pub fn return_connection(&self, mut connection: Connection, headers: &HeaderMap) {
         connection.body = None;
-        if connection.is_tunnel {
+        if connection.path == Path::Peer {
             return;
         }
         let Some(idle_limit) = allowed_idle(headers) else {
@@ -468,95 +372,6 @@
     }
 }
 
-impl PathChecks {
-    /// Connects to a back end from this node. After a failure, a peer is asked in the background
-    /// whether it reaches the back end.
-    async fn connect(
-        &self,
-        address: SocketAddr,
-        instance: &InstanceId,
-    ) -> std::io::Result<TcpStream> {
-        let result = connect_stream(address).await;
-        let now = self.clock.now();
-        match &result {
-            Ok(_) => self.record_connected(instance, now),
-            Err(error) => {
-                let is_question_due = self
-                    .paths
-                    .borrow_mut()
-                    .record_failed(instance, address, now);
-                if is_question_due {
-                    let is_refusal = error.kind() == ErrorKind::ConnectionRefused;
-                    self.start_question(instance.clone(), is_refusal).await;
-                }
-            }
-        }
-        result
-    }
-
-    /// Asks a peer in the background. After a refusal, which took no time, waits shortly for the
-    /// reply: all attempts of a request could be refused before it.
-    async fn start_question(&self, instance: InstanceId, is_refusal: bool) {
-        let (sender, reply) = async_channel::bounded::<()>(1);
-        let checks = self.clone();
-        self.executor
-            .spawn(async move {
-                checks.ask_peer(&instance, is_refusal).await;
-                drop(sender);
-            })
-            .detach();
-        if is_refusal {
-            let timeout = async {
-                Timer::after(REPLY_WAIT).await;
-            };
-            let replied = async {
-                let _ = reply.recv().await;
-            };
-            replied.or(timeout).await;
-        }
-    }
-
-    fn record_connected(&self, instance: &InstanceId, now: Timestamp) {
-        let mut paths = self.paths.borrow_mut();
-        let broken_before = paths.broken_count();
-        paths.record_connected(instance, now);
-        if paths.broken_count() < broken_before {
-            events::paths_restored(instance, paths.broken_count());
-        }
-    }
-
-    /// Asks a peer whether it reaches a back end.
-    async fn ask_peer(&self, instance: &InstanceId, is_refusal: bool) -> bool {
-        if self.tunnels.open(instance).await.is_err() {
-            return false;
-        }
-        let now = self.clock.now();
-        let mut paths = self.paths.borrow_mut();
-        if paths.record_reached_by_peer(instance, now) {
-            let is_cut = paths.is_cut();
-            events::path_broken(instance, is_cut);
-            if !is_refusal {
-                self.close_idle_connections(instance, is_cut);
-            }
-        }
-        true
-    }
-
-    /// Closes idle connections whose path is broken: requests sent on them would get no response.
-    fn close_idle_connections(&self, instance: &InstanceId, is_cut: bool) {
-        let mut pools = self.pools.borrow_mut();
-        let broken = pools
-            .iter_mut()
-            .filter(|((_, other), _)| is_cut || other == instance);
-        let closed: Vec<IdleConnection> = broken
-            .flat_map(|(_, pool)| std::mem::take(&mut pool.idle))
-            .collect();
-        // Dropping a connection accesses the pools.
-        drop(pools);
-        drop(closed);
-    }
-}
-
 /// Whether a connection can take a request: its driver may have to be polled once to notice that
 /// the last response is complete.
 async fn is_ready(connection: &Connection) -> bool {
@@ -594,48 +409,3 @@
     });
     Some(limit.min(MAXIMUM_IDLE))
 }
-
-/// Result of opening a new connection to a back end.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum ConnectionCheck {
-    /// Established: the back end is serving.
-    Listening,
-    /// Refused: the machine is up, the process is not.
-    Refused,
-    /// No response in time.
-    TimedOut,
-}
-
-impl ConnectionCheck {
-    /// The name in logs and metrics.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            ConnectionCheck::Listening => "listening",
-            ConnectionCheck::Refused => "refused",
-            ConnectionCheck::TimedOut => "silent",
-        }
-    }
-}
-
-/// Opens a connection to a back end and closes it again.
-pub(crate) async fn check_connection(address: SocketAddr) -> ConnectionCheck {
-    match connect_stream(address).await {
-        Ok(_) => ConnectionCheck::Listening,
-        Err(error) if error.kind() == ErrorKind::TimedOut => ConnectionCheck::TimedOut,
-        Err(_) => ConnectionCheck::Refused,
-    }
-}
-
-async fn connect_stream(address: SocketAddr) -> std::io::Result<TcpStream> {
-    let timeout = async {
-        Timer::after(CONNECT_TIMEOUT).await;
-        Err(ErrorKind::TimedOut.into())
-    };
-    let stream = Async::<std::net::TcpStream>::connect(address)
-        .or(timeout)
-        .await?;
-    let socket = socket2::SockRef::from(stream.get_ref());
-    socket.set_tcp_nodelay(true)?;
-    socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
-    Ok(TcpStream::from(stream))
-}
