Reset a tunnel unless its back end closed the connection itself

A response without a length ends with its connection. A peer that closed the tunnel of a back end that had reset its connection made the half that had arrived look complete: 200 in place of 502 in a_response_that_its_back_end_resets_is_incomplete_behind_a_tunnel_too, which failed before.

--- a/crates/transport/relay/src/tunnel_server.rs
+++ b/crates/transport/relay/src/tunnel_server.rs
@@ -9,6 +9,7 @@
 use futures_lite::{AsyncReadExt, FutureExt};
 use smol::net::{TcpListener, TcpStream};
 use smol::{Async, Timer};
+use socket2::SockRef;
 use std::net::{IpAddr, Shutdown};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -81,7 +82,8 @@
             Err(std::io::Error::from(std::io::ErrorKind::TimedOut).into())
         };
         let request = read_request(stream).or(timeout).await?;
-        set_options(&Arc::<Async<std::net::TcpStream>>::from(stream.clone()))?;
+        let socket: Arc<Async<std::net::TcpStream>> = stream.clone().into();
+        set_options(&socket)?;
         let opened = self.connect_for_peer(source, &request.back_end).await;
         let (back_end, _tunnel, _open) = match opened {
             Ok(opened) => opened,
@@ -89,7 +91,13 @@
         };
         let open_tunnels = self.open_tunnels.get();
         write_reply(stream, TunnelReply::Opened { open_tunnels }).await?;
-        splice(stream, back_end).await;
+        // However the tunnel ends, it is reset unless the back end ends the connection itself: a
+        // response without a length would look complete otherwise.
+        SockRef::from(socket.get_ref()).set_linger(Some(Duration::ZERO))?;
+        if splice(stream, back_end).await == TunnelEnd::ClosedByBackEnd {
+            SockRef::from(socket.get_ref()).set_linger(None)?;
+            close_after_peer(stream).await;
+        }
         Ok(())
     }
 
@@ -124,19 +132,33 @@
     }
 }
 
+/// How a tunnel ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TunnelEnd {
+    /// The back end closed its connection, and all its bytes were written to the peer.
+    ClosedByBackEnd,
+    /// The peer closed its connection, or either one was reset.
+    BrokenOff,
+}
+
 /// Copies bytes in both directions until either side closes its connection.
-async fn splice(peer: &TcpStream, back_end: TcpStream) {
+async fn splice(peer: &TcpStream, back_end: TcpStream) -> TunnelEnd {
     let to_back_end = async {
         let _ = smol::io::copy(peer.clone(), back_end.clone()).await;
-        false
+        TunnelEnd::BrokenOff
     };
-    let to_peer = async { smol::io::copy(back_end.clone(), peer.clone()).await.is_ok() };
-    let has_back_end_closed = to_peer.or(to_back_end).await;
-    if !has_back_end_closed {
-        return;
-    }
-    // Closing a connection with unread bytes would reset it, and what the back end sent last would
-    // be lost.
+    let to_peer = async {
+        match smol::io::copy(back_end.clone(), peer.clone()).await {
+            Ok(_) => TunnelEnd::ClosedByBackEnd,
+            Err(_) => TunnelEnd::BrokenOff,
+        }
+    };
+    to_peer.or(to_back_end).await
+}
+
+/// Ends the bytes to the peer and waits for it to close: closing with unread bytes would reset the
+/// connection, and what the back end sent last would be lost.
+async fn close_after_peer(peer: &TcpStream) {
     let _ = peer.shutdown(Shutdown::Write);
     let drained = async {
         let mut buffer = [0; 1024];
--- a/crates/transport/relay/tests/cut_from_back_ends.rs
+++ b/crates/transport/relay/tests/cut_from_back_ends.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 use support::{
     MockBackEnd, Path, PathProxy, TEST_TIMEOUT, TUNNEL_PORT, TestRelay, chunk, event, ok_response,
-    stream_head, write,
+    reset_on_close, stream_head, write,
 };
 
 const BACK_ENDS: usize = 3;
@@ -260,6 +260,26 @@
     );
 }
 
+/// A response without a length ends with its connection: only the reset shows that it was cut off.
+#[test]
+fn a_response_that_its_back_end_resets_is_incomplete_behind_a_tunnel_too() {
+    let cluster = Cluster::start_with(1, 1, || {
+        MockBackEnd::start(|stream, request, _| {
+            let id = request.id();
+            let head = format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nStamp: one\r\n\r\n");
+            write(stream, &format!("{head}half of the"));
+            std::thread::sleep(Duration::from_millis(100));
+            reset_on_close(stream);
+            false
+        })
+    });
+    cluster.set_path(Path::Reset);
+    for number in 0..4 {
+        let response = cluster.relays[0].post("write", number);
+        assert_eq!(response.status, 502, "{response:?}");
+    }
+}
+
 #[rstest]
 #[case::a_stranger(b"\x00\x03\x01\x01x")]
 #[case::another_version(b"\x00\x03\x09\x01x")]
