Name paths, probes and the selection of peers in the terms of the field

Cause: read as a newcomer, Path looked like a file's path, a question to a peer was a probe under another name, and some error texts left out what was refused or which limit was exceeded.

Change: ConnectionPath, PathState in the tests' proxy, PeerSelector, probes in place of questions, whole error texts, and a condition of two awaits split in two steps. No behaviour, bound or expected value changes; three tests have new names and check the same.

--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -46,7 +46,7 @@
 pub use load::outcomes::{OutcomeCounts, RecentOutcomes};
 pub use load::pacing::StreamPacing;
 pub use load::rate_limit::RateLimit;
-pub use paths::{BackEndPaths, Path, PeerChoice, TunnelPeer};
+pub use paths::{BackEndPaths, ConnectionPath, PeerSelector, TunnelPeer};
 pub use placement::candidate::{Candidate, cheapest};
 pub use placement::demand::{Decision, Demand, Grant, LeaseId, Outcome, PromptPart, ReplicaTarget};
 pub use placement::pool_split::{EngineNeed, PoolLoad, SplitChange, SplitStats};
--- a/crates/coordination/dispatch/src/paths/direct_paths.rs
+++ b/crates/coordination/dispatch/src/paths/direct_paths.rs
@@ -8,8 +8,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-/// Minimum time between two questions to peers about the same back end.
-const QUESTION_INTERVAL: Span = Span::from_milliseconds(1_000);
+/// Minimum time between two probes of the same back end through peers.
+const PEER_PROBE_INTERVAL: Span = Span::from_milliseconds(1_000);
 /// Back ends with broken paths, and no direct connection since, that show that this node is cut
 /// from all back ends.
 const CUT_MIN_BACK_ENDS: usize = 2;
@@ -22,7 +22,7 @@
 
 /// How a new connection to a back end is established.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Path {
+pub enum ConnectionPath {
     /// From this node.
     Direct,
     /// Through a tunnel that a peer provides.
@@ -44,7 +44,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct BackEndPaths {
     broken: BTreeMap<InstanceId, BrokenPath>,
-    /// Recent failures of direct connections: the latest one, and the latest question about it.
+    /// Recent failures of direct connections: the latest one, and the latest probe through a peer.
     failures: BTreeMap<InstanceId, Failure>,
     /// Latest direct connection to any back end.
     connected_at: Option<Timestamp>,
@@ -58,16 +58,16 @@
     address: SocketAddr,
     is_refusal: bool,
     failed_at: Timestamp,
-    asked_at: Timestamp,
+    probed_at: Timestamp,
 }
 
 impl BackEndPaths {
     /// How to establish a new connection to a back end.
-    pub fn path_to(&self, instance: &InstanceId) -> Path {
+    pub fn path_to(&self, instance: &InstanceId) -> ConnectionPath {
         if self.broken.contains_key(instance) || self.is_cut() {
-            Path::Peer
+            ConnectionPath::Peer
         } else {
-            Path::Direct
+            ConnectionPath::Direct
         }
     }
 
@@ -93,8 +93,8 @@
         self.broken.len()
     }
 
-    /// Records that a direct connection could not be established. Returns whether to ask a peer if
-    /// it reaches the back end.
+    /// Records that a direct connection could not be established. Returns whether the back
+    /// end is to be probed through a peer.
     pub fn record_failed(
         &mut self,
         instance: &InstanceId,
@@ -107,21 +107,21 @@
             path.is_refusing = is_refusal;
         }
         self.failures
-            .retain(|_, failure| now.since(failure.failed_at) < QUESTION_INTERVAL);
+            .retain(|_, failure| now.since(failure.failed_at) < PEER_PROBE_INTERVAL);
         if let Some(failure) = self.failures.get_mut(instance) {
             failure.failed_at = now;
             failure.is_refusal = is_refusal;
-            if now.since(failure.asked_at) < QUESTION_INTERVAL {
+            if now.since(failure.probed_at) < PEER_PROBE_INTERVAL {
                 return false;
             }
-            failure.asked_at = now;
+            failure.probed_at = now;
             return true;
         }
         let failure = Failure {
             address,
             is_refusal,
             failed_at: now,
-            asked_at: now,
+            probed_at: now,
         };
         self.failures.insert(instance.clone(), failure);
         true
@@ -144,7 +144,7 @@
             path.confirmed_at = now;
             return false;
         }
-        // A direct connection since the question removed the failure.
+        // A direct connection since the probe removed the failure.
         let Some(failure) = self.failures.remove(instance) else {
             return false;
         };
--- a/crates/coordination/dispatch/src/paths/peer_choice.rs
+++ b/crates/coordination/dispatch/src/paths/peer_selector.rs
@@ -38,11 +38,11 @@
 
 /// What this node knows of the peers that it asked for tunnels.
 #[derive(Clone, Debug, Default)]
-pub struct PeerChoice {
+pub struct PeerSelector {
     states: HashMap<IpAddr, PeerState>,
 }
 
-impl PeerChoice {
+impl PeerSelector {
     /// The candidate with the least load and distance; `None` if all have refused lately.
     pub fn choose(&self, candidates: &[TunnelPeer], now: Timestamp) -> Option<TunnelPeer> {
         let usable = candidates.iter().filter(|peer| !self.refused(peer, now));
--- a/crates/coordination/dispatch/tests/paths.rs
+++ b/crates/coordination/dispatch/tests/paths.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use eiderferry_dispatch::{BackEndPaths, Path, PeerChoice, TunnelPeer};
+use eiderferry_dispatch::{BackEndPaths, ConnectionPath, PeerSelector, TunnelPeer};
 use eiderferry_routing::InstanceId;
 use eiderferry_types::{Span, Timestamp};
 use std::net::IpAddr;
@@ -27,7 +27,7 @@
         assert!(fail(&mut paths, number, START));
     }
     assert!(!paths.is_cut());
-    assert_eq!(paths.path_to(&instance(0)), Path::Direct);
+    assert_eq!(paths.path_to(&instance(0)), ConnectionPath::Direct);
     assert_eq!(paths.due_checks(after(10)), Vec::new());
 }
 
@@ -36,8 +36,8 @@
     let mut paths = BackEndPaths::default();
     fail(&mut paths, 1, START);
     assert!(paths.record_reached_by_peer(&instance(1), after(5)));
-    assert_eq!(paths.path_to(&instance(1)), Path::Peer);
-    assert_eq!(paths.path_to(&instance(2)), Path::Direct);
+    assert_eq!(paths.path_to(&instance(1)), ConnectionPath::Peer);
+    assert_eq!(paths.path_to(&instance(2)), ConnectionPath::Direct);
 }
 
 #[test]
@@ -48,7 +48,7 @@
         paths.record_reached_by_peer(&instance(number), after(15));
     }
     assert!(paths.is_cut());
-    assert_eq!(paths.path_to(&instance(7)), Path::Peer);
+    assert_eq!(paths.path_to(&instance(7)), ConnectionPath::Peer);
 }
 
 #[test]
@@ -76,19 +76,19 @@
 }
 
 #[test]
-fn a_direct_connection_since_the_question_outweighs_a_peers_reply() {
+fn a_direct_connection_during_a_probe_takes_precedence_over_its_result() {
     let mut paths = BackEndPaths::default();
     fail(&mut paths, 1, START);
     paths.record_connected(&instance(1), after(2));
     assert!(!paths.record_reached_by_peer(&instance(1), after(5)));
-    assert_eq!(paths.path_to(&instance(1)), Path::Direct);
+    assert_eq!(paths.path_to(&instance(1)), ConnectionPath::Direct);
 }
 
 #[test]
-fn peers_are_asked_about_a_back_end_once_a_second() {
+fn a_back_end_is_probed_through_peers_once_a_second() {
     let mut paths = BackEndPaths::default();
-    let asked = (0..40).filter(|step| fail(&mut paths, 1, after(step * 100)));
-    assert_eq!(asked.count(), 4);
+    let probes = (0..40).filter(|step| fail(&mut paths, 1, after(step * 100)));
+    assert_eq!(probes.count(), 4);
 }
 
 fn peer(number: u8, is_same_zone: bool) -> TunnelPeer {
@@ -101,7 +101,7 @@
 #[test]
 fn peers_of_the_own_zone_come_first_until_they_carry_more_tunnels() {
     let candidates = [peer(1, false), peer(2, true)];
-    let mut choice = PeerChoice::default();
+    let mut choice = PeerSelector::default();
     assert_eq!(choice.choose(&candidates, START), Some(candidates[1]));
     choice.record_opened(candidates[1].ip, 9, START);
     assert_eq!(choice.choose(&candidates, START), Some(candidates[0]));
@@ -110,7 +110,7 @@
 #[test]
 fn a_peer_that_refused_is_passed_over_for_a_second() {
     let candidates = [peer(1, true), peer(2, true)];
-    let mut choice = PeerChoice::default();
+    let mut choice = PeerSelector::default();
     choice.record_refused(candidates[0].ip, START);
     choice.record_refused(candidates[1].ip, START);
     assert_eq!(choice.choose(&candidates, after(900)), None);
@@ -121,9 +121,9 @@
 fn tunnels_of_four_cut_nodes_spread_over_the_other_four() {
     let candidates: Vec<TunnelPeer> = (0..4).map(|number| peer(number, number < 2)).collect();
     let mut open = [0_u32; 4];
-    let mut choices = vec![PeerChoice::default(); 4];
+    let mut selectors = vec![PeerSelector::default(); 4];
     for _ in 0..40 {
-        for choice in &mut choices {
+        for choice in &mut selectors {
             let chosen = choice.choose(&candidates, START).expect("a peer");
             let index = candidates.iter().position(|peer| *peer == chosen);
             let index = index.expect("a candidate");
--- a/crates/transport/relay/src/connector.rs
+++ b/crates/transport/relay/src/connector.rs
@@ -5,7 +5,7 @@
 use crate::tunnel::TunnelClient;
 use crate::{events, metrics};
 use eiderferry_clock::Clock;
-use eiderferry_dispatch::{BackEndPaths, Path};
+use eiderferry_dispatch::{BackEndPaths, ConnectionPath};
 use eiderferry_routing::InstanceId;
 use eiderferry_types::{Span, Timestamp};
 use futures_lite::FutureExt;
@@ -17,8 +17,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Longest wait for a peer's reply after a refused connection.
-const REPLY_WAIT: Duration = Duration::from_millis(50);
+/// Longest wait for the result of a probe after a refused connection.
+const PROBE_WAIT: Duration = Duration::from_millis(50);
 
 /// Connects to back ends, and finds out which of them this node reaches directly.
 #[derive(Clone)]
@@ -52,7 +52,7 @@
     }
 
     /// How a new connection to a back end is established.
-    pub fn path_to(&self, instance: &InstanceId) -> Path {
+    pub fn path_to(&self, instance: &InstanceId) -> ConnectionPath {
         self.paths.borrow().path_to(instance)
     }
 
@@ -66,17 +66,19 @@
         &self,
         address: SocketAddr,
         instance: &InstanceId,
-    ) -> std::io::Result<(TcpStream, Path)> {
-        if self.path_to(instance) == Path::Direct {
+    ) -> std::io::Result<(TcpStream, ConnectionPath)> {
+        if self.path_to(instance) == ConnectionPath::Direct {
             let started = Instant::now();
             match self.connect_directly(address, instance).await {
                 Ok(stream) => {
                     let round_trip = Span::from_seconds(started.elapsed().as_secs_f64());
                     self.control.record_round_trip(instance.clone(), round_trip);
-                    return Ok((stream, Path::Direct));
+                    return Ok((stream, ConnectionPath::Direct));
                 }
                 // Another connection's failure may have shown meanwhile that the path is broken.
-                Err(error) if self.path_to(instance) == Path::Direct => return Err(error),
+                Err(error) if self.path_to(instance) == ConnectionPath::Direct => {
+                    return Err(error);
+                }
                 Err(_) => {}
             }
         }
@@ -85,7 +87,7 @@
                 let now = self.clock.now();
                 let mut paths = self.paths.borrow_mut();
                 paths.record_reached_by_peer(instance, now);
-                Ok((stream, Path::Peer))
+                Ok((stream, ConnectionPath::Peer))
             }
             Err(error) => {
                 let kind = ErrorKind::HostUnreachable;
@@ -94,8 +96,8 @@
         }
     }
 
-    /// Connects to a back end for a peer. A failure raises no question to further peers, which
-    /// would spread over the fleet.
+    /// Connects to a back end for a peer. A failure starts no probe through further peers,
+    /// which would spread over the fleet.
     pub async fn connect_for_peer(
         &self,
         address: SocketAddr,
@@ -106,8 +108,8 @@
         Ok(stream)
     }
 
-    /// Connects to a back end from this node. After a failure, a peer is asked in the background
-    /// whether it reaches the back end.
+    /// Connects to a back end from this node. After a failure, the back end is probed through a
+    /// peer in the background.
     async fn connect_directly(
         &self,
         address: SocketAddr,
@@ -119,7 +121,7 @@
             Err(error) => {
                 let is_refusal = error.kind() == ErrorKind::ConnectionRefused;
                 if self.record_failed(address, instance, is_refusal) {
-                    self.start_question(instance.clone(), is_refusal).await;
+                    self.start_peer_probe(instance.clone(), is_refusal).await;
                 }
             }
         }
@@ -146,26 +148,26 @@
         metrics::set_path_gauges(paths.broken_count(), paths.is_cut());
     }
 
-    /// Asks a peer about a back end to which a connection of this node was refused.
-    pub async fn ask_about(&self, address: SocketAddr, instance: &InstanceId) -> bool {
+    /// Whether a peer reaches a back end to which this node could not connect.
+    pub async fn is_reached_by_peer(&self, address: SocketAddr, instance: &InstanceId) -> bool {
         self.record_failed(address, instance, true);
-        self.ask_peer(instance).await
+        self.probe_through_peer(instance).await
     }
 
-    /// Asks a peer in the background. After a refusal, which took no time, waits shortly for the
+    /// Probes a back end through a peer in the background. After a refusal, which took no time, waits shortly for the
     /// reply: all attempts of a request could be refused before it.
-    async fn start_question(&self, instance: InstanceId, is_refusal: bool) {
+    async fn start_peer_probe(&self, instance: InstanceId, is_refusal: bool) {
         let (sender, reply) = async_channel::bounded::<()>(1);
         let connector = self.clone();
         self.executor
             .spawn(async move {
-                connector.ask_peer(&instance).await;
+                connector.probe_through_peer(&instance).await;
                 drop(sender);
             })
             .detach();
         if is_refusal {
             let timeout = async {
-                Timer::after(REPLY_WAIT).await;
+                Timer::after(PROBE_WAIT).await;
             };
             let replied = async {
                 let _ = reply.recv().await;
@@ -174,8 +176,8 @@
         }
     }
 
-    /// Asks a peer whether it reaches a back end.
-    async fn ask_peer(&self, instance: &InstanceId) -> bool {
+    /// Whether a tunnel to a back end can be opened; it is closed at once.
+    async fn probe_through_peer(&self, instance: &InstanceId) -> bool {
         if self.tunnels.open(instance).await.is_err() {
             return false;
         }
--- a/crates/transport/relay/src/crash.rs
+++ b/crates/transport/relay/src/crash.rs
@@ -64,12 +64,12 @@
             // A back end that responds on neither connection may be partitioned but working.
             ConnectionCheck::TimedOut => self.outcome == Outcome::IncompleteResponse,
         };
+        if !has_crashed {
+            return;
+        }
         let upstream = &self.traffic.upstream;
-        if !has_crashed
-            || upstream
-                .is_reached_by_peer(self.address, &self.back_end)
-                .await
-        {
+        let is_reached = upstream.is_reached_by_peer(self.address, &self.back_end);
+        if is_reached.await {
             return;
         }
         metrics::crashed_run(check.as_str());
--- a/crates/transport/relay/src/events.rs
+++ b/crates/transport/relay/src/events.rs
@@ -324,7 +324,7 @@
 pub(crate) fn path_broken(back_end: &InstanceId, is_cut: bool) {
     log::warn!(
         event = "path_broken", back_end = back_end.as_str(), cut = is_cut;
-        "only peers reach a back end"
+        "a back end can't be connected to from this node, but from a peer"
     );
 }
 
@@ -340,7 +340,7 @@
 pub(crate) fn tunnel_refused(source: IpAddr, back_end: &InstanceId, reason: &'static str) {
     log::warn!(
         event = "tunnel_refused", source:% = source, back_end = back_end.as_str(), reason = reason;
-        "tunnel refused"
+        "a tunnel to a back end was refused"
     );
 }
 
--- a/crates/transport/relay/src/tunnel.rs
+++ b/crates/transport/relay/src/tunnel.rs
@@ -7,7 +7,7 @@
 use crate::control::ControlHandle;
 use crate::metrics;
 use eiderferry_clock::Clock;
-use eiderferry_dispatch::{PeerChoice, TunnelPeer};
+use eiderferry_dispatch::{PeerSelector, TunnelPeer};
 use eiderferry_routing::InstanceId;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use quick_error::quick_error;
@@ -66,11 +66,11 @@
         }
         /// A frame is too long.
         TooLong(bytes: usize) {
-            display("a frame of {bytes} bytes exceeds {MAXIMUM_FRAME_BYTES}")
+            display("a frame of {bytes} bytes exceeds the limit of {MAXIMUM_FRAME_BYTES} bytes")
         }
         /// The peer uses another version of the frames.
         Version(found: u8) {
-            display("frame version {found}, expected {FORMAT_VERSION}")
+            display("the peer's frames have version {found}, expected {FORMAT_VERSION}")
         }
         /// The peer can't reach the back end.
         Unreachable {
@@ -78,11 +78,11 @@
         }
         /// The peer refused.
         Refused {
-            display("the peer refused")
+            display("the peer refused to open a tunnel")
         }
         /// All peers refused lately, or there are none.
         NoPeer {
-            display("no peer provides a tunnel")
+            display("no peer is left that could open a tunnel to the back end")
         }
     }
 }
@@ -133,7 +133,7 @@
     clock: Clock,
     own_ip: IpAddr,
     port: Option<u16>,
-    peers: RefCell<PeerChoice>,
+    peers: RefCell<PeerSelector>,
 }
 
 impl TunnelClient {
--- a/crates/transport/relay/src/tunnel_server.rs
+++ b/crates/transport/relay/src/tunnel_server.rs
@@ -4,7 +4,7 @@
 use crate::server::{OpenRequest, Phase, Server};
 use crate::tunnel::{TunnelError, TunnelReply, read_request, write_reply};
 use crate::{events, metrics};
-use eiderferry_dispatch::Path;
+use eiderferry_dispatch::ConnectionPath;
 use eiderferry_routing::InstanceId;
 use futures_lite::{AsyncReadExt, FutureExt};
 use smol::net::{TcpListener, TcpStream};
@@ -119,7 +119,7 @@
         let upstream = &self.traffic.upstream;
         let is_available = self.phase.get() == Phase::Serving
             && self.open_tunnels.get() < MAXIMUM_TUNNELS
-            && upstream.path_to(instance) == Path::Direct;
+            && upstream.path_to(instance) == ConnectionPath::Direct;
         if !is_available {
             return Err(TunnelReply::Refused);
         }
--- a/crates/transport/relay/src/upstream.rs
+++ b/crates/transport/relay/src/upstream.rs
@@ -4,7 +4,7 @@
 use crate::observed_stream::{ObservedStream, SilenceCheck};
 use bytes::Bytes;
 use eiderferry_clock::boot_time;
-use eiderferry_dispatch::{Grant, Outcome, Path};
+use eiderferry_dispatch::{ConnectionPath, Grant, Outcome};
 use eiderferry_routing::InstanceId;
 use futures_lite::future::yield_now;
 use http::{HeaderMap, Request, Response};
@@ -109,7 +109,7 @@
 /// A connection to a back end; closed when dropped.
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    path: Path,
+    path: ConnectionPath,
     /// The socket that the driver task uses.
     socket: Arc<Async<std::net::TcpStream>>,
     _driver: Task<()>,
@@ -178,7 +178,7 @@
     }
 
     /// How a new connection to a back end is established.
-    pub fn path_to(&self, instance: &InstanceId) -> Path {
+    pub fn path_to(&self, instance: &InstanceId) -> ConnectionPath {
         self.connector.path_to(instance)
     }
 
@@ -193,7 +193,7 @@
 
     /// Whether a peer reaches a back end to which this node could not connect.
     pub async fn is_reached_by_peer(&self, address: SocketAddr, instance: &InstanceId) -> bool {
-        self.connector.ask_about(address, instance).await
+        self.connector.is_reached_by_peer(address, instance).await
     }
 
     /// Checks whether broken paths work again, and direct connections while all back ends are
@@ -330,7 +330,7 @@
     /// Returns a connection to its pool after its response was read completely.
     pub fn return_connection(&self, mut connection: Connection, headers: &HeaderMap) {
         connection.body = None;
-        if connection.path == Path::Peer {
+        if connection.path == ConnectionPath::Peer {
             return;
         }
         let Some(idle_limit) = allowed_idle(headers) else {
--- a/crates/transport/relay/tests/cut_from_back_ends.rs
+++ b/crates/transport/relay/tests/cut_from_back_ends.rs
@@ -7,8 +7,8 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 use support::{
-    MockBackEnd, Path, PathProxy, TEST_TIMEOUT, TUNNEL_PORT, TestRelay, chunk, event, ok_response,
-    reset_on_close, stream_head, write,
+    MockBackEnd, PathProxy, PathState, TEST_TIMEOUT, TUNNEL_PORT, TestRelay, chunk, event,
+    ok_response, reset_on_close, stream_head, write,
 };
 
 const BACK_ENDS: usize = 3;
@@ -70,7 +70,7 @@
         }
     }
 
-    fn set_path(&self, path: Path) {
+    fn set_path(&self, path: PathState) {
         for proxy in &self.proxies {
             proxy.set_path(path);
         }
@@ -89,11 +89,11 @@
 }
 
 #[rstest]
-#[case::connections_hang(Path::Hanging)]
-#[case::connections_are_reset(Path::Reset)]
-#[case::new_connections_are_refused(Path::RefusingNew)]
+#[case::connections_hang(PathState::Hanging)]
+#[case::connections_are_reset(PathState::Reset)]
+#[case::new_connections_are_refused(PathState::RefusingNew)]
 fn a_relay_cut_from_all_back_ends_serves_its_callers_within_three_seconds(
-    #[case] path: Path,
+    #[case] path: PathState,
     #[values("read", "write")] route: &str,
 ) {
     let cluster = Cluster::start(1, 2);
@@ -109,9 +109,9 @@
 
 /// The peers that are tried first, those of the same zone, don't know that they are cut as well.
 #[rstest]
-#[case::connections_hang(Path::Hanging)]
-#[case::connections_are_reset(Path::Reset)]
-fn a_relay_is_served_by_another_zone_if_its_whole_zone_is_cut(#[case] path: Path) {
+#[case::connections_hang(PathState::Hanging)]
+#[case::connections_are_reset(PathState::Reset)]
+fn a_relay_is_served_by_another_zone_if_its_whole_zone_is_cut(#[case] path: PathState) {
     let cluster = Cluster::start(4, 1);
     cluster.set_path(path);
     let cut_at = Instant::now();
@@ -123,7 +123,7 @@
 
 #[rstest]
 fn half_of_eight_relays_are_served_by_the_other_half(
-    #[values(Path::Hanging, Path::Reset, Path::RefusingNew)] path: Path,
+    #[values(PathState::Hanging, PathState::Reset, PathState::RefusingNew)] path: PathState,
 ) {
     let cluster = Cluster::start(4, 4);
     cluster.set_path(path);
@@ -153,9 +153,9 @@
 #[test]
 fn the_end_of_a_cut_is_noticed_within_three_seconds() {
     let cluster = Cluster::start(1, 1);
-    cluster.set_path(Path::Reset);
+    cluster.set_path(PathState::Reset);
     cluster.count_served(0, "read", REQUESTS);
-    cluster.set_path(Path::Intact);
+    cluster.set_path(PathState::Intact);
     std::thread::sleep(RECOVERY_DEADLINE);
     let direct_before = cluster.direct_connections();
     assert_eq!(cluster.count_served(0, "read", REQUESTS), REQUESTS);
@@ -163,9 +163,9 @@
 }
 
 #[test]
-fn relays_that_are_all_cut_refuse_their_callers_and_ask_each_other_in_vain() {
+fn relays_that_are_all_cut_refuse_their_callers() {
     let cluster = Cluster::start(3, 0);
-    cluster.set_path(Path::Reset);
+    cluster.set_path(PathState::Reset);
     for relay in 0..3 {
         for number in 0..4 {
             let response = cluster.relays[relay].post("write", number);
@@ -179,7 +179,7 @@
 #[test]
 fn a_request_through_a_tunnel_runs_at_most_once() {
     let cluster = Cluster::start_with(1, 2, || MockBackEnd::start(|_, _, _| false));
-    cluster.set_path(Path::Reset);
+    cluster.set_path(PathState::Reset);
     cluster.count_served(0, "write", 2);
     let run_before: usize = cluster
         .back_ends
@@ -204,7 +204,7 @@
             false
         })
     });
-    cluster.set_path(Path::Reset);
+    cluster.set_path(PathState::Reset);
     let mut caller = cluster.relays[0].connect();
     caller.send("POST", "/write/1", "", "x");
     let received = || {
@@ -245,7 +245,7 @@
             false
         })
     });
-    cluster.set_path(Path::Reset);
+    cluster.set_path(PathState::Reset);
     let mut caller = cluster.relays[0].connect();
     caller.send("POST", "/stream/1", "", "x");
     let Cluster { mut relays, .. } = cluster;
@@ -273,7 +273,7 @@
             false
         })
     });
-    cluster.set_path(Path::Reset);
+    cluster.set_path(PathState::Reset);
     for number in 0..4 {
         let response = cluster.relays[0].post("write", number);
         assert_eq!(response.status, 502, "{response:?}");
--- a/crates/transport/relay/tests/support/mod.rs
+++ b/crates/transport/relay/tests/support/mod.rs
@@ -18,7 +18,7 @@
 pub use caller::{Caller, Response};
 pub use crashing_back_end::CrashingBackEnd;
 pub use documents::{cache_protocol, header_names};
-pub use proxy::{Path, PathProxy};
+pub use proxy::{PathProxy, PathState};
 pub use relay::{TUNNEL_PORT, TestRelay};
 
 use std::time::Duration;
--- a/crates/transport/relay/tests/support/proxy.rs
+++ b/crates/transport/relay/tests/support/proxy.rs
@@ -13,7 +13,7 @@
 
 /// What becomes of the connections on the path.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Path {
+pub enum PathState {
     Intact,
     /// Open connections carry no more bytes, and new ones get no response.
     Hanging,
@@ -26,7 +26,7 @@
 /// A proxy in front of a back end.
 pub struct PathProxy {
     pub address: SocketAddr,
-    path: Arc<Mutex<Path>>,
+    path: Arc<Mutex<PathState>>,
     accepted: Arc<AtomicUsize>,
 }
 
@@ -34,7 +34,7 @@
     pub fn start(back_end: SocketAddr) -> Self {
         let listener = listen("127.0.0.1:0".parse().expect("an address"));
         let address = listener.local_addr().expect("bound");
-        let path = Arc::new(Mutex::new(Path::Intact));
+        let path = Arc::new(Mutex::new(PathState::Intact));
         let accepted = Arc::new(AtomicUsize::new(0));
         let (thread_path, thread_accepted) = (Arc::clone(&path), Arc::clone(&accepted));
         std::thread::spawn(move || run(listener, back_end, &thread_path, &thread_accepted));
@@ -45,7 +45,7 @@
         }
     }
 
-    pub fn set_path(&self, path: Path) {
+    pub fn set_path(&self, path: PathState) {
         *self.path.lock().expect("lock") = path;
     }
 
@@ -68,7 +68,7 @@
 fn run(
     listener: TcpListener,
     back_end: SocketAddr,
-    path: &Arc<Mutex<Path>>,
+    path: &Arc<Mutex<PathState>>,
     accepted: &AtomicUsize,
 ) {
     let address = listener.local_addr().expect("bound");
@@ -77,7 +77,7 @@
     loop {
         std::thread::sleep(POLL_INTERVAL);
         match *path.lock().expect("lock") {
-            Path::Intact => {
+            PathState::Intact => {
                 fillers.clear();
                 let listener = listener.get_or_insert_with(|| listen(address));
                 while let Ok((stream, _)) = listener.accept() {
@@ -85,13 +85,13 @@
                     carry(stream, back_end, path);
                 }
             }
-            Path::Hanging if fillers.is_empty() => {
+            PathState::Hanging if fillers.is_empty() => {
                 fillers = (0..QUEUE_FILLERS)
                     .map(|_| connect_without_waiting(address))
                     .collect();
             }
-            Path::Hanging => {}
-            Path::Reset | Path::RefusingNew => listener = None,
+            PathState::Hanging => {}
+            PathState::Reset | PathState::RefusingNew => listener = None,
         }
     }
 }
@@ -104,7 +104,7 @@
     socket
 }
 
-fn carry(caller: TcpStream, back_end: SocketAddr, path: &Arc<Mutex<Path>>) {
+fn carry(caller: TcpStream, back_end: SocketAddr, path: &Arc<Mutex<PathState>>) {
     caller.set_nonblocking(false).expect("a socket");
     let Ok(target) = TcpStream::connect(back_end) else {
         return;
@@ -116,24 +116,24 @@
     }
 }
 
-fn pump(mut from: TcpStream, mut to: TcpStream, path: &Mutex<Path>) {
+fn pump(mut from: TcpStream, mut to: TcpStream, path: &Mutex<PathState>) {
     let mut buffer = [0; 4096];
     from.set_read_timeout(Some(POLL_INTERVAL))
         .expect("a socket");
     loop {
         match *path.lock().expect("lock") {
-            Path::Hanging => {
+            PathState::Hanging => {
                 std::thread::sleep(POLL_INTERVAL);
                 continue;
             }
-            Path::Reset => {
+            PathState::Reset => {
                 for stream in [&from, &to] {
                     let socket = socket2::SockRef::from(stream);
                     let _ = socket.set_linger(Some(Duration::ZERO));
                 }
                 return;
             }
-            Path::Intact | Path::RefusingNew => {}
+            PathState::Intact | PathState::RefusingNew => {}
         }
         let count = match from.read(&mut buffer) {
             Ok(0) => break,
