Log how far a run had come and which prompt parts it had when its back end crashed

The lines of a crash could not tell a part that all interrupted runs have in common from an engine at fault: `crashed_run` named the request's digest alone. It now names the prompt's shared parts, with ids that aren't hexadecimal numbers by digest, and whether the run was waiting, had its response head, or had been writing. No decision depends on it yet.

--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -49,7 +49,9 @@
 pub use load::rate_limit::RateLimit;
 pub use paths::{BackEndPaths, ConnectionPath, PeerSelector, TunnelPeer};
 pub use placement::candidate::{Candidate, cheapest};
-pub use placement::demand::{Decision, Demand, Grant, LeaseId, Outcome, PromptPart, ReplicaTarget};
+pub use placement::demand::{
+    Decision, Demand, Grant, LeaseId, Outcome, PromptPart, ReplicaTarget, RunProgress,
+};
 pub use placement::pool_split::{EngineNeed, PoolLoad, SplitChange, SplitStats};
 pub use streams::lookups::{FinishedLookup, LookupId, LookupResult, VersionSource};
 pub use streams::message::{KnownVersion, StreamEnvelope, StreamId, StreamMessage};
--- a/crates/coordination/dispatch/src/placement/demand.rs
+++ b/crates/coordination/dispatch/src/placement/demand.rs
@@ -140,6 +140,36 @@
     Abandoned,
 }
 
+/// How far a run had come when its connection broke, by what had been received of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunProgress {
+    /// Nothing had been received.
+    Waiting,
+    /// The head of the response had been received this long before, and no event.
+    Started(Span),
+    /// The first event had been received this long before.
+    Writing(Span),
+}
+
+impl RunProgress {
+    /// Name used in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            RunProgress::Waiting => "waiting",
+            RunProgress::Started(_) => "started",
+            RunProgress::Writing(_) => "writing",
+        }
+    }
+
+    /// Time since the head or the first event was received; zero if neither was.
+    pub const fn duration(self) -> Span {
+        match self {
+            RunProgress::Waiting => Span::ZERO,
+            RunProgress::Started(duration) | RunProgress::Writing(duration) => duration,
+        }
+    }
+}
+
 impl Demand {
     /// Whether the request has not failed on a back end and is not pinned to another one.
     pub(crate) fn is_allowed_on(&self, instance: &InstanceId) -> bool {
--- a/crates/transport/relay/src/attempts.rs
+++ b/crates/transport/relay/src/attempts.rs
@@ -94,6 +94,8 @@
         may_have_run: false,
         cancelled_until: None,
         replica: None,
+        head_received_at: None,
+        first_event_at: None,
         binding: StreamBinding::Unbound,
         stream: None,
         version_recorded_at: started,
--- a/crates/transport/relay/src/crash.rs
+++ b/crates/transport/relay/src/crash.rs
@@ -8,13 +8,15 @@
 //! A back end that a peer reaches has not crashed: the path from this node is broken.
 
 use crate::connecting::{ConnectionCheck, check_connection};
+use crate::events::CrashedRun;
 use crate::exchange::{Exchange, Traffic};
 use crate::{events, metrics};
-use eiderferry_dispatch::Outcome;
-use eiderferry_routing::InstanceId;
+use eiderferry_dispatch::{Outcome, RunProgress};
+use eiderferry_routing::{InstanceId, PartId};
 use eiderferry_types::RequestDigest;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// A run that got no response, and the back end that may have crashed while running it.
 struct LostRun {
@@ -23,6 +25,8 @@
     back_end: InstanceId,
     address: SocketAddr,
     outcome: Outcome,
+    progress: RunProgress,
+    shared_part_ids: Arc<[PartId]>,
     traffic: Rc<Traffic>,
 }
 
@@ -42,6 +46,8 @@
             back_end: back_end.clone(),
             address,
             outcome,
+            progress: self.run_progress(),
+            shared_part_ids: Arc::clone(&self.head.shared_part_ids),
             traffic: Rc::clone(&self.traffic),
         };
         match outcome {
@@ -54,6 +60,18 @@
     }
 }
 
+impl Exchange {
+    /// How far the current attempt's run has come, by what was received of it.
+    fn run_progress(&self) -> RunProgress {
+        let now = self.traffic.clock.now();
+        match (self.first_event_at, self.head_received_at) {
+            (Some(at), _) => RunProgress::Writing(now.since(at)),
+            (None, Some(at)) => RunProgress::Started(now.since(at)),
+            (None, None) => RunProgress::Waiting,
+        }
+    }
+}
+
 impl LostRun {
     /// Reports a crash to the control thread if the back end is down.
     async fn report_if_crashed(self) {
@@ -73,7 +91,14 @@
             return;
         }
         metrics::crashed_run(check.as_str());
-        events::crashed_run(&self.request_id, &self.back_end, self.digest, check);
+        events::crashed_run(&CrashedRun {
+            request_id: &self.request_id,
+            back_end: &self.back_end,
+            digest: self.digest,
+            check,
+            progress: self.progress,
+            shared_part_ids: &self.shared_part_ids,
+        });
         self.traffic
             .control
             .record_crash(self.digest, self.back_end);
--- a/crates/transport/relay/src/events.rs
+++ b/crates/transport/relay/src/events.rs
@@ -13,13 +13,17 @@
 use eiderferry_dispatch::{
     ApplyOutcome, CacheUpdate, ColdRole, DocumentKey, ExpiredLease, Grant, HealthChange,
     LimitChange, LimitRole, LookupResult, Outcome, PeerChange, QuarantineChange, ReceivedChange,
-    RetrySource, Revision, SplitChange, StreamPacing, UnknownName, VersionSource, WarmupChange,
+    RetrySource, Revision, RunProgress, SplitChange, StreamPacing, UnknownName, VersionSource,
+    WarmupChange,
 };
-use eiderferry_routing::{InstanceId, SoftwareVersion};
+use eiderferry_routing::{InstanceId, PartId, SoftwareVersion};
 use eiderferry_types::{Reason, RequestDigest, Span, Timestamp};
 use http::HeaderValue;
 use std::net::{IpAddr, SocketAddr};
 
+/// Maximum prompt parts named in one line.
+const MAX_LOGGED_PARTS: usize = 16;
+
 /// This node starts to serve callers.
 pub(crate) fn started(node: &str, zone: &str, address: SocketAddr) {
     log::info!(event = "started", node = node, zone = zone, listen:% = address; "started");
@@ -395,17 +399,26 @@
     );
 }
 
+/// A run that was interrupted by the crash of its back end.
+pub(crate) struct CrashedRun<'a> {
+    pub request_id: &'a str,
+    pub back_end: &'a InstanceId,
+    pub digest: RequestDigest,
+    pub check: ConnectionCheck,
+    pub progress: RunProgress,
+    pub shared_part_ids: &'a [PartId],
+}
+
 /// A back end crashed while running a request: its connection broke and no new one can be
 /// established.
-pub(crate) fn crashed_run(
-    id: &str,
-    back_end: &InstanceId,
-    digest: RequestDigest,
-    check: ConnectionCheck,
-) {
+pub(crate) fn crashed_run(run: &CrashedRun<'_>) {
+    let ids = run.shared_part_ids.iter().take(MAX_LOGGED_PARTS);
+    let ids: Vec<String> = ids.map(PartId::to_string).collect();
     log::warn!(
-        event = "crashed_run", request = id, back_end = back_end.as_str(), digest:% = digest,
-        connection = check.as_str();
+        event = "crashed_run", request = run.request_id, back_end = run.back_end.as_str(),
+        digest:% = run.digest, connection = run.check.as_str(), progress = run.progress.as_str(),
+        progress_ms = run.progress.duration().milliseconds(), parts = ids.join(",").as_str(),
+        part_count = run.shared_part_ids.len();
         "a back end crashed while running a request"
     );
 }
--- a/crates/transport/relay/src/exchange.rs
+++ b/crates/transport/relay/src/exchange.rs
@@ -85,6 +85,10 @@
     pub cancelled_until: Option<Timestamp>,
     /// The replica of the run, until its holder has been asked to continue it.
     pub replica: Option<RunReplica>,
+    /// When the head of the current attempt's response arrived.
+    pub head_received_at: Option<Timestamp>,
+    /// When the first event of the current attempt's response arrived.
+    pub first_event_at: Option<Timestamp>,
     pub binding: StreamBinding,
     /// Id under which the stream's version is recorded; `None` if the stream has not started or
     /// can't be resumed.
--- a/crates/transport/relay/src/request_head.rs
+++ b/crates/transport/relay/src/request_head.rs
@@ -11,12 +11,16 @@
 use http::header::{AUTHORIZATION, HOST};
 use http::request::Parts;
 use http::{HeaderMap, HeaderName};
+use std::collections::HashSet;
+use std::sync::Arc;
 
 const BEARER_PREFIX: &str = "Bearer ";
 /// Output tokens assumed when the request states neither a hint nor a maximum.
 const ASSUMED_OUTPUT_TOKENS: u32 = 100;
-/// Maximum prompt parts that are parsed.
+/// Maximum prompt parts on which placement is based.
 const MAXIMUM_PARTS: usize = 64;
+/// Maximum shared parts of a prompt that can be found to crash back ends.
+const MAXIMUM_SHARED_PART_IDS: usize = 1_024;
 
 /// What the head of a request states.
 #[derive(Clone, Debug)]
@@ -30,6 +34,8 @@
     pub remaining: Span,
     pub allowed_regions: AllowedRegions,
     pub parts: Vec<PromptPart>,
+    /// Ids of the parts that other requests may share: all but the last, each once.
+    pub shared_part_ids: Arc<[PartId]>,
     pub prompt_tokens: u32,
     pub output_tokens: u32,
     /// The stream that the caller asks to resume, if it does.
@@ -55,6 +61,7 @@
         let length_hint =
             header_text(headers, &header_names.length_hint).and_then(|hint| hint.parse().ok());
         let rank = tenant.and_then(|tenant| tenant.rank).unwrap_or(route.rank);
+        let prompt = header_text(headers, &header_names.prompt_parts).unwrap_or_default();
         Ok(Self {
             id: id.to_owned(),
             route: route.clone(),
@@ -63,9 +70,8 @@
             priority: table.priority(route, tenant),
             remaining,
             allowed_regions: route.regions_for(tenant),
-            parts: prompt_parts(
-                header_text(headers, &header_names.prompt_parts).unwrap_or_default(),
-            ),
+            parts: prompt_parts(prompt),
+            shared_part_ids: shared_part_ids(prompt),
             prompt_tokens,
             output_tokens: length_hint
                 .or(maximum_output)
@@ -190,6 +196,27 @@
     parts.filter_map(prompt_part).collect()
 }
 
+/// Ids of the shared parts in a list, also of those whose length can't be parsed. The last entry of
+/// the list belongs to its request alone.
+fn shared_part_ids(value: &str) -> Arc<[PartId]> {
+    let Some((shared, _own)) = value.trim_end_matches([',', ' ']).rsplit_once(',') else {
+        return Arc::default();
+    };
+    let mut known = HashSet::new();
+    let ids = shared.split(',').map(str::trim);
+    let ids = ids.filter(|text| !text.is_empty()).map(part_id);
+    let distinct = ids.filter(|id| known.insert(*id));
+    distinct.take(MAXIMUM_SHARED_PART_IDS).collect()
+}
+
+/// The id of a list entry. One that is not a hexadecimal number of 64 bits is identified by the
+/// digest of its text.
+fn part_id(entry: &str) -> PartId {
+    let text = entry.split_once(':').map_or(entry, |(id, _)| id);
+    let number = u64::from_str_radix(text, 16);
+    PartId(number.unwrap_or_else(|_| RequestDigest::of([text.as_bytes()]).0))
+}
+
 fn prompt_part(text: &str) -> Option<PromptPart> {
     let (id, tokens) = text.trim().split_once(':')?;
     Some(PromptPart {
--- a/crates/transport/relay/src/sending.rs
+++ b/crates/transport/relay/src/sending.rs
@@ -79,6 +79,8 @@
             .request
             .for_attempt(&self.traffic.header_names, &context);
         self.progress.record_sent();
+        self.head_received_at = None;
+        self.first_event_at = None;
         let may_retry = self.head.route.may_retry();
         let response_timeout = self
             .response_head_timeout(lease)
@@ -168,6 +170,7 @@
                 ..Notice::default()
             });
         }
+        self.head_received_at = Some(self.traffic.clock.now());
         Ok((response, connection))
     }
 
--- a/crates/transport/relay/src/stream.rs
+++ b/crates/transport/relay/src/stream.rs
@@ -190,9 +190,9 @@
                     let events = self.splitter.push(&data);
                     if !events.is_empty() {
                         let count = self.splitter.emitted_events() - before;
-                        source
-                            .pacing
-                            .record(count, self.exchange.traffic.clock.now());
+                        let now = self.exchange.traffic.clock.now();
+                        source.pacing.record(count, now);
+                        self.exchange.first_event_at.get_or_insert(now);
                         return StreamItem::Events(events);
                     }
                 }
