--- a/crates/transport/relay/tests/support/crashing_back_end.rs
+++ b/crates/transport/relay/tests/support/crashing_back_end.rs
@@ -6,7 +6,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Interval at which the accept loop checks for a crash.
 const CHECK_INTERVAL: Duration = Duration::from_millis(2);
@@ -16,14 +16,39 @@
 /// Path prefix of requests that are answered by a stream; one event precedes the crash.
 const STREAM_PATH: &str = "/resumable/";
 
-/// Crashes on each request with a certain body and restarts at the same address after a while.
-/// All other requests get a complete response.
+/// Crashes on certain requests and restarts at the same address after a while. All other requests
+/// get a complete response.
 pub struct CrashingBackEnd {
     pub address: SocketAddr,
     crashes: Arc<Mutex<Vec<Crash>>>,
+    arrivals: Arc<Mutex<Vec<Instant>>>,
+}
+
+/// The requests on which a back end crashes.
+#[derive(Clone, Copy, Debug)]
+pub enum CrashTrigger {
+    /// Those with this body.
+    Body(&'static str),
+    /// Those whose prompt contains the part with this id.
+    PromptPart(&'static str),
+}
+
+impl CrashTrigger {
+    fn matches(self, request: &ReceivedRequest) -> bool {
+        match self {
+            CrashTrigger::Body(body) => request.body == body.as_bytes(),
+            CrashTrigger::PromptPart(id) => {
+                let parts = request.header("prompt-parts").unwrap_or_default();
+                parts
+                    .split(',')
+                    .any(|part| part.split(':').next() == Some(id))
+            }
+        }
+    }
 }
 
 struct Crash {
+    at: Instant,
     /// Whether connections stay open without any response instead of being reset.
     hangs: bool,
 }
@@ -37,20 +62,47 @@
 impl CrashingBackEnd {
     /// Starts a back end that crashes on `crashing_body` and restarts after `down_time`.
     pub fn start(crashing_body: &'static str, down_time: Duration) -> Self {
+        Self::start_with_trigger(CrashTrigger::Body(crashing_body), down_time)
+    }
+
+    /// Starts a back end that crashes on certain requests and restarts after `down_time`.
+    pub fn start_with_trigger(trigger: CrashTrigger, down_time: Duration) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("bound");
         let crashes: Arc<Mutex<Vec<Crash>>> = Arc::default();
         let thread_crashes = Arc::clone(&crashes);
+        let arrivals: Arc<Mutex<Vec<Instant>>> = Arc::default();
+        let thread_arrivals = Arc::clone(&arrivals);
         std::thread::spawn(move || {
             let mut listener = listener;
             let mut hung_streams = Vec::new();
             loop {
-                hung_streams.extend(run_until_crash(listener, crashing_body, &thread_crashes));
+                hung_streams.extend(run_until_crash(
+                    listener,
+                    trigger,
+                    &thread_crashes,
+                    &thread_arrivals,
+                ));
                 std::thread::sleep(down_time);
                 listener = TcpListener::bind(address).expect("the port is still free");
             }
         });
-        Self { address, crashes }
+        Self {
+            address,
+            crashes,
+            arrivals,
+        }
+    }
+
+    /// Times of its crashes.
+    pub fn crash_times(&self) -> Vec<Instant> {
+        let crashes = self.crashes.lock().expect("lock");
+        crashes.iter().map(|crash| crash.at).collect()
+    }
+
+    /// Times at which requests arrived on which it crashes.
+    pub fn crashing_arrivals(&self) -> Vec<Instant> {
+        self.arrivals.lock().expect("lock").clone()
     }
 
     pub fn crash_count(&self) -> usize {
@@ -58,11 +110,41 @@
     }
 }
 
+/// A back end that handles requests with a function and stops listening for good once that asks for
+/// it; all open connections are closed then.
+pub struct BackEndThatStopsListening {
+    pub address: SocketAddr,
+}
+
+impl BackEndThatStopsListening {
+    /// Starts it; `handler` responds to a request and returns whether the back end is to stop. Each
+    /// connection carries one request.
+    pub fn start(
+        handler: impl Fn(&mut TcpStream, &ReceivedRequest) -> bool + Send + Sync + 'static,
+    ) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        std::thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let Some(request) = read_request(&mut stream) else {
+                    continue;
+                };
+                if handler(&mut stream, &request) {
+                    drop(listener);
+                    return;
+                }
+            }
+        });
+        Self { address }
+    }
+}
+
 /// Serves until a crash; returns the connections that stay open after it.
 fn run_until_crash(
     listener: TcpListener,
-    crashing_body: &'static str,
+    trigger: CrashTrigger,
     crashes: &Arc<Mutex<Vec<Crash>>>,
+    arrivals: &Arc<Mutex<Vec<Instant>>>,
 ) -> Vec<TcpStream> {
     listener.set_nonblocking(true).expect("a socket");
     let has_crashed = Arc::new(AtomicBool::new(false));
@@ -76,7 +158,8 @@
         let open_stream = stream.try_clone().expect("a socket");
         open_streams.lock().expect("lock").push(open_stream);
         let (has_crashed, crashes) = (Arc::clone(&has_crashed), Arc::clone(crashes));
-        std::thread::spawn(move || serve(stream, crashing_body, &has_crashed, &crashes));
+        let arrivals = Arc::clone(arrivals);
+        std::thread::spawn(move || serve(stream, trigger, &has_crashed, &crashes, &arrivals));
     }
     drop(listener);
     let hangs = crashes
@@ -98,16 +181,19 @@
 /// Serves the requests of one connection until it ends or the back end crashes.
 fn serve(
     mut stream: TcpStream,
-    crashing_body: &'static str,
+    trigger: CrashTrigger,
     has_crashed: &AtomicBool,
     crashes: &Mutex<Vec<Crash>>,
+    arrivals: &Mutex<Vec<Instant>>,
 ) {
     while let Some(request) = read_request(&mut stream) {
-        if request.body == crashing_body.as_bytes() {
+        if trigger.matches(&request) {
+            arrivals.lock().expect("lock").push(request.received_at);
             // A crash interrupts all running requests and counts once.
             if !has_crashed.load(Ordering::SeqCst) {
                 let hangs = request.head.contains(HANG_PATH);
-                crashes.lock().expect("lock").push(Crash { hangs });
+                let at = Instant::now();
+                crashes.lock().expect("lock").push(Crash { at, hangs });
                 has_crashed.store(true, Ordering::SeqCst);
             }
             if request.head.contains(STREAM_PATH) {
--- a/crates/transport/relay/tests/support/mod.rs
+++ b/crates/transport/relay/tests/support/mod.rs
@@ -16,7 +16,7 @@
     with_header_line, write,
 };
 pub use caller::{Caller, Response};
-pub use crashing_back_end::CrashingBackEnd;
+pub use crashing_back_end::{BackEndThatStopsListening, CrashTrigger, CrashingBackEnd};
 pub use documents::{cache_protocol, header_names};
 pub use proxy::{PathProxy, PathState};
 pub use relay::{TUNNEL_PORT, TestRelay};
--- a/crates/transport/relay/tests/support/relay.rs
+++ b/crates/transport/relay/tests/support/relay.rs
@@ -119,6 +119,11 @@
         Self::with_memory_budget(back_ends, AMPLE_MEMORY_BUDGET)
     }
 
+    /// Starts a relay with the back ends at these addresses.
+    pub fn with_addresses(back_ends: &[SocketAddr]) -> Self {
+        Self::start_ready_at_addresses(back_ends, None, Options::default())
+    }
+
     /// Starts a relay with one back end and `count` draining ones.
     pub fn with_draining_back_ends(back_end: &MockBackEnd, count: usize) -> Self {
         let mut documents = configuration_documents(&[back_end.address], None);
