Give a node the connections that its share of the requests needs

When a balancer hands most connections of a zone to one node, callers got 503: the node had an even share of each back end's connections, whatever arrived at it.

Half of the connections that all nodes use together are now divided by what each node runs at the back end, as far as it knows of the others, and no node has less than the even share.

--- a/crates/coordination/dispatch/src/dispatcher/leases.rs
+++ b/crates/coordination/dispatch/src/dispatcher/leases.rs
@@ -20,6 +20,10 @@
 
 /// Share of a back end's connection limit that all nodes together use.
 const CONNECTION_SHARE: f64 = 0.8;
+/// Share of these connections that is divided by the requests of each node. The shares of all
+/// nodes add up to it as far as they know of each other's requests, and connections that nodes with
+/// few requests keep idle fit beside it.
+const CONNECTION_SHARE_BY_REQUESTS: f64 = 0.5;
 /// Connections that each node may hold, however many nodes there are.
 const MIN_CONNECTIONS: u32 = 4;
 /// Retry delay of a request for which there is no back end.
@@ -213,7 +217,7 @@
     fn grant(&mut self, plan: Plan, demand: &Demand, now: Timestamp) -> Option<Grant> {
         let lease = LeaseId(self.next_lease);
         self.next_lease += 1;
-        let connections = self.connection_limit(&demand.pool);
+        let connections = self.connection_limit(&demand.pool, &plan.instance, now);
         let revision = self
             .document_store
             .version_vector()
@@ -295,13 +299,23 @@
         }
     }
 
-    fn connection_limit(&self, pool: &PoolName) -> u32 {
+    /// Connections that this node may hold to a back end: an even share, or more if it has more of
+    /// the requests that run there than other nodes.
+    fn connection_limit(&self, pool: &PoolName, instance: &InstanceId, now: Timestamp) -> u32 {
         let table = self.document_store.table();
         let maximum = table
             .and_then(|table| table.pool(pool))
             .map_or(MIN_CONNECTIONS, |pool| pool.maximum_connections);
-        let share = f64::from(maximum) * CONNECTION_SHARE / f64::from(self.peers.max_known());
-        (share as u32).max(MIN_CONNECTIONS)
+        let usable = f64::from(maximum) * CONNECTION_SHARE;
+        let even_share = (usable / f64::from(self.peers.max_known())) as u32;
+        let load = self.back_ends.get(instance).map(|state| &state.load);
+        let request_share = load.map_or(0.0, |load| {
+            // With the request that is being placed.
+            let own = f64::from(load.own_running() + 1);
+            own / f64::from(load.occupancy(now).running + 1).max(own)
+        });
+        let by_requests = (usable * CONNECTION_SHARE_BY_REQUESTS * request_share) as u32;
+        even_share.max(by_requests).max(MIN_CONNECTIONS)
     }
 
     /// Records that the first event, or the whole response, of a request arrived.
