Let a node that gets most requests of its zone send to cold and rate-limited back ends

Only the first nodes in an order by hashing send to a back end that has just started or has stated a rate limit.

A node with most of its zone's running requests, by an even share of all where single nodes aren't known, now sends to them too: to a cold one half of what a set of senders sends, to a limited one a third of the limit, which the tolerances of both allow beside the senders. The tests of both limits pass unchanged.

--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -12,6 +12,7 @@
 mod rate_limits;
 mod reader_role;
 mod replicas;
+mod request_share;
 mod round_robin;
 mod snapshot;
 mod streams;
@@ -37,6 +38,7 @@
 use home_scopes::HomeScopes;
 use leases::{FailedConnection, Lease};
 use quarantine::{CrashedBackEnds, PendingCrashReports};
+use request_share::RequestShare;
 
 use crate::load::registry::Registry;
 use crate::placement::locality::RoundTrips;
@@ -195,6 +197,7 @@
     quarantine: Quarantine,
     part_quarantine: PartQuarantine,
     crashed_back_ends: CrashedBackEnds,
+    request_share: RequestShare,
     stream_records: StreamRecords,
     stream_lookups: StreamLookups,
     pending_crash_reports: PendingCrashReports,
@@ -252,6 +255,7 @@
             quarantine: Quarantine::default(),
             part_quarantine: PartQuarantine::default(),
             crashed_back_ends: CrashedBackEnds::default(),
+            request_share: RequestShare::default(),
             stream_records: StreamRecords::default(),
             stream_lookups: StreamLookups::default(),
             pending_crash_reports: PendingCrashReports::default(),
--- a/crates/coordination/dispatch/src/dispatcher/cold_senders.rs
+++ b/crates/coordination/dispatch/src/dispatcher/cold_senders.rs
@@ -25,18 +25,26 @@
             return Vec::new();
         }
         let may_send = self.may_be_sender(now);
+        let gets_most = self.gets_most_requests_of_zone(now);
         let mut changes = Vec::new();
         self.has_cold_back_ends = false;
         for state in self.back_ends.all_mut() {
             let start = cold_starts.get(&state.back_end.pool);
             let cold = start.filter(|start| state.warmup.is_cold(start, now));
-            let role = cold.map_or(ColdRole::Warm, |start| {
+            let sender_count =
+                cold.map_or(0, |start| self.settings.cold_rate_limit.sender_count(start));
+            let role = cold.map_or(ColdRole::Warm, |_| {
                 let is_same_zone = state.back_end.zone == self.settings.zone;
-                let sender_count = self.settings.cold_rate_limit.sender_count(start);
-                role(may_send && is_same_zone, &self.peers, state, sender_count)
+                if !may_send || !is_same_zone {
+                    ColdRole::OtherNodes
+                } else if gets_most {
+                    ColdRole::MainSender
+                } else {
+                    role(&self.peers, state, sender_count)
+                }
             });
             self.has_cold_back_ends |= role != ColdRole::Warm;
-            if state.warmup.update_role(role) {
+            if state.warmup.update_role(role, sender_count) {
                 changes.push(WarmupChange {
                     instance: state.back_end.instance.clone(),
                     role,
@@ -64,8 +72,8 @@
     }
 }
 
-fn role(may_send: bool, peers: &Peers, state: &BackEndState, sender_count: usize) -> ColdRole {
-    if may_send && peers.sender_index(state.digest) < sender_count {
+fn role(peers: &Peers, state: &BackEndState, sender_count: usize) -> ColdRole {
+    if peers.sender_index(state.digest) < sender_count {
         ColdRole::Sender
     } else {
         ColdRole::OtherNodes
--- a/crates/coordination/dispatch/src/dispatcher/rate_limits.rs
+++ b/crates/coordination/dispatch/src/dispatcher/rate_limits.rs
@@ -10,6 +10,12 @@
 /// Time after a start in which a node discovers those of other zones. Earlier it would hold a zone
 /// to have no nodes and send to its back ends, or hold the fleet to be small.
 pub(super) const FLEET_SETTLING_TIME: Span = Span::from_milliseconds(10_000);
+/// Share of a node that gets most requests of its zone: beside what the senders send, who hardly
+/// have any requests then, it stays within the tolerance of limits.
+const MAIN_NODE_SENDER_SHARE: SenderShare = SenderShare {
+    index: 0,
+    sender_count: 3,
+};
 /// Ticks between two probes of back ends whose limit is stale.
 const PROBING_TICKS: u64 = PROBE_WINDOW.0 / TICK.0;
 
@@ -42,6 +48,7 @@
         let knows_zone = self.may_be_sender(now);
         let knows_fleet = knows_zone && self.uptime(now) >= FLEET_SETTLING_TIME;
         let is_probe_due = knows_fleet && self.ticks.is_multiple_of(PROBING_TICKS);
+        let gets_most = knows_zone && self.gets_most_requests_of_zone(now);
         let nodes_by_zone = self.peers.active_by_zone();
         let max_known = self.peers.max_known() as usize;
         let mut changes = Vec::new();
@@ -62,11 +69,15 @@
                 // others must not hold themselves to be alone and use the others' shares as well.
                 let sender_count = sender_count(limit, max_known);
                 let index = nodes_by_zone.own_index(digest, zone, sender_count);
-                let index = index.filter(|_| may_send)?;
-                Some(SenderShare {
+                let as_sender = index.map(|index| SenderShare {
                     index,
                     sender_count,
-                })
+                });
+                let as_main_node = (gets_most && is_same_zone).then_some(MAIN_NODE_SENDER_SHARE);
+                let shares = as_sender.into_iter().chain(as_main_node);
+                shares
+                    .filter(|_| may_send)
+                    .min_by_key(|share| share.sender_count)
             });
             let stale = state.limiter.stale_limit(now).filter(|_| is_probe_due);
             if let Some(limit) = stale
--- a/crates/coordination/dispatch/src/dispatcher/snapshot.rs
+++ b/crates/coordination/dispatch/src/dispatcher/snapshot.rs
@@ -75,7 +75,7 @@
             let states = self.back_ends.all();
             states.filter(|state| state.warmup.role() == role).count()
         };
-        let cold_back_ends_as_sender = count(ColdRole::Sender);
+        let cold_back_ends_as_sender = count(ColdRole::Sender) + count(ColdRole::MainSender);
         let (limited, limited_back_ends_as_sender) = self.limit_counts();
         let (followed_cache_count, cache_counts) = self.cache_counts();
         Snapshot {
--- a/crates/coordination/dispatch/src/load/cold_start.rs
+++ b/crates/coordination/dispatch/src/load/cold_start.rs
@@ -16,6 +16,10 @@
 /// Number of different sets of senders that the limit allows for: nodes on both sides of a
 /// network partition, or before and after a node is lost, may choose different sets.
 const SENDER_SETS: f64 = 2.0;
+/// Requests of the node that gets most of its zone's, as a multiple of what a set of senders sends:
+/// with two such sets the limit holds nevertheless, as the senders' interval is longer than a
+/// second.
+const MAIN_SENDER_SHARE: f64 = 0.5;
 /// Maximum delay of a message; a back end is assumed to be cold for this much longer than it
 /// reported.
 const MAX_MESSAGE_DELAY: Span = Span::from_milliseconds(100);
@@ -57,6 +61,8 @@
     zone_returned_at: Option<Timestamp>,
     last_sent_at: Option<Timestamp>,
     role: ColdRole,
+    /// Time between two of this node's requests while it is a sender.
+    sending_interval: Span,
 }
 
 /// Whether a back end is cold, and whether this node sends requests to it while it is.
@@ -69,6 +75,16 @@
     OtherNodes,
     /// The back end is cold, and this node is one of its senders.
     Sender,
+    /// The back end is cold, and this node sends to it because it gets most requests of its zone.
+    /// The other senders hardly have any.
+    MainSender,
+}
+
+impl ColdRole {
+    /// Whether this node sends requests to the cold back end.
+    pub const fn is_sender(self) -> bool {
+        matches!(self, ColdRole::Sender | ColdRole::MainSender)
+    }
 }
 
 /// A back end that became cold or warm, or for which this node's role changed.
@@ -124,8 +140,8 @@
             return true;
         }
         let last_sent_at = self.last_sent_at;
-        self.role == ColdRole::Sender
-            && last_sent_at.is_none_or(|last| now.since(last) >= SENDING_INTERVAL)
+        self.role.is_sender()
+            && last_sent_at.is_none_or(|last| now.since(last) >= self.sending_interval)
     }
 
     /// Records a request sent by this node.
@@ -138,8 +154,15 @@
         self.role
     }
 
-    /// Sets this node's role for the back end. Returns whether it changed.
-    pub fn update_role(&mut self, role: ColdRole) -> bool {
+    /// Sets this node's role for the back end, which has `sender_count` senders. Returns whether it
+    /// changed.
+    pub fn update_role(&mut self, role: ColdRole, sender_count: usize) -> bool {
+        self.sending_interval = if role == ColdRole::MainSender {
+            let share = MAIN_SENDER_SHARE * sender_count as f64;
+            SENDING_INTERVAL.scaled(1.0 / share.max(1.0))
+        } else {
+            SENDING_INTERVAL
+        };
         std::mem::replace(&mut self.role, role) != role
     }
 }
--- a/crates/transport/relay/src/events.rs
+++ b/crates/transport/relay/src/events.rs
@@ -118,9 +118,9 @@
 pub(crate) fn warmup_changed(change: &WarmupChange) {
     let event = match change.role {
         ColdRole::Warm => "back_end_warm",
-        ColdRole::OtherNodes | ColdRole::Sender => "back_end_cold",
+        ColdRole::OtherNodes | ColdRole::Sender | ColdRole::MainSender => "back_end_cold",
     };
-    let is_sender = change.role == ColdRole::Sender;
+    let is_sender = change.role.is_sender();
     log::info!(
         event = event, back_end = change.instance.as_str(), sender = is_sender,
         warm_in_ms = change.warm_in.milliseconds();
