Don't pass on a response without length as whole if its back end crashed

The back end is now asked for a connection after such a response. If it refuses one, is listed, is not leaving, and no peer reaches it, the response counts as broken off: a stream that may be resumed goes on elsewhere after its last event, at its version; any other ends as incomplete.

--- a/crates/coordination/dispatch/src/dispatcher/replicas.rs
+++ b/crates/coordination/dispatch/src/dispatcher/replicas.rs
@@ -1,6 +1,7 @@
 //! Replicas of running streams: placed together with a lease and released with it.
 
 use super::Dispatcher;
+use crate::load::registry::BackEndState;
 use crate::placement::replication::{replica_tokens, select_holder, should_replicate};
 use crate::placement::view::View;
 use crate::{Demand, LeaseId, ReplicaTarget};
@@ -70,6 +71,12 @@
         }
     }
 
+    /// Whether a back end is listed and not leaving.
+    pub fn accepts_work(&self, instance: &InstanceId) -> bool {
+        let state = self.back_ends.get(instance);
+        state.is_some_and(BackEndState::accepts_work)
+    }
+
     /// Whether an engine is presumed to be down: its zone is silent, it is ejected for failures, or
     /// it is no longer listed.
     pub fn is_presumed_down(&self, instance: &InstanceId, now: Timestamp) -> bool {
--- a/crates/transport/relay/src/attempts.rs
+++ b/crates/transport/relay/src/attempts.rs
@@ -21,7 +21,7 @@
 use eiderferry_routing::{PoolName, RoutingTable};
 use eiderferry_types::{Reason, Span, Timestamp};
 use futures_lite::FutureExt;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -200,6 +200,12 @@
         };
         let outcome = match read_response(body, &self.progress.memory).or(timeout).await {
             Err(outcome) => outcome,
+            Ok(_)
+                if parts.status != StatusCode::NO_CONTENT
+                    && self.may_be_cut_short(&lease.grant, &parts.headers).await =>
+            {
+                Outcome::IncompleteResponse
+            }
             Ok(bytes) => {
                 self.traffic
                     .upstream
--- a/crates/transport/relay/src/control.rs
+++ b/crates/transport/relay/src/control.rs
@@ -175,6 +175,9 @@
             Command::IsPresumedDown { instance, reply } => {
                 let _ = reply.try_send(dispatcher.is_presumed_down(&instance, now));
             }
+            Command::AcceptsWork { instance, reply } => {
+                let _ = reply.try_send(dispatcher.accepts_work(&instance));
+            }
             Command::TunnelPeers { instance, reply } => {
                 let _ = reply.try_send(dispatcher.tunnel_peers(&instance));
             }
--- a/crates/transport/relay/src/control/commands.rs
+++ b/crates/transport/relay/src/control/commands.rs
@@ -33,6 +33,11 @@
         instance: InstanceId,
         reply: async_channel::Sender<bool>,
     },
+    /// Asks whether a back end is listed and not leaving.
+    AcceptsWork {
+        instance: InstanceId,
+        reply: async_channel::Sender<bool>,
+    },
     /// Asks which peers may provide a tunnel to a back end.
     TunnelPeers {
         instance: InstanceId,
@@ -88,6 +93,13 @@
         sent.await.is_ok() && receiver.recv().await.unwrap_or(false)
     }
 
+    /// Whether a back end is listed and not leaving.
+    pub async fn accepts_work(&self, instance: InstanceId) -> bool {
+        let (reply, receiver) = async_channel::bounded(1);
+        self.enqueue(Command::AcceptsWork { instance, reply });
+        receiver.recv().await.unwrap_or(false)
+    }
+
     /// The peers that may provide a tunnel to a back end.
     pub async fn tunnel_peers(&self, instance: InstanceId) -> Vec<TunnelPeer> {
         let (reply, receiver) = async_channel::bounded(1);
--- a/crates/transport/relay/src/crash.rs
+++ b/crates/transport/relay/src/crash.rs
@@ -11,8 +11,10 @@
 use crate::events::CrashDetails;
 use crate::exchange::{Exchange, Traffic};
 use crate::{events, metrics};
-use eiderferry_dispatch::{CrashedRun, Outcome, RunProgress};
+use eiderferry_dispatch::{CrashedRun, Grant, Outcome, RunProgress};
 use eiderferry_routing::InstanceId;
+use http::HeaderMap;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -56,6 +58,26 @@
         }
     }
 
+    /// Whether a response that ended with its connection may have been cut short by a crash. A back
+    /// end that is leaving closes its listener after its last response.
+    pub(crate) async fn may_be_cut_short(&self, grant: &Grant, headers: &HeaderMap) -> bool {
+        if !ends_with_connection(headers) {
+            return false;
+        }
+        let check = check_connection(grant.address).await;
+        check == ConnectionCheck::Refused
+            && self
+                .traffic
+                .control
+                .accepts_work(grant.instance.clone())
+                .await
+            && !self
+                .traffic
+                .upstream
+                .is_reached_by_peer(grant.address, &grant.instance)
+                .await
+    }
+
     /// How far the current attempt's run has come, by what was received of it.
     fn run_progress(&self) -> RunProgress {
         let now = self.traffic.clock.now();
@@ -67,6 +89,11 @@
     }
 }
 
+/// Whether the end of a response is the end of its connection, because it states no length.
+fn ends_with_connection(headers: &HeaderMap) -> bool {
+    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+}
+
 impl LostRun {
     /// Reports a crash to the control thread if the back end is down.
     async fn report_if_crashed(self) {
--- a/crates/transport/relay/src/stream.rs
+++ b/crates/transport/relay/src/stream.rs
@@ -185,7 +185,14 @@
                 Some(None) if self.splitter.has_partial_event() => {
                     return StreamItem::Broken(Outcome::IncompleteResponse);
                 }
-                Some(None) => return StreamItem::End,
+                Some(None) => {
+                    let (grant, headers) = (&source.lease.grant, &source.headers);
+                    return if self.exchange.may_be_cut_short(grant, headers).await {
+                        StreamItem::Broken(Outcome::IncompleteResponse)
+                    } else {
+                        StreamItem::End
+                    };
+                }
                 Some(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else {
                         continue;
