--- a/crates/coordination/quarantine/src/blame.rs
+++ b/crates/coordination/quarantine/src/blame.rs
@@ -1,12 +1,12 @@
 //! Which prompt parts explain the crashes of back ends.
 //!
 //! The part at fault is among the parts of some run interrupted by each crash, and no run with it
-//! is ever sound. So parts are blamed in the order of the crashes that they explain, and a crash
-//! that one part explains does not count against the others. Parts that were seen in the same
-//! crashes only can't be told apart: they are blamed together, and a request is refused if it
-//! contains all of them.
+//! is ever sound. So a part is blamed once it was seen in several crashes, and in more of them than
+//! the parts seen beside it; crashes that it explains do not count against others. Parts that were
+//! seen in the same crashes only can't be told apart: they are blamed together, and a request is
+//! refused if it contains all of them.
 
-use crate::part_record::{COMMON_CAUSE_WINDOW, PartRecord};
+use crate::part_record::{COMMON_CAUSE_WINDOW, PartCrash, PartRecord};
 use crate::part_report::PartKey;
 use crate::record::is_same_crash;
 use eiderferry_types::Timestamp;
@@ -19,6 +19,8 @@
 const WEIGHT_BEFORE_START: u32 = 1;
 /// Weight from which a part is blamed: three crashes at the start of responses.
 const BLAME_WEIGHT: u32 = 3 * WEIGHT_AT_START;
+/// Crashes without which no part has this weight.
+pub(crate) const MIN_BLAME_CRASHES: usize = 3;
 /// Weight from which parts are blamed although others explain as many crashes.
 const AMBIGUOUS_BLAME_WEIGHT: u32 = 5 * WEIGHT_AT_START;
 
@@ -48,148 +50,169 @@
     pub explained: Vec<CrashEvent>,
 }
 
-/// Numbers of the distinct crashes, and the parts involved in each of them.
-struct Evidence<'a> {
-    events: Vec<CrashEvent>,
-    /// Crashes of each part: its number, and whether it happened at the start of a response.
-    crashes: BTreeMap<PartKey, BTreeMap<usize, bool>>,
+/// The distinct crashes in order, and what they show about each part.
+struct Trial<'a> {
     records: &'a HashMap<PartKey, PartRecord>,
+    events: Vec<CrashEvent>,
+    /// The parts involved in each crash, and whether it happened at the start of a response.
+    involved: Vec<BTreeMap<PartKey, bool>>,
+    /// Numbers of the crashes that count against each part.
+    counted: BTreeMap<PartKey, BTreeSet<usize>>,
+    /// Parts that are blamed, alone or together.
+    blamed: Vec<Vec<PartKey>>,
 }
 
-impl<'a> Evidence<'a> {
+impl<'a> Trial<'a> {
     fn new(records: &'a HashMap<PartKey, PartRecord>) -> Self {
+        let mut observations: Vec<(PartCrash, PartKey)> = records
+            .iter()
+            .flat_map(|(part, record)| record.crashes().iter().map(|crash| (*crash, *part)))
+            .collect();
+        observations.sort_unstable_by_key(|(crash, part)| (crash.at, crash.back_end, *part));
         let mut events: Vec<CrashEvent> = Vec::new();
-        let mut by_back_end: HashMap<u32, Vec<usize>> = HashMap::new();
-        let mut crashes: BTreeMap<PartKey, BTreeMap<usize, bool>> = BTreeMap::new();
-        let ordered: BTreeMap<&PartKey, &PartRecord> = records.iter().collect();
-        for (part, record) in ordered {
-            for crash in record.crashes() {
-                let known = by_back_end.entry(crash.back_end).or_default();
-                let is_same = |number: &&usize| {
-                    let event = events[**number];
-                    is_same_crash(event.back_end, event.at, crash.back_end, crash.at)
-                };
-                let number = known.iter().find(is_same).copied();
-                let number = number.unwrap_or_else(|| {
-                    events.push(CrashEvent {
-                        back_end: crash.back_end,
-                        at: crash.at,
-                    });
-                    known.push(events.len() - 1);
-                    events.len() - 1
+        let mut involved: Vec<BTreeMap<PartKey, bool>> = Vec::new();
+        let mut last_event: HashMap<u32, usize> = HashMap::new();
+        for (crash, part) in observations {
+            let known = last_event.get(&crash.back_end).copied().filter(|number| {
+                let event: CrashEvent = events[*number];
+                is_same_crash(event.back_end, event.at, crash.back_end, crash.at)
+            });
+            let number = known.unwrap_or_else(|| {
+                events.push(CrashEvent {
+                    back_end: crash.back_end,
+                    at: crash.at,
                 });
-                let involved = crashes.entry(*part).or_default();
-                *involved.entry(number).or_default() |= crash.is_at_start;
-            }
+                involved.push(BTreeMap::new());
+                last_event.insert(crash.back_end, events.len() - 1);
+                events.len() - 1
+            });
+            *involved[number].entry(part).or_default() |= crash.is_at_start;
         }
         Self {
-            events,
-            crashes,
             records,
+            events,
+            involved,
+            counted: BTreeMap::new(),
+            blamed: Vec::new(),
         }
     }
 
-    /// Weight of a part's crashes that are not explained yet.
-    fn weight(&self, part: PartKey, explained: &BTreeSet<usize>) -> u32 {
-        let crashes = self.crashes.get(&part).into_iter().flatten();
-        let open = crashes.filter(|(number, _)| !explained.contains(number));
-        let mut open: Vec<(Timestamp, bool)> = open
-            .map(|(number, is_at_start)| (self.events[*number].at, *is_at_start))
-            .collect();
-        open.sort_unstable();
+    /// Whether parts that are already blamed explain a crash.
+    fn is_explained(&self, number: usize) -> bool {
+        let involved = &self.involved[number];
+        let mut blamed = self.blamed.iter();
+        blamed.any(|parts| parts.iter().all(|part| involved.contains_key(part)))
+    }
+
+    /// Weight of the crashes that count against a part.
+    fn weight(&self, part: PartKey) -> u32 {
         let mut weight = 0;
         let mut counted: Option<(Timestamp, u32)> = None;
-        for (at, is_at_start) in open {
-            let own = if is_at_start {
-                WEIGHT_AT_START
-            } else {
-                WEIGHT_BEFORE_START
+        for number in self.counted.get(&part).into_iter().flatten() {
+            let at = self.events[*number].at;
+            let own = match self.involved[*number].get(&part) {
+                Some(true) => WEIGHT_AT_START,
+                _ => WEIGHT_BEFORE_START,
             };
-            match counted {
-                Some((first, counted_weight)) if at.since(first) < COMMON_CAUSE_WINDOW => {
-                    let larger = own.max(counted_weight);
-                    weight += larger - counted_weight;
-                    counted = Some((first, larger));
-                }
-                _ => {
-                    weight += own;
-                    counted = Some((at, own));
-                }
-            }
+            let (first, before) = counted
+                .filter(|(first, _)| at.since(*first) < COMMON_CAUSE_WINDOW)
+                .unwrap_or((at, 0));
+            let larger = own.max(before);
+            weight += larger - before;
+            counted = Some((first, larger));
         }
         weight
     }
 
-    /// Numbers of a part's crashes.
-    fn numbers(&self, part: PartKey) -> BTreeSet<usize> {
-        let crashes = self.crashes.get(&part).into_iter().flatten();
-        crashes.map(|(number, _)| *number).collect()
+    /// Counts a crash against the parts involved in it, and blames those that it gives enough
+    /// weight.
+    fn examine(&mut self, number: usize) {
+        if self.is_explained(number) {
+            return;
+        }
+        let involved: Vec<PartKey> = self.involved[number].keys().copied().collect();
+        for part in &involved {
+            self.counted.entry(*part).or_default().insert(number);
+        }
+        let weights = involved.iter().map(|part| (self.weight(*part), *part));
+        let weights: Vec<(u32, PartKey)> = weights.collect();
+        let top = weights.iter().map(|(weight, _)| *weight).max();
+        let Some(top) = top.filter(|top| *top >= BLAME_WEIGHT) else {
+            return;
+        };
+        // Groups of parts by the crashes in which they were seen.
+        let mut groups: BTreeMap<&BTreeSet<usize>, Vec<PartKey>> = BTreeMap::new();
+        for (_, part) in weights.iter().filter(|(weight, _)| *weight == top) {
+            if let Some(counted) = self.counted.get(part) {
+                groups.entry(counted).or_default().push(*part);
+            }
+        }
+        if groups.len() > 1 && top < AMBIGUOUS_BLAME_WEIGHT {
+            return;
+        }
+        let groups: Vec<Vec<PartKey>> = groups.into_values().collect();
+        for parts in groups {
+            self.blame(parts);
+        }
     }
 
-    fn blame(&self, parts: Vec<PartKey>, numbers: &BTreeSet<usize>) -> Blame {
-        let times = numbers.iter().map(|number| self.events[*number].at);
-        let callers: BTreeSet<Option<u32>> = parts
-            .iter()
-            .filter_map(|part| Some(self.records.get(part)?.only_caller()))
-            .collect();
-        let mut callers = callers.into_iter();
-        let caller = callers.next().flatten();
-        Blame {
-            parts,
-            crash_count: numbers.len(),
-            last_crash: times.max().unwrap_or_default(),
-            caller: caller.filter(|_| callers.next().is_none()),
+    fn blame(&mut self, parts: Vec<PartKey>) {
+        if let [part] = parts[..] {
+            // It is to blame whatever it occurred together with, and explains its crashes.
+            self.blamed.retain(|blamed| !blamed.contains(&part));
+            let involved = &self.involved;
+            for (other, counted) in &mut self.counted {
+                if *other != part {
+                    counted.retain(|number| !involved[*number].contains_key(&part));
+                }
+            }
         }
+        self.blamed.push(parts);
     }
-}
 
-/// Finds the parts that explain the crashes in these records. The result depends on the records
-/// alone, so nodes with the same records blame the same parts.
-pub(crate) fn judge(records: &HashMap<PartKey, PartRecord>) -> Verdict {
-    let evidence = Evidence::new(records);
-    let mut explained: BTreeSet<usize> = BTreeSet::new();
-    let mut blames = Vec::new();
-    loop {
-        let weights = evidence.crashes.keys().map(|part| {
-            let weight = evidence.weight(*part, &explained);
-            (weight, *part)
-        });
-        let heavy: Vec<(u32, PartKey)> = weights
-            .filter(|(weight, _)| *weight >= BLAME_WEIGHT)
+    fn verdict(self) -> Verdict {
+        let explained: Vec<usize> = (0..self.events.len())
+            .filter(|number| self.is_explained(*number))
             .collect();
-        let Some(top) = heavy.iter().map(|(weight, _)| *weight).max() else {
-            break;
-        };
-        // Groups of parts by the crashes in which they were seen.
-        let mut groups: BTreeMap<BTreeSet<usize>, Vec<PartKey>> = BTreeMap::new();
-        for (_, part) in heavy.iter().filter(|(weight, _)| *weight == top) {
-            groups
-                .entry(evidence.numbers(*part))
-                .or_default()
-                .push(*part);
-        }
-        let is_ambiguous = |numbers: &BTreeSet<usize>| {
-            top < AMBIGUOUS_BLAME_WEIGHT
-                && groups
-                    .keys()
-                    .any(|other| other != numbers && !other.is_disjoint(numbers))
-        };
-        let before = blames.len();
-        let mut newly_explained = BTreeSet::new();
-        for (numbers, parts) in &groups {
-            if !is_ambiguous(numbers) {
-                blames.push(evidence.blame(parts.clone(), numbers));
-                newly_explained.extend(numbers.iter().copied());
+        let blames = self.blamed.iter().map(|parts| {
+            let involves_all = |number: &&usize| {
+                let involved = &self.involved[**number];
+                parts.iter().all(|part| involved.contains_key(part))
+            };
+            let crashes = explained.iter().filter(involves_all);
+            let last_crash = crashes.clone().map(|number| self.events[*number].at).max();
+            Blame {
+                parts: parts.clone(),
+                crash_count: crashes.count(),
+                last_crash: last_crash.unwrap_or_default(),
+                caller: self.only_caller(parts),
             }
+        });
+        Verdict {
+            blames: blames.collect(),
+            explained: explained
+                .iter()
+                .map(|number| self.events[*number])
+                .collect(),
         }
-        if blames.len() == before {
-            break;
-        }
-        explained.extend(newly_explained);
     }
-    let explained = explained.into_iter().map(|number| evidence.events[number]);
-    Verdict {
-        blames,
-        explained: explained.collect(),
+
+    /// The only caller under whose requests back ends crashed; `None` if there are several.
+    fn only_caller(&self, parts: &[PartKey]) -> Option<u32> {
+        let records = parts.iter().filter_map(|part| self.records.get(part));
+        let callers: BTreeSet<Option<u32>> = records.map(PartRecord::only_caller).collect();
+        let mut callers = callers.into_iter();
+        let caller = callers.next().flatten();
+        caller.filter(|_| callers.next().is_none())
+    }
+}
+
+/// Finds the parts that explain the crashes in these records, from the first crash to the last. The
+/// result depends on the records alone, so nodes with the same records blame the same parts.
+pub(crate) fn judge(records: &HashMap<PartKey, PartRecord>) -> Verdict {
+    let mut trial = Trial::new(records);
+    for number in 0..trial.events.len() {
+        trial.examine(number);
     }
+    trial.verdict()
 }
--- a/crates/coordination/quarantine/src/part_quarantine.rs
+++ b/crates/coordination/quarantine/src/part_quarantine.rs
@@ -1,6 +1,6 @@
 //! The suspected and quarantined prompt parts known to one node, and the reports it sends.
 
-use crate::blame::{Blame, CrashEvent, judge};
+use crate::blame::{Blame, CrashEvent, MIN_BLAME_CRASHES, judge};
 use crate::change::ChangeSource;
 use crate::part_change::{PartChange, QuarantinedParts};
 use crate::part_record::{EXONERATION_DURATION, PartCrash, PartRecord};
@@ -17,8 +17,9 @@
 const MAX_SOUND_PARTS: usize = 8_192;
 /// Maximum number of changed parts reported in one message, at about 30 bytes each.
 const MAX_CHANGED_PER_MESSAGE: usize = 16;
-/// Number of quarantined parts that each message reports in addition, in rotation.
-const QUARANTINED_PER_MESSAGE: usize = 2;
+/// One in this many messages reports a quarantined part in addition, in rotation. Nodes that were
+/// partitioned or paused get all of them in reply to their queries.
+const QUARANTINED_REPORT_INTERVAL: usize = 4;
 /// Maximum number of quarantined parts reported to a node that has just started.
 const MAX_REPORTS_AT_START: usize = 64;
 
@@ -214,7 +215,7 @@
         }
         let records = self.entries.iter();
         let records = records
-            .filter(|(_, entry)| !entry.record.crashes().is_empty())
+            .filter(|(_, entry)| entry.record.crashes().len() >= MIN_BLAME_CRASHES)
             .map(|(part, entry)| (*part, entry.record.clone()))
             .collect();
         let verdict = judge(&records);
@@ -276,7 +277,7 @@
     }
 
     /// The reports for the next message: recent changes, those that other nodes act on first, and
-    /// some of the quarantined parts in rotation.
+    /// now and then one of the quarantined parts.
     pub fn reports(&mut self, now: Timestamp) -> Vec<PartReport> {
         if self.entries.is_empty() {
             return Vec::new();
@@ -290,8 +291,11 @@
             (needs_action, entry.report_until, *part)
         });
         let mut parts = recent_changes(changed, MAX_CHANGED_PER_MESSAGE, self.batch_number);
-        for number in 0..QUARANTINED_PER_MESSAGE.min(quarantined.len()) {
-            let turn = self.batch_number * QUARANTINED_PER_MESSAGE + number;
+        let is_due = self
+            .batch_number
+            .is_multiple_of(QUARANTINED_REPORT_INTERVAL);
+        if is_due && !quarantined.is_empty() {
+            let turn = self.batch_number / QUARANTINED_REPORT_INTERVAL;
             let part = quarantined[turn % quarantined.len()];
             if !parts.contains(&part) {
                 parts.push(part);
