Own interface: refuse prompt parts that crash engines

A chat request's messages but the last are its shared parts. Over three nodes and eight engines that one message crashes, in requests that differ otherwise: at most 3 crashes later than 3 s after the fifth, then none, and requests with the other messages complete (a new test; before, each request crashed up to three engines, without end).

--- a/bins/eiderferry-lab/src/capacity.rs
+++ b/bins/eiderferry-lab/src/capacity.rs
@@ -7,7 +7,7 @@
 use eiderferry_config::{Configuration, Directory, DirectoryEntry, EntryState, Tenant, Versioned};
 use eiderferry_node::{
     AttemptEnd, CacheUpdate, DocumentKind, Envelope, Identity, Message, Node, NodeLimits, Output,
-    PlatformDocument, Submission,
+    PlatformDocument, SharedParts, Submission,
 };
 use eiderferry_simulator::{Policy, Scenario, simulate};
 use eiderferry_types::{
@@ -315,6 +315,7 @@
         pool: PoolId(1),
         prompt_tokens: 800,
         prefixes: Vec::new(),
+        shared_parts: SharedParts::default(),
         first_token_due: now + Span::from_milliseconds(2_000),
         not_repeatable: None,
     }
--- a/crates/coordination/node/src/lib.rs
+++ b/crates/coordination/node/src/lib.rs
@@ -31,6 +31,7 @@
 pub use catalog::Catalog;
 pub use class_counts::ClassCounts;
 pub use decision::{Decision, DecisionLog, Step};
+pub use eiderferry_quarantine::SharedParts;
 pub use held_cells::CacheUpdate;
 pub use message::{AttemptId, DocumentKind, Envelope, Message};
 pub use node::{Identity, Node, NodeLimits};
--- a/crates/coordination/node/src/message.rs
+++ b/crates/coordination/node/src/message.rs
@@ -8,7 +8,7 @@
 use eiderferry_config::{Configuration, ConfigurationDelta, Directory, DirectoryDelta};
 use eiderferry_dissemination::Update;
 use eiderferry_once::{ClaimResponse, KeyName};
-use eiderferry_quarantine::RequestReport;
+use eiderferry_quarantine::{PartReport, RequestReport};
 use eiderferry_types::{
     BackEndId, CellId, ClassId, Incarnation, NodeId, Reason, Span, TenantId, Verdict,
 };
@@ -225,6 +225,11 @@
     ConfigurationUpdate(Update<Configuration, ConfigurationDelta>),
     /// A newer directory, whole or as a delta.
     DirectoryUpdate(Update<Directory, DirectoryDelta>),
+    /// Reports prompt parts during which back ends crashed.
+    CrashingParts {
+        /// The sender's reports.
+        reports: Vec<PartReport>,
+    },
 }
 
 /// A batch of messages from one node to another.
--- a/crates/coordination/node/src/node.rs
+++ b/crates/coordination/node/src/node.rs
@@ -17,7 +17,7 @@
 use eiderferry_dissemination::{ReadSchedule, Replica};
 use eiderferry_membership::Fleet;
 use eiderferry_once::{KeyName, KeyTable, KeyTableFull, OwnershipHistory};
-use eiderferry_quarantine::Quarantine;
+use eiderferry_quarantine::{PartQuarantine, Quarantine};
 use eiderferry_types::{CellId, ClassId, Incarnation, NodeId, RequestId, Span, Timestamp, ZoneId};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -102,6 +102,7 @@
     pub(crate) retry_budget: RetryBudget,
     pub(crate) probes: ProbeSchedule,
     pub(crate) quarantine: Quarantine,
+    pub(crate) part_quarantine: PartQuarantine,
     pub(crate) draining: bool,
     /// Set after this node's process was paused, as its directory may be out of date: the node
     /// grants nothing until the directory is confirmed, or at the latest until this time.
@@ -145,6 +146,7 @@
             retry_budget: RetryBudget::default(),
             probes: ProbeSchedule::default(),
             quarantine: Quarantine::default(),
+            part_quarantine: PartQuarantine::default(),
             draining: false,
             directory_unverified_until: None,
             verification_echo: 0,
@@ -458,6 +460,7 @@
                 self.handle_pong(from, configuration, directory, draining, echo);
             }
             Message::CrashingRequests { reports } => self.handle_crashing_requests(&reports),
+            Message::CrashingParts { reports } => self.handle_crashing_parts(&reports),
             Message::Fetch {
                 kind,
                 known_version,
--- a/crates/coordination/node/src/output.rs
+++ b/crates/coordination/node/src/output.rs
@@ -70,6 +70,8 @@
     /// Report that a request has been put into or released from quarantine, in which it
     /// is refused because back ends crash when they run it.
     QuarantineChanged(eiderferry_quarantine::QuarantineChange),
+    /// Report that prompt parts have been put into or released from quarantine.
+    PartQuarantineChanged(eiderferry_quarantine::PartChange),
     /// Log a decision.
     Decided(Decision),
 }
--- a/crates/coordination/node/src/request.rs
+++ b/crates/coordination/node/src/request.rs
@@ -2,6 +2,7 @@
 
 use eiderferry_admission::{Observation, PrefixMark};
 use eiderferry_once::KeyName;
+use eiderferry_quarantine::SharedParts;
 use eiderferry_types::{
     BackEndId, CellId, ClassId, NodeId, PoolId, Refusal, RequestDigest, TenantId, Timestamp,
     Verdict,
@@ -32,6 +33,8 @@
     pub prompt_tokens: u32,
     /// Prefixes of the prompt, shortest first.
     pub prefixes: Vec<PrefixMark>,
+    /// Parts of the prompt that other requests may share.
+    pub shared_parts: SharedParts,
     /// Time at which the first token is due.
     pub first_token_due: Timestamp,
     /// `None` if the request may be executed more than once.
--- a/crates/coordination/node/src/request_flow.rs
+++ b/crates/coordination/node/src/request_flow.rs
@@ -23,7 +23,7 @@
         let sequence = self.next_sequence;
         self.next_sequence += 1;
         let due = submission.first_token_due;
-        let digest = submission.digest;
+        let crash_refusal = self.crash_refusal(&submission);
         let has_key = matches!(submission.not_repeatable, Some(NotRepeatable::WithKey(_)));
         let request = LocalRequest {
             submission,
@@ -56,7 +56,7 @@
                     retry_after,
                 },
             );
-        } else if let Some(refusal) = self.crash_refusal(digest) {
+        } else if let Some(refusal) = crash_refusal {
             self.reject(sequence, refusal);
         } else if has_key {
             self.retry_budget.record_request();
@@ -145,12 +145,12 @@
             attempt: request.attempt,
         };
         let after = self.now.since(request.arrived_at);
-        let digest = request.submission.digest;
+        let submission = request.submission.clone();
         match end {
             AttemptEnd::Completed(observation) => {
                 let tokens = request.delivered_tokens + observation.tokens;
                 self.release(holder, cell, attempt_id, observation);
-                self.record_success(digest);
+                self.record_success(&submission);
                 self.record_completed(sequence, tokens, &observation);
                 self.record_step(sequence, Step::Completed { tokens, after });
                 self.settle_key(sequence, Verdict::Ran);
@@ -169,7 +169,7 @@
             } => {
                 self.release(holder, cell, attempt_id, observation);
                 if has_crashed {
-                    self.record_crash(digest, back_end);
+                    self.record_crash(&submission, back_end, &observation);
                 }
                 self.retry_or_reject(sequence, back_end, verdict, observation);
             }
@@ -198,8 +198,8 @@
             );
             return;
         }
-        let digest = request.submission.digest;
-        if let Some(refusal) = self.crash_refusal(digest) {
+        let submission = request.submission.clone();
+        if let Some(refusal) = self.crash_refusal(&submission) {
             self.reject(sequence, refusal);
             return;
         }
--- a/crates/coordination/node/tests/crashing_requests.rs
+++ b/crates/coordination/node/tests/crashing_requests.rs
@@ -4,7 +4,7 @@
 use eiderferry_config::{Configuration, Directory, DirectoryEntry, EntryState};
 use eiderferry_node::{
     AttemptEnd, CacheUpdate, DocumentKind, Envelope, Identity, Node, NodeLimits, Output,
-    PlatformDocument, Submission,
+    PlatformDocument, SharedParts, Submission,
 };
 use eiderferry_types::{
     BackEndId, ClassId, Incarnation, NodeId, PoolId, Reason, RequestDigest, RequestId, Span,
@@ -12,10 +12,15 @@
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 
 const ZONE: ZoneId = ZoneId(1);
 const NODES: u32 = 3;
 const BACK_ENDS: u32 = 8;
+/// Time from the start of a run to the crash that it causes.
+const TIME_TO_CRASH: Span = Span::from_milliseconds(150);
+/// Time within which all nodes have to refuse a part after the fifth crash.
+const PROPAGATION_TIME: Span = Span::from_milliseconds(3_000);
 /// Time for which a back end is down after a crash.
 const DOWNTIME: Span = Span::from_milliseconds(1_000);
 const FATAL: RequestDigest = RequestDigest(666);
@@ -93,6 +98,7 @@
     down: BTreeMap<BackEndId, Timestamp>,
     /// Number of times that a fatal request crashed a back end.
     crashes: u32,
+    crash_times: Vec<Timestamp>,
     completed: u32,
     refused: Vec<(Reason, Verdict)>,
 }
@@ -107,6 +113,7 @@
             fatal_requests: BTreeSet::new(),
             down: BTreeMap::new(),
             crashes: 0,
+            crash_times: Vec::new(),
             completed: 0,
             refused: Vec::new(),
         };
@@ -125,6 +132,11 @@
     }
 
     fn submit(&mut self, index: usize, digest: RequestDigest) {
+        self.submit_parts(index, digest, &[], digest == FATAL);
+    }
+
+    /// Submits a request whose prompt has these shared parts.
+    fn submit_parts(&mut self, index: usize, digest: RequestDigest, parts: &[u64], is_fatal: bool) {
         let submission = Submission {
             digest,
             class: ClassId(1),
@@ -132,11 +144,16 @@
             pool: PoolId(1),
             prompt_tokens: 800,
             prefixes: Vec::new(),
+            shared_parts: SharedParts {
+                pool: 1,
+                caller: 1,
+                ids: Arc::from(parts),
+            },
             first_token_due: self.now + Span::from_milliseconds(2_000),
             not_repeatable: None,
         };
         let request = self.nodes[index].submit(self.now, submission);
-        if digest == FATAL {
+        if is_fatal {
             self.fatal_requests.insert(request);
         }
         self.apply_outputs();
@@ -169,7 +186,9 @@
             return AttemptEnd::Completed(observation(Outcome::Completed));
         }
         if !is_down {
+            self.now = self.now + TIME_TO_CRASH;
             self.crashes += 1;
+            self.crash_times.push(self.now);
             self.down.insert(back_end, self.now + DOWNTIME);
         }
         let verdict = if is_down {
@@ -268,3 +287,45 @@
     fleet.submit(2, FATAL);
     assert_eq!(fleet.crashes, 3);
 }
+
+/// Requests with one part in common and otherwise different.
+#[test]
+fn all_nodes_refuse_a_prompt_part_that_crashes_back_ends() {
+    const SOUND_PART: u64 = 0xa1;
+    const FATAL_PART: u64 = 0xbad;
+    let mut fleet = Fleet::start();
+    let nodes = NODES as usize;
+    for number in 0..6 {
+        let digest = RequestDigest(100 + number);
+        fleet.submit_parts(number as usize % nodes, digest, &[SOUND_PART], false);
+    }
+    let mut digests = (1_000..).map(RequestDigest);
+    let mut submit_fatal = |fleet: &mut Fleet, number: usize| {
+        let digest = digests.next().expect("a digest");
+        fleet.submit_parts(number % nodes, digest, &[SOUND_PART, FATAL_PART], true);
+    };
+    for number in 0..40 {
+        submit_fatal(&mut fleet, number);
+    }
+    let deadline = fleet.crash_times[4] + PROPAGATION_TIME;
+    let times = fleet.crash_times.iter();
+    let later = times.filter(|at| **at > deadline).count();
+    assert!(later <= 3, "{later} of {} crashes", fleet.crashes);
+    let crashes = fleet.crashes;
+    fleet.run(DOWNTIME.milliseconds());
+    fleet.refused.clear();
+    for number in 0..12 {
+        submit_fatal(&mut fleet, number);
+    }
+    assert_eq!(fleet.crashes, crashes);
+    assert_eq!(
+        fleet.refused,
+        [(Reason::CrashesBackEnds, Verdict::NotRun); 12]
+    );
+    let completed = fleet.completed;
+    for number in 0..12 {
+        let digest = RequestDigest(200 + number);
+        fleet.submit_parts(number as usize % nodes, digest, &[SOUND_PART], false);
+    }
+    assert_eq!(fleet.completed, completed + 12);
+}
--- a/crates/coordination/quarantine/src/lib.rs
+++ b/crates/coordination/quarantine/src/lib.rs
@@ -26,7 +26,7 @@
 mod reporting;
 
 pub use change::{ChangeDetails, ChangeSource, QuarantineChange};
-pub use part_change::{PartChange, QuarantinedParts};
+pub use part_change::{PartChange, PartChangeDetails, QuarantinedParts};
 pub use part_quarantine::{InterruptedRun, PartCounts, PartQuarantine, PartRefusal};
 pub use part_report::{PartCrashReport, PartKey, PartReport, SharedParts};
 pub use quarantine::{ActiveQuarantine, Quarantine, QuarantineCounts};
--- a/crates/coordination/quarantine/src/part_change.rs
+++ b/crates/coordination/quarantine/src/part_change.rs
@@ -29,6 +29,23 @@
     }
 }
 
+/// Fields of the log line for a change of the quarantine of prompt parts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PartChangeDetails {
+    /// Name of the event.
+    pub event: &'static str,
+    /// Ids of the parts, separated by commas.
+    pub parts: String,
+    /// Whether the parts are refused for one caller or for all.
+    pub callers: &'static str,
+    /// Stored crashes of back ends that the parts explain.
+    pub crashes: u64,
+    /// Time until the quarantine expires, in milliseconds; 0 if it ended.
+    pub remaining_ms: u64,
+    /// Where the cause was observed; empty if the quarantine ended.
+    pub source: &'static str,
+}
+
 /// A change of the quarantine of prompt parts.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PartChange {
@@ -48,3 +65,26 @@
         quarantined: QuarantinedParts,
     },
 }
+
+impl PartChange {
+    /// The fields of its log line.
+    pub fn details(&self) -> PartChangeDetails {
+        let (event, quarantined, remaining, source) = match self {
+            PartChange::Quarantined {
+                quarantined,
+                remaining,
+                source,
+            } => ("part_quarantined", quarantined, *remaining, source.as_str()),
+            PartChange::Released { quarantined } => ("part_released", quarantined, Span::ZERO, ""),
+        };
+        let is_for_one = quarantined.caller.is_some();
+        PartChangeDetails {
+            event,
+            parts: quarantined.ids(),
+            callers: if is_for_one { "one" } else { "all" },
+            crashes: quarantined.crashes as u64,
+            remaining_ms: remaining.milliseconds(),
+            source,
+        }
+    }
+}
--- a/crates/lab/simulator/src/nodes.rs
+++ b/crates/lab/simulator/src/nodes.rs
@@ -217,6 +217,7 @@
                 Output::Send { to, message } => messages.entry(to).or_default().push(message),
                 Output::SendToAddress { .. }
                 | Output::QuarantineChanged(_)
+                | Output::PartQuarantineChanged(_)
                 | Output::Decided(_) => {}
                 Output::Dispatch(dispatch) => {
                     self.schedule(
--- a/crates/lab/simulator/src/workload.rs
+++ b/crates/lab/simulator/src/workload.rs
@@ -6,7 +6,7 @@
 use crate::scenario::{CallKey, ClassLoad, RateStep, TokenSpread};
 use crate::world::World;
 use eiderferry_admission::{Outcome, PrefixMark};
-use eiderferry_node::{AttemptEnd, NotRepeatable, Submission};
+use eiderferry_node::{AttemptEnd, NotRepeatable, SharedParts, Submission};
 use eiderferry_once::KeyName;
 use eiderferry_types::{Reason, Refusal, RequestDigest, RequestId, Span, Timestamp, Verdict};
 use rand::Rng;
@@ -254,6 +254,7 @@
             pool: state.pool,
             prompt_tokens: state.prompt_tokens,
             prefixes: state.prefixes.clone(),
+            shared_parts: SharedParts::default(),
             first_token_due: now + state.first_token_target,
             not_repeatable,
         };
--- a/crates/protocol/openai/src/request.rs
+++ b/crates/protocol/openai/src/request.rs
@@ -1,8 +1,14 @@
 //! Chat completion requests from callers and to engines.
 
+use eiderferry_types::RequestDigest;
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
+use std::collections::HashSet;
+use std::sync::Arc;
+
+/// Maximum messages of a request that can be found to crash engines.
+const MAX_SHARED_MESSAGES: usize = 1_024;
 
 quick_error! {
     /// An invalid request body. No back end has started the request.
@@ -59,6 +65,20 @@
         })
     }
 
+    /// Digests of the messages that other requests may share: all but the last, each once.
+    pub fn shared_message_digests(&self) -> Arc<[u64]> {
+        let shared = self
+            .messages
+            .split_last()
+            .map_or(&[][..], |(_, shared)| shared);
+        let mut known = HashSet::new();
+        let digests = shared
+            .iter()
+            .map(|(role, content)| RequestDigest::of([role.as_bytes(), content.as_bytes()]).0);
+        let distinct = digests.filter(|digest| known.insert(*digest));
+        distinct.take(MAX_SHARED_MESSAGES).collect()
+    }
+
     /// Roles and texts of all messages in order, which determine the prompt.
     pub fn prompt_text(&self) -> String {
         let mut text = String::new();
--- a/crates/transport/entry/src/chat.rs
+++ b/crates/transport/entry/src/chat.rs
@@ -7,7 +7,7 @@
 };
 use crate::session::{ChatCall, Session, SessionError, SessionEvent};
 use eiderferry_config::Configuration;
-use eiderferry_node::Submission;
+use eiderferry_node::{SharedParts, Submission};
 use eiderferry_openai::{
     ChatRequest, Chunk, DONE_EVENT, answer_document, chunk_event, error_document, estimate_tokens,
     finish_event, prefix_marks,
@@ -79,6 +79,11 @@
         pool: pool.id,
         prompt_tokens: estimate_tokens(&prompt),
         prefixes: prefix_marks(&prompt),
+        shared_parts: SharedParts {
+            pool: u32::from(pool.id.0),
+            caller: u32::from(parameters.tenant.id.0),
+            ids: request.shared_message_digests(),
+        },
         first_token_due: parameters.first_token_due,
         not_repeatable: parameters.not_repeatable(false),
     };
--- a/crates/transport/entry/src/control_loop.rs
+++ b/crates/transport/entry/src/control_loop.rs
@@ -6,7 +6,7 @@
 use crate::{Clock, TrafficView};
 use arc_swap::ArcSwap;
 use eiderferry_node::{Node, Output};
-use eiderferry_quarantine::QuarantineChange;
+use eiderferry_quarantine::{PartChange, QuarantineChange};
 use eiderferry_types::{RequestId, Timestamp};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -158,6 +158,7 @@
                     self.fetcher.poll_back_end(back_end, address, cache_cursor);
                 }
                 Output::QuarantineChanged(change) => log_quarantine(&change),
+                Output::PartQuarantineChanged(change) => log_part_quarantine(&change),
                 Output::Decided(_) => {}
             }
         }
@@ -195,3 +196,12 @@
         "quarantine of a request changed"
     );
 }
+
+fn log_part_quarantine(change: &PartChange) {
+    let details = change.details();
+    log::warn!(
+        event = details.event, parts = details.parts.as_str(), callers = details.callers,
+        crashes = details.crashes, for_ms = details.remaining_ms, source = details.source;
+        "quarantine of a prompt part changed"
+    );
+}
--- a/crates/transport/entry/src/service.rs
+++ b/crates/transport/entry/src/service.rs
@@ -7,7 +7,7 @@
 use crate::upstream::{UpstreamError, UpstreamResponse};
 use eiderferry_admission::{Observation, Outcome};
 use eiderferry_config::{Configuration, Pool};
-use eiderferry_node::{AttemptEnd, Dispatch, Submission};
+use eiderferry_node::{AttemptEnd, Dispatch, SharedParts, Submission};
 use eiderferry_types::{Reason, Refusal, RequestId, Span, Verdict};
 use std::time::Duration;
 use trillium::{Conn, KnownHeaderName, Method};
@@ -83,6 +83,7 @@
         pool: pool.id,
         prompt_tokens: 0,
         prefixes: Vec::new(),
+        shared_parts: SharedParts::default(),
         first_token_due: parameters.first_token_due,
         not_repeatable: parameters.not_repeatable(pool_forbids_repeats),
     })
--- a/crates/transport/relay/src/events.rs
+++ b/crates/transport/relay/src/events.rs
@@ -435,18 +435,10 @@
 
 /// Prompt parts are quarantined because back ends crash on them, or their quarantine ended.
 pub(crate) fn part_quarantine(change: &PartChange) {
-    let (event, quarantined, remaining, source) = match change {
-        PartChange::Quarantined {
-            quarantined,
-            remaining,
-            source,
-        } => ("part_quarantined", quarantined, *remaining, source.as_str()),
-        PartChange::Released { quarantined } => ("part_released", quarantined, Span::ZERO, ""),
-    };
+    let details = change.details();
     log::warn!(
-        event = event, parts = quarantined.ids().as_str(),
-        callers = if quarantined.caller.is_some() { "one" } else { "all" },
-        crashes = quarantined.crashes, for_ms = remaining.milliseconds(), source = source;
+        event = details.event, parts = details.parts.as_str(), callers = details.callers,
+        crashes = details.crashes, for_ms = details.remaining_ms, source = details.source;
         "quarantine of a prompt part changed"
     );
 }
