Continue a stream without length whose leaving back end closed its listener

Whether such a response is whole can't be told. If the request may be continued elsewhere it now is, which does no harm if it was; otherwise the response of a back end that is leaving is passed on.

--- a/crates/transport/relay/src/crash.rs
+++ b/crates/transport/relay/src/crash.rs
@@ -59,23 +59,18 @@
     }
 
     /// Whether a response that ended with its connection may have been cut short by a crash. A back
-    /// end that is leaving closes its listener after its last response.
+    /// end that is leaving may close its listener before its last responses end, which only matters
+    /// if the request can't be continued elsewhere.
     pub(crate) async fn may_be_cut_short(&self, grant: &Grant, headers: &HeaderMap) -> bool {
-        if !ends_with_connection(headers) {
+        if !ends_with_connection(headers)
+            || check_connection(grant.address).await != ConnectionCheck::Refused
+        {
             return false;
         }
-        let check = check_connection(grant.address).await;
-        check == ConnectionCheck::Refused
-            && self
-                .traffic
-                .control
-                .accepts_work(grant.instance.clone())
-                .await
-            && !self
-                .traffic
-                .upstream
-                .is_reached_by_peer(grant.address, &grant.instance)
-                .await
+        let (control, upstream) = (&self.traffic.control, &self.traffic.upstream);
+        let instance = &grant.instance;
+        let counts = self.head.route.may_retry() || control.accepts_work(instance.clone()).await;
+        counts && !upstream.is_reached_by_peer(grant.address, instance).await
     }
 
     /// How far the current attempt's run has come, by what was received of it.
