--- a/bins/eiderferry/src/explain_logs.rs
+++ b/bins/eiderferry/src/explain_logs.rs
@@ -34,6 +34,18 @@
         }
     }
 
+    /// Ids of the prompt parts that it names.
+    fn parts(&self) -> Vec<String> {
+        let text = self.field_text("parts");
+        let ids = text.split(',').filter(|id| !id.is_empty());
+        ids.map(str::to_owned).collect()
+    }
+
+    fn has_parts(&self, parts: &[String]) -> bool {
+        let own = self.parts();
+        parts.iter().all(|part| own.contains(part))
+    }
+
     fn belongs_to(&self, request: &str) -> bool {
         self.field_text("request") == request
     }
@@ -166,7 +178,8 @@
 }
 
 /// The lines about a request and the other requests of its stream, those about their back ends at
-/// about the same time and on the same nodes, and quarantine events with their digests.
+/// about the same time and on the same nodes, and quarantine events with their digests or the prompt
+/// parts for which they were refused.
 fn timeline(entries: &[LogEntry], request: &str) -> Vec<LogEntry> {
     let requests = requests_of_stream(entries, request);
     let is_of_stream = |entry: &LogEntry| requests.contains(&entry.field_text("request"));
@@ -206,8 +219,20 @@
             && !digest.is_empty()
             && digests.contains(&digest)
     };
+    let refused_parts: Vec<Vec<String>> = request_entries
+        .iter()
+        .map(|entry| refused_parts(entry))
+        .filter(|parts| !parts.is_empty())
+        .collect();
+    let is_part_entry = |entry: &&LogEntry| {
+        let mut refused = refused_parts.iter();
+        PART_EVENTS.contains(&entry.event.as_str()) && refused.any(|parts| entry.has_parts(parts))
+    };
     let selected = entries.iter().filter(|entry| {
-        is_of_stream(entry) || is_back_end_entry(entry) || is_quarantine_entry(entry)
+        is_of_stream(entry)
+            || is_back_end_entry(entry)
+            || is_quarantine_entry(entry)
+            || is_part_entry(entry)
     });
     selected.cloned().collect()
 }
@@ -221,12 +246,33 @@
     "quarantine_expired",
 ];
 
-/// The back ends that crashed while running a request with this digest, each with
-/// the id under which the request was sent.
-fn crash_descriptions(timeline: &[LogEntry], digest: &str) -> Vec<String> {
+/// Events that explain why a prompt part is quarantined.
+const PART_EVENTS: [&str; 3] = ["crashed_run", "part_quarantined", "part_released"];
+
+/// Prompt parts for which this line says that its request was refused.
+fn refused_parts(entry: &LogEntry) -> Vec<String> {
+    if entry.event == "answered_here" {
+        entry.parts()
+    } else {
+        Vec::new()
+    }
+}
+
+/// The back ends that crashed while running the refused request, or one with the same prompt parts,
+/// each with the id under which the request was sent.
+fn crash_descriptions(timeline: &[LogEntry], refusal: &LogEntry) -> Vec<String> {
+    let (digest, parts) = (refusal.field_text("digest"), refused_parts(refusal));
     let entries = timeline.iter();
+    let is_cause = |entry: &&LogEntry| {
+        if parts.is_empty() {
+            entry.field_text("digest") == digest
+        } else {
+            entry.has_parts(&parts)
+        }
+    };
     let crashed = entries
-        .filter(|entry| entry.event == "crashed_run" && entry.field_text("digest") == digest);
+        .filter(|entry| entry.event == "crashed_run")
+        .filter(is_cause);
     crashed
         .map(|entry| {
             format!(
@@ -309,7 +355,14 @@
     } else {
         format!(", after: {}", failures.join(", "))
     };
-    let crashes = crash_descriptions(timeline, &last_entry.field_text("digest"));
+    let parts = refused_parts(last_entry);
+    if !parts.is_empty() {
+        preceding.push_str(&format!(
+            "; prompt part {} is refused",
+            parts.join(" with ")
+        ));
+    }
+    let crashes = crash_descriptions(timeline, last_entry);
     if !crashes.is_empty() {
         preceding.push_str("; back ends crashed under it: ");
         preceding.push_str(&crashes.join(", "));
--- a/bins/eiderferry/tests/explain_logs.rs
+++ b/bins/eiderferry/tests/explain_logs.rs
@@ -184,3 +184,32 @@
     let text = explain("third");
     assert!(text.contains(cause), "{text}");
 }
+
+const PART_CRASHES: &str = r#"
+{"timestamp":"2026-12-02T10:00:05.180000+00:00","level":"WARN","kvs":{"back_end":"i-1","connection":"refused","digest":"00a1","event":"crashed_run","parts":"a1,bad","request":"first"}}
+{"timestamp":"2026-12-02T10:00:06.180000+00:00","level":"WARN","kvs":{"back_end":"i-2","connection":"refused","digest":"00a2","event":"crashed_run","parts":"bad,c7","request":"second"}}
+{"timestamp":"2026-12-02T10:00:06.280000+00:00","level":"WARN","kvs":{"back_end":"i-2","connection":"refused","digest":"00a3","event":"crashed_run","parts":"a1","request":"beside"}}
+{"timestamp":"2026-12-02T10:00:07.180000+00:00","level":"WARN","kvs":{"callers":"one","crashes":3,"event":"part_quarantined","for_ms":600000,"parts":"bad","source":"own"}}
+"#;
+
+const PART_REFUSAL: &str = r#"
+{"timestamp":"2026-12-02T10:02:00.001000+00:00","level":"WARN","kvs":{"digest":"00a9","elapsed_ms":1,"event":"answered_here","parts":"bad","reason":"crashes_back_ends","request":"late","status":500,"verdict":"not_run"}}
+"#;
+
+#[test]
+fn cause_of_a_request_with_a_quarantined_prompt_part_names_the_part_and_its_crashes() {
+    let (refusal_log, crash_log) = (
+        write_log("part-refusal", PART_REFUSAL),
+        write_log("part-crashes", PART_CRASHES),
+    );
+    let output = command("late")
+        .args([refusal_log, crash_log])
+        .output()
+        .expect("the program runs");
+    let text = stdout_text(&output);
+    let cause = "cause: answered here with 500 because of crashes_back_ends; not_run; prompt part bad \
+                 is refused; back ends crashed under it: i-1 (request first), i-2 (request second)";
+    assert!(text.contains(cause), "{text}");
+    assert!(text.contains("part_quarantined"), "{text}");
+    assert!(!text.contains("beside"), "{text}");
+}
