--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -37,7 +37,7 @@
 use document_source::MissingDocuments;
 use home_scopes::HomeScopes;
 use leases::{FailedConnection, Lease};
-use quarantine::{CrashedBackEnds, PendingCrashReports};
+use quarantine::PendingCrashReports;
 use request_share::RequestShare;
 
 use crate::load::registry::Registry;
@@ -196,7 +196,6 @@
     losses: LossProbabilities,
     quarantine: Quarantine,
     part_quarantine: PartQuarantine,
-    crashed_back_ends: CrashedBackEnds,
     request_share: RequestShare,
     stream_records: StreamRecords,
     stream_lookups: StreamLookups,
@@ -254,7 +253,6 @@
             losses: LossProbabilities::default(),
             quarantine: Quarantine::default(),
             part_quarantine: PartQuarantine::default(),
-            crashed_back_ends: CrashedBackEnds::default(),
             request_share: RequestShare::default(),
             stream_records: StreamRecords::default(),
             stream_lookups: StreamLookups::default(),
--- a/crates/coordination/dispatch/src/dispatcher/leases.rs
+++ b/crates/coordination/dispatch/src/dispatcher/leases.rs
@@ -410,8 +410,8 @@
         let zone = state.back_end.zone.clone();
         let mut changes: Vec<(InstanceId, HealthChange)> = own_change.into_iter().collect();
         let is_unreachable = matches!(outcome, Outcome::Unreachable | Outcome::ConnectionRefused);
-        // A crashed back end shows nothing about the path to its zone.
-        let has_crashed = self.crashed_back_ends.contains(state.digest, now);
+        // A back end that a prompt part crashed shows nothing about the path to its zone.
+        let has_crashed = self.part_quarantine.has_crashed(state.digest, now);
         if is_unreachable && !has_crashed && zone != self.settings.zone {
             let failure = FailedConnection {
                 is_refusal: outcome == Outcome::ConnectionRefused,
--- a/crates/coordination/dispatch/src/dispatcher/quarantine.rs
+++ b/crates/coordination/dispatch/src/dispatcher/quarantine.rs
@@ -9,7 +9,6 @@
 };
 use eiderferry_routing::InstanceId;
 use eiderferry_types::{Reason, RequestDigest, Span, Timestamp};
-use std::collections::HashMap;
 
 /// Shortest interval between two crash announcements: all requests that ran on a crashed back end
 /// fail within some milliseconds.
@@ -19,8 +18,6 @@
 const MAX_CRASH_DELAY: Span = Span::from_milliseconds(500);
 /// Time after its first event from which a run shows that none of its parts crashes back ends.
 const SOUND_WRITING_TIME: Span = Span::from_milliseconds(1_000);
-/// Time for which a back end counts as crashed: the list may still name it.
-const CRASHED_DURATION: Span = Span::from_milliseconds(10_000);
 
 /// Whether crashes are still to be announced, and when the last announcement was sent.
 #[derive(Clone, Copy, Debug, Default)]
@@ -58,30 +55,6 @@
     }
 }
 
-/// Back ends that crashed lately, by the digest of their instance.
-#[derive(Clone, Debug, Default)]
-pub(super) struct CrashedBackEnds {
-    crashed_at: HashMap<u32, Timestamp>,
-}
-
-impl CrashedBackEnds {
-    fn record(&mut self, back_end: u32, at: Timestamp) {
-        let recorded = self.crashed_at.entry(back_end).or_insert(at);
-        *recorded = at.max(*recorded);
-    }
-
-    /// Whether a back end crashed lately.
-    pub fn contains(&self, back_end: u32, now: Timestamp) -> bool {
-        let at = self.crashed_at.get(&back_end);
-        at.is_some_and(|at| now.since(*at) < CRASHED_DURATION)
-    }
-
-    fn expire(&mut self, now: Timestamp) {
-        self.crashed_at
-            .retain(|_, at| now.since(*at) < CRASHED_DURATION);
-    }
-}
-
 impl Dispatcher {
     /// Returns an announcement of crashes under this node's requests, if there are unannounced ones
     /// and none was sent just now. With the periodic messages alone, a remote node learns of them
@@ -106,7 +79,6 @@
         }
         self.pending_crash_reports.has_unannounced = true;
         let back_end = run.instance.digest() as u32;
-        self.crashed_back_ends.record(back_end, now);
         let is_at_start = match run.progress {
             RunProgress::Waiting => false,
             RunProgress::Started(duration) => duration <= MAX_CRASH_DELAY,
@@ -163,7 +135,6 @@
         if !self.settings.features.quarantine {
             return QuarantineChanges::default();
         }
-        self.crashed_back_ends.expire(now);
         let is_proven = |first_event_at: Option<Timestamp>| {
             first_event_at.is_some_and(|at| now.since(at) >= SOUND_WRITING_TIME)
         };
@@ -209,14 +180,6 @@
             return QuarantineChanges::default();
         }
         let time_at_age = |age_ms: u32| now - Span::from_milliseconds(u64::from(age_ms));
-        for crash in message
-            .crashing_parts
-            .iter()
-            .flat_map(|report| &report.crashes)
-        {
-            self.crashed_back_ends
-                .record(crash.back_end, time_at_age(crash.age_ms));
-        }
         let parts = self
             .part_quarantine
             .merge_reports(&message.crashing_parts, now);
--- a/crates/coordination/dispatch/tests/crashing_prompt_parts.rs
+++ b/crates/coordination/dispatch/tests/crashing_prompt_parts.rs
@@ -11,7 +11,7 @@
 use rstest::rstest;
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use support::{Fleet, back_end, back_end_change, demand};
+use support::{Fleet, back_end, back_end_change, demand, granted};
 
 const ZONES: usize = 3;
 const FAULTY_PART: u64 = 0xbad;
@@ -338,6 +338,39 @@
     assert_eq!(quarantined.max(), Some(0));
 }
 
+/// Back ends of another zone that a part crashed refuse connections; the others there keep getting
+/// requests.
+#[test]
+fn a_zone_whose_engines_a_part_crashed_is_not_held_to_be_partitioned() {
+    let mut storm = Storm::new(8, 9);
+    let now = storm.fleet.now;
+    let shared_parts = SharedParts {
+        pool: 1,
+        caller: 1,
+        ids: Arc::from([FAULTY_PART]),
+    };
+    let node = &mut storm.fleet.nodes[0];
+    for (number, engine) in [1, 4, 2].into_iter().enumerate() {
+        let run = CrashedRun {
+            request: demand(number as u64, 10, 10).digest,
+            shared_parts: shared_parts.clone(),
+            instance: InstanceId::from(format!("engine-{engine}-0")),
+            progress: RunProgress::Started(Span::ZERO),
+        };
+        node.record_crash(&run, now + Span::from_milliseconds(number as u64 * 200));
+    }
+    let now = now + Span::from_milliseconds(500);
+    for engine in [1, 4] {
+        let mut request = demand(SHARED_PART, 2_000, 100);
+        let engines = (0..9).map(|number| InstanceId::from(format!("engine-{number}-0")));
+        let crashed = InstanceId::from(format!("engine-{engine}-0"));
+        request.excluded_back_ends = engines.filter(|other| *other != crashed).collect();
+        let lease = granted(node.dispatch(&request, now)).lease;
+        node.release(lease, Outcome::ConnectionRefused, now);
+    }
+    assert_eq!(node.snapshot(now).ejected_back_ends, 2);
+}
+
 /// Mean bytes per node and second in a second, after this many parts were found to crash engines.
 fn bytes_per_second(storm: &mut Storm, seconds: u64) -> usize {
     let before = storm.fleet.bytes;
--- a/crates/coordination/quarantine/src/part_quarantine.rs
+++ b/crates/coordination/quarantine/src/part_quarantine.rs
@@ -23,6 +23,9 @@
 /// Maximum number of quarantined parts reported to a node that has just started.
 const MAX_REPORTS_AT_START: usize = 64;
 
+/// Time for which a back end counts as crashed: it may still be listed.
+const CRASHED_DURATION: Span = Span::from_milliseconds(10_000);
+
 /// A run that was interrupted by the crash of its back end.
 #[derive(Clone, Debug)]
 pub struct InterruptedRun<'a> {
@@ -260,6 +263,12 @@
         explained.any(|event| crate::record::is_same_crash(event.back_end, event.at, back_end, at))
     }
 
+    /// Whether a quarantined part crashed a back end lately.
+    pub fn has_crashed(&self, back_end: u32, now: Timestamp) -> bool {
+        let mut explained = self.explained.iter();
+        explained.any(|event| event.back_end == back_end && now.since(event.at) < CRASHED_DURATION)
+    }
+
     /// Drops expired records. Returns the parts whose quarantine has expired.
     pub fn expire(&mut self, now: Timestamp) -> Vec<PartChange> {
         self.entries
