Exonerate prompt parts by events that kept arriving, not by time since the first

A back end that falls silent after the first event of a response, without a reset, would have exonerated the part that crashed it for a minute. A run that broke off now counts as sound only if its last event arrived at least 1 s after the first (a test of both). Whether a node gets most requests of its zone is evaluated only while a back end is cold or limited: it examines all back ends.

--- a/crates/coordination/dispatch/src/dispatcher/cold_senders.rs
+++ b/crates/coordination/dispatch/src/dispatcher/cold_senders.rs
@@ -25,7 +25,7 @@
             return Vec::new();
         }
         let may_send = self.may_be_sender(now);
-        let gets_most = self.gets_most_requests_of_zone(now);
+        let gets_most = self.has_cold_back_ends && self.gets_most_requests_of_zone(now);
         let mut changes = Vec::new();
         self.has_cold_back_ends = false;
         for state in self.back_ends.all_mut() {
--- a/crates/coordination/dispatch/src/dispatcher/leases.rs
+++ b/crates/coordination/dispatch/src/dispatcher/leases.rs
@@ -1,7 +1,7 @@
 //! Leases on back ends: grants, refusals and releases.
 
 use super::Dispatcher;
-use super::quarantine::QuarantineChanges;
+use super::quarantine::{QuarantineChanges, SOUND_WRITING_TIME};
 use super::rate_limits::FLEET_SETTLING_TIME;
 use super::replicas::ReplicaLease;
 use crate::load::health::HealthChange;
@@ -67,11 +67,9 @@
     pub(super) started_unix_ms: Option<u64>,
     replica: Option<ReplicaLease>,
     request: RequestDigest,
-    pub(super) shared_parts: SharedParts,
-    /// When the first event of the response, or the whole response, arrived.
-    pub(super) first_event_at: Option<Timestamp>,
-    /// Whether its parts have been recorded as sound.
-    pub(super) is_proven: bool,
+    shared_parts: SharedParts,
+    /// Time from the first event of the response to the latest.
+    writing_time: Span,
     /// Whether an event of the response has arrived; always true for a request that isn't streamed.
     has_events: bool,
     pub(super) granted_at: Timestamp,
@@ -254,8 +252,7 @@
             replica: replica_lease,
             request: demand.digest,
             shared_parts: demand.shared_parts.clone(),
-            first_event_at: None,
-            is_proven: false,
+            writing_time: Span::ZERO,
             has_events: !demand.is_stream,
             granted_at: now,
             expires_at: now + demand.remaining + LEASE_MARGIN,
@@ -323,15 +320,13 @@
         if let Some(state) = self.leased_back_end(lease) {
             state.load.record_first_event(lease, now);
         }
-        if let Some(lease) = self.leases.get_mut(&lease) {
-            lease.first_event_at.get_or_insert(now);
-        }
     }
 
     /// Records the pacing of a stream's events; to be called before its lease is released.
     pub fn record_pacing(&mut self, lease: LeaseId, pacing: &StreamPacing) {
         if let Some(lease) = self.leases.get_mut(&lease) {
             lease.has_events |= pacing.events() > 0;
+            lease.writing_time = pacing.writing_time();
             self.back_ends.observe_stream(&lease.instance, pacing);
         }
     }
@@ -350,6 +345,8 @@
         let completed_with_events = outcome == Outcome::Completed && record.has_events;
         let quarantine_changes = if completed_with_events {
             self.record_completed(record.request, &record.shared_parts, now)
+        } else if record.writing_time >= SOUND_WRITING_TIME {
+            self.record_sound_run(&record.shared_parts, now)
         } else {
             QuarantineChanges::default()
         };
--- a/crates/coordination/dispatch/src/dispatcher/messages.rs
+++ b/crates/coordination/dispatch/src/dispatcher/messages.rs
@@ -68,7 +68,7 @@
         self.recently_released
             .retain(|_, ended| now.since(*ended) < OUTCOME_LIFETIME);
         let split_changes = self.update_splits(now);
-        let quarantine_changes = self.tick_quarantine(now);
+        let quarantine_changes = self.expire_quarantine(now);
         let expired_leases = self.expire_leases(now);
         let streams = self.tick_streams(now);
         if self.ticks.is_multiple_of(LOSS_TICKS) {
--- a/crates/coordination/dispatch/src/dispatcher/quarantine.rs
+++ b/crates/coordination/dispatch/src/dispatcher/quarantine.rs
@@ -3,7 +3,7 @@
 
 use super::Dispatcher;
 use crate::fleet::message::{Envelope, Gossip};
-use crate::{Decision, Demand, LeaseId, RunProgress};
+use crate::{Decision, Demand, RunProgress};
 use eiderferry_quarantine::{
     InterruptedRun, PartChange, PartReport, QuarantineChange, RequestReport, SharedParts,
 };
@@ -16,8 +16,9 @@
 /// Longest time between the start of a response and a crash that it can have caused. Such crashes
 /// were seen 20 to 120 ms after it.
 const MAX_CRASH_DELAY: Span = Span::from_milliseconds(500);
-/// Time after its first event from which a run shows that none of its parts crashes back ends.
-const SOUND_WRITING_TIME: Span = Span::from_milliseconds(1_000);
+/// Time from the first event of a run to its last from which it shows, even if it broke off then, that
+/// none of its parts crashes back ends.
+pub(super) const SOUND_WRITING_TIME: Span = Span::from_milliseconds(1_000);
 
 /// Whether crashes are still to be announced, and when the last announcement was sent.
 #[derive(Clone, Copy, Debug, Default)]
@@ -121,37 +122,28 @@
         parts: &SharedParts,
         now: Timestamp,
     ) -> QuarantineChanges {
-        let parts = self.part_quarantine.record_sound_run(parts, now);
-        let mut changes = self.apply_part_changes(parts, now);
-        changes
-            .requests
-            .extend(self.quarantine.record_completed(request, now));
+        let mut changes = self.record_sound_run(parts, now);
+        let request = self.quarantine.record_completed(request, now);
+        changes.requests.extend(request);
         changes
     }
 
-    /// Records the parts of runs that have been writing for so long that none of them can be at
-    /// fault. Drops expired records.
-    pub(super) fn tick_quarantine(&mut self, now: Timestamp) -> QuarantineChanges {
+    /// Records that a run of this node shows that none of its parts crashes back ends.
+    pub(super) fn record_sound_run(
+        &mut self,
+        parts: &SharedParts,
+        now: Timestamp,
+    ) -> QuarantineChanges {
+        let parts = self.part_quarantine.record_sound_run(parts, now);
+        self.apply_part_changes(parts, now)
+    }
+
+    /// Drops expired records.
+    pub(super) fn expire_quarantine(&mut self, now: Timestamp) -> QuarantineChanges {
         if !self.settings.features.quarantine {
             return QuarantineChanges::default();
         }
-        let is_proven = |first_event_at: Option<Timestamp>| {
-            first_event_at.is_some_and(|at| now.since(at) >= SOUND_WRITING_TIME)
-        };
-        let leases = self.leases.iter();
-        let proven =
-            leases.filter(|(_, lease)| !lease.is_proven && is_proven(lease.first_event_at));
-        let proven: Vec<LeaseId> = proven.map(|(lease, _)| *lease).collect();
-        let mut parts = self.part_quarantine.expire(now);
-        for lease in proven {
-            if let Some(lease) = self.leases.get_mut(&lease) {
-                lease.is_proven = true;
-                parts.extend(
-                    self.part_quarantine
-                        .record_sound_run(&lease.shared_parts, now),
-                );
-            }
-        }
+        let parts = self.part_quarantine.expire(now);
         let mut changes = self.apply_part_changes(parts, now);
         changes.requests.extend(self.quarantine.expire(now));
         changes
--- a/crates/coordination/dispatch/tests/crashing_prompt_parts.rs
+++ b/crates/coordination/dispatch/tests/crashing_prompt_parts.rs
@@ -199,7 +199,8 @@
                 node.record_crash(&run.run, now);
             } else if run.starts_at + RUN_TIME <= now {
                 let mut pacing = StreamPacing::default();
-                pacing.record(10, now);
+                pacing.record(1, run.starts_at);
+                pacing.record(9, now);
                 node.record_pacing(run.lease, &pacing);
                 node.release(run.lease, Outcome::Completed, now);
             } else {
@@ -338,6 +339,39 @@
     assert_eq!(quarantined.max(), Some(0));
 }
 
+/// A run exonerates its parts if events of it kept arriving, not if its back end fell silent.
+#[rstest]
+#[case::writing(true)]
+#[case::silent_after_the_first_event(false)]
+fn a_run_that_broke_off_exonerates_its_parts_if_it_had_been_writing(#[case] is_writing: bool) {
+    let mut storm = Storm::new(8, 9);
+    let now = storm.fleet.now;
+    let node = &mut storm.fleet.nodes[0];
+    let mut request = demand(SHARED_PART, 2_000, 100);
+    request.shared_parts.ids = Arc::from([FAULTY_PART]);
+    let lease = granted(node.dispatch(&request, now)).lease;
+    node.record_first_event(lease, now);
+    let mut pacing = StreamPacing::default();
+    pacing.record(1, now);
+    let now = now + Span::from_milliseconds(1_200);
+    if is_writing {
+        pacing.record(5, now);
+    }
+    node.record_pacing(lease, &pacing);
+    node.release(lease, Outcome::IncompleteResponse, now);
+    for number in 0..3 {
+        let run = CrashedRun {
+            request: demand(number, 10, 10).digest,
+            shared_parts: request.shared_parts.clone(),
+            instance: InstanceId::from(format!("crashed-{number}")),
+            progress: RunProgress::Started(Span::ZERO),
+        };
+        node.record_crash(&run, now + Span::from_milliseconds(number * 200));
+    }
+    let quarantined = node.snapshot(now).part_quarantine.quarantined;
+    assert_eq!(quarantined, usize::from(!is_writing));
+}
+
 /// Back ends of another zone that a part crashed refuse connections; the others there keep getting
 /// requests.
 #[test]
