Exonerate prompt parts by streams that are still running

A node now records a stream once an event arrives 1 s or more after its first one. The 16 fleet tests pass.

--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -26,7 +26,7 @@
     CROSS_ZONE_FANOUT, CROSS_ZONE_TICKS, LARGE_ZONE_CROSS_ZONE_FANOUT, SAME_ZONE_FANOUT,
 };
 pub use notices::NoticeSource;
-pub use quarantine::{CrashedRun, QuarantineChanges};
+pub use quarantine::{CrashedRun, QuarantineChanges, SOUND_WRITING_TIME};
 pub use reader_role::ReaderRole;
 pub use snapshot::Snapshot;
 pub use streams::{StreamLookup, StreamOutput};
--- a/crates/coordination/dispatch/src/dispatcher/leases.rs
+++ b/crates/coordination/dispatch/src/dispatcher/leases.rs
@@ -1,7 +1,7 @@
 //! Leases on back ends: grants, refusals and releases.
 
 use super::Dispatcher;
-use super::quarantine::{QuarantineChanges, SOUND_WRITING_TIME};
+use super::quarantine::QuarantineChanges;
 use super::rate_limits::FLEET_SETTLING_TIME;
 use super::replicas::ReplicaLease;
 use crate::load::health::HealthChange;
@@ -68,8 +68,6 @@
     replica: Option<ReplicaLease>,
     request: RequestDigest,
     shared_parts: SharedParts,
-    /// Time from the first event of the response to the latest.
-    writing_time: Span,
     /// Whether an event of the response has arrived; always true for a request that isn't streamed.
     has_events: bool,
     pub(super) granted_at: Timestamp,
@@ -252,7 +250,6 @@
             replica: replica_lease,
             request: demand.digest,
             shared_parts: demand.shared_parts.clone(),
-            writing_time: Span::ZERO,
             has_events: !demand.is_stream,
             granted_at: now,
             expires_at: now + demand.remaining + LEASE_MARGIN,
@@ -322,11 +319,19 @@
         }
     }
 
+    /// Records that events of a stream keep arriving [`SOUND_WRITING_TIME`] after its first one.
+    pub fn record_writing(&mut self, lease: LeaseId, now: Timestamp) -> QuarantineChanges {
+        let Some(lease) = self.leases.get(&lease) else {
+            return QuarantineChanges::default();
+        };
+        let parts = lease.shared_parts.clone();
+        self.record_sound_run(&parts, now)
+    }
+
     /// Records the pacing of a stream's events; to be called before its lease is released.
     pub fn record_pacing(&mut self, lease: LeaseId, pacing: &StreamPacing) {
         if let Some(lease) = self.leases.get_mut(&lease) {
             lease.has_events |= pacing.events() > 0;
-            lease.writing_time = pacing.writing_time();
             self.back_ends.observe_stream(&lease.instance, pacing);
         }
     }
@@ -345,8 +350,6 @@
         let completed_with_events = outcome == Outcome::Completed && record.has_events;
         let quarantine_changes = if completed_with_events {
             self.record_completed(record.request, &record.shared_parts, now)
-        } else if record.writing_time >= SOUND_WRITING_TIME {
-            self.record_sound_run(&record.shared_parts, now)
         } else {
             QuarantineChanges::default()
         };
--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -19,7 +19,7 @@
 pub use dispatcher::{
     CacheUpdate, CrashedRun, Dispatcher, DispatcherSettings, DueCacheCall, ExpiredLease,
     LeaseRelease, NoticeSource, QuarantineChanges, ReaderRole, ReceiveOutput, ReceivedChange,
-    Snapshot, StreamLookup, StreamOutput, TICK, TickOutput, UnknownName,
+    SOUND_WRITING_TIME, Snapshot, StreamLookup, StreamOutput, TICK, TickOutput, UnknownName,
 };
 pub use documents::document_service::{Admission, DocumentService, TransferId};
 pub use documents::document_store::{
--- a/crates/coordination/dispatch/src/load/pacing.rs
+++ b/crates/coordination/dispatch/src/load/pacing.rs
@@ -33,11 +33,6 @@
         (self.events > 0).then_some(self.first_at)
     }
 
-    /// Time from the first arrival to the last.
-    pub fn writing_time(&self) -> Span {
-        self.last_at.since(self.first_at)
-    }
-
     /// Longest time between two arrivals.
     pub fn longest_pause(&self) -> Span {
         self.longest_pause
--- a/crates/coordination/dispatch/tests/crashing_prompt_parts.rs
+++ b/crates/coordination/dispatch/tests/crashing_prompt_parts.rs
@@ -4,7 +4,8 @@
 mod support;
 
 use eiderferry_dispatch::{
-    CrashedRun, Decision, LeaseId, Outcome, RunProgress, SharedParts, StreamPacing,
+    CrashedRun, Decision, LeaseId, Outcome, RunProgress, SOUND_WRITING_TIME, SharedParts,
+    StreamPacing,
 };
 use eiderferry_routing::InstanceId;
 use eiderferry_types::{Reason, Span, Timestamp};
@@ -204,6 +205,9 @@
                 node.record_pacing(run.lease, &pacing);
                 node.release(run.lease, Outcome::Completed, now);
             } else {
+                if now.since(run.starts_at) >= SOUND_WRITING_TIME {
+                    node.record_writing(run.lease, now);
+                }
                 self.runs.push(run);
             }
         }
@@ -351,13 +355,10 @@
     request.shared_parts.ids = Arc::from([FAULTY_PART]);
     let lease = granted(node.dispatch(&request, now)).lease;
     node.record_first_event(lease, now);
-    let mut pacing = StreamPacing::default();
-    pacing.record(1, now);
     let now = now + Span::from_milliseconds(1_200);
     if is_writing {
-        pacing.record(5, now);
+        node.record_writing(lease, now);
     }
-    node.record_pacing(lease, &pacing);
     node.release(lease, Outcome::IncompleteResponse, now);
     for number in 0..3 {
         let run = CrashedRun {
--- a/crates/transport/relay/src/control.rs
+++ b/crates/transport/relay/src/control.rs
@@ -150,6 +150,10 @@
                 }
             }
             Command::FirstEvent(lease) => dispatcher.record_first_event(lease, now),
+            Command::Writing(lease) => {
+                let changes = dispatcher.record_writing(lease, now);
+                self.record_quarantine_changes(&changes, now);
+            }
             Command::Notice(lease, notice) => {
                 apply_notice(&mut dispatcher, lease.into(), notice, now);
             }
--- a/crates/transport/relay/src/control/commands.rs
+++ b/crates/transport/relay/src/control/commands.rs
@@ -20,6 +20,8 @@
     },
     /// The first event of a request arrived.
     FirstEvent(LeaseId),
+    /// Events of a stream keep arriving some time after its first one.
+    Writing(LeaseId),
     /// The back end of a lease stated something about itself in a response.
     Notice(LeaseId, Notice),
     /// Ends a lease.
@@ -122,6 +124,10 @@
         self.enqueue(Command::FirstEvent(lease));
     }
 
+    pub fn record_writing(&self, lease: LeaseId) {
+        self.enqueue(Command::Writing(lease));
+    }
+
     pub fn record_notice(&self, lease: LeaseId, notice: Notice) {
         self.enqueue(Command::Notice(lease, notice));
     }
--- a/crates/transport/relay/src/failover.rs
+++ b/crates/transport/relay/src/failover.rs
@@ -174,6 +174,7 @@
             headers: parts.headers,
             body,
             pacing: StreamPacing::default(),
+            is_proven: false,
         });
     }
 }
--- a/crates/transport/relay/src/lease.rs
+++ b/crates/transport/relay/src/lease.rs
@@ -44,6 +44,11 @@
         self.control.record_first_event(self.grant.lease);
     }
 
+    /// Records that events of a stream keep arriving some time after its first one.
+    pub fn record_writing(&self) {
+        self.control.record_writing(self.grant.lease);
+    }
+
     /// Releases the lease.
     pub fn release(self, outcome: Outcome) {
         self.release_stream(outcome, StreamPacing::default());
--- a/crates/transport/relay/src/stream.rs
+++ b/crates/transport/relay/src/stream.rs
@@ -8,7 +8,7 @@
 use crate::upstream::Connection;
 use crate::{events, metrics};
 use bytes::Bytes;
-use eiderferry_dispatch::{Outcome, StreamPacing};
+use eiderferry_dispatch::{Outcome, SOUND_WRITING_TIME, StreamPacing};
 use eiderferry_types::Span;
 use futures_lite::FutureExt;
 use futures_lite::stream::unfold;
@@ -32,6 +32,8 @@
     pub headers: HeaderMap,
     pub body: Incoming,
     pub pacing: StreamPacing,
+    /// Whether the source has been writing for so long that its prompt can't crash it.
+    pub is_proven: bool,
 }
 
 /// A stream that is being forwarded to the caller.
@@ -61,6 +63,7 @@
                 headers: parts.headers.clone(),
                 body,
                 pacing: StreamPacing::default(),
+                is_proven: false,
             }),
             splitter: EventSplitter::resuming_after(last_id),
             first_events: None,
@@ -203,7 +206,11 @@
                         let count = self.splitter.emitted_events() - before;
                         let now = self.exchange.traffic.clock.now();
                         source.pacing.record(count, now);
-                        self.exchange.first_event_at.get_or_insert(now);
+                        let first_event_at = *self.exchange.first_event_at.get_or_insert(now);
+                        if !source.is_proven && now.since(first_event_at) >= SOUND_WRITING_TIME {
+                            source.is_proven = true;
+                            source.lease.record_writing();
+                        }
                         return StreamItem::Events(events);
                     }
                 }
