Name the attribution of crashes to prompt parts in plain terms

Change: names and comments only: `Attribution`, `CrashHistory`, `attribute_crashes`; two fields and a type of the part quarantine are explained. No bound, check, seed or expectation changed.

--- a/crates/coordination/dispatch/src/dispatcher/quarantine.rs
+++ b/crates/coordination/dispatch/src/dispatcher/quarantine.rs
@@ -16,8 +16,8 @@
 /// Longest time between the start of a response and a crash that it can have caused. Such crashes
 /// were seen 20 to 120 ms after it.
 const MAX_CRASH_DELAY: Span = Span::from_milliseconds(500);
-/// Time from the first event of a run to a later one from which it shows that none of its parts crashes
-/// back ends.
+/// Time from the first event of a run to a later one from which the run shows that none of its parts
+/// crashes back ends.
 pub const SOUND_WRITING_TIME: Span = Span::from_milliseconds(1_000);
 
 /// Whether crashes are still to be announced, and when the last announcement was sent.
--- a/crates/coordination/quarantine/src/blame.rs
+++ b/crates/coordination/quarantine/src/blame.rs
@@ -14,8 +14,7 @@
 
 /// Weight of a crash within a moment of the start of a response.
 const WEIGHT_AT_START: u32 = 2;
-/// Weight of a crash while the request was waiting, or its response had not begun for long: of ten
-/// requests that a crash interrupts, most have nothing to do with it.
+/// Weight of any other crash: most requests that wait at a back end when it crashes are not its cause.
 const WEIGHT_BEFORE_START: u32 = 1;
 /// Weight from which a part is blamed: three crashes at the start of responses.
 const BLAME_WEIGHT: u32 = 3 * WEIGHT_AT_START;
@@ -45,13 +44,13 @@
 
 /// The blamed parts, and the crashes that they explain.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Verdict {
+pub(crate) struct Attribution {
     pub blames: Vec<Blame>,
     pub explained: Vec<CrashEvent>,
 }
 
 /// The distinct crashes in order, and what they show about each part.
-struct Trial<'a> {
+struct CrashHistory<'a> {
     records: &'a HashMap<PartKey, PartRecord>,
     events: Vec<CrashEvent>,
     /// The parts involved in each crash, and whether it happened at the start of a response.
@@ -62,7 +61,7 @@
     blamed: Vec<Vec<PartKey>>,
 }
 
-impl<'a> Trial<'a> {
+impl<'a> CrashHistory<'a> {
     fn new(records: &'a HashMap<PartKey, PartRecord>) -> Self {
         let mut observations: Vec<(PartCrash, PartKey)> = records
             .iter()
@@ -170,7 +169,7 @@
         self.blamed.push(parts);
     }
 
-    fn verdict(self) -> Verdict {
+    fn attribution(self) -> Attribution {
         let explained: Vec<usize> = (0..self.events.len())
             .filter(|number| self.is_explained(*number))
             .collect();
@@ -188,7 +187,7 @@
                 caller: self.only_caller(parts),
             }
         });
-        Verdict {
+        Attribution {
             blames: blames.collect(),
             explained: explained
                 .iter()
@@ -209,10 +208,10 @@
 
 /// Finds the parts that explain the crashes in these records, from the first crash to the last. The
 /// result depends on the records alone, so nodes with the same records blame the same parts.
-pub(crate) fn judge(records: &HashMap<PartKey, PartRecord>) -> Verdict {
-    let mut trial = Trial::new(records);
-    for number in 0..trial.events.len() {
-        trial.examine(number);
+pub(crate) fn attribute_crashes(records: &HashMap<PartKey, PartRecord>) -> Attribution {
+    let mut history = CrashHistory::new(records);
+    for number in 0..history.events.len() {
+        history.examine(number);
     }
-    trial.verdict()
+    history.attribution()
 }
--- a/crates/coordination/quarantine/src/part_quarantine.rs
+++ b/crates/coordination/quarantine/src/part_quarantine.rs
@@ -1,6 +1,6 @@
 //! The suspected and quarantined prompt parts known to one node, and the reports it sends.
 
-use crate::blame::{Blame, CrashEvent, MIN_BLAME_CRASHES, judge};
+use crate::blame::{Blame, CrashEvent, MIN_BLAME_CRASHES, attribute_crashes};
 use crate::change::ChangeSource;
 use crate::part_change::{PartChange, QuarantinedParts};
 use crate::part_record::{EXONERATION_DURATION, PartCrash, PartRecord};
@@ -57,6 +57,7 @@
     pub evicted: u64,
 }
 
+/// Time of the latest sound run of this node, by part.
 #[derive(Clone, Debug, Default)]
 struct SoundParts {
     sound_at: HashMap<PartKey, Timestamp>,
@@ -94,7 +95,9 @@
 pub struct PartQuarantine {
     entries: HashMap<PartKey, Entry>,
     sound_parts: SoundParts,
+    /// The parts that are refused.
     blames: Vec<Blame>,
+    /// Crashes that these parts explain.
     explained: Vec<CrashEvent>,
     /// Number of report batches made; selects which of many changes the next one contains.
     batch_number: usize,
@@ -115,7 +118,7 @@
                 record.add_crash(crash, [run.parts.caller])
             });
         }
-        self.judge_if(has_changed, ChangeSource::Own, now)
+        self.update_blames(has_changed, ChangeSource::Own, now)
     }
 
     /// Records that a run of this node with these shared parts completed, or had been writing its
@@ -128,7 +131,7 @@
                 has_changed |= self.update(part, now, |_| false);
             }
         }
-        self.judge_if(has_changed, ChangeSource::Own, now)
+        self.update_blames(has_changed, ChangeSource::Own, now)
     }
 
     /// Merges reports from another node.
@@ -153,7 +156,7 @@
                 has_changed || !report.crashes.is_empty() && record.is_exonerated()
             });
         }
-        self.judge_if(has_changed, ChangeSource::Peer, now)
+        self.update_blames(has_changed, ChangeSource::Peer, now)
     }
 
     /// Changes the record of a part, with the sound runs that this node knows, and has other nodes
@@ -207,7 +210,7 @@
     }
 
     /// Determines anew which parts are to blame, if records have changed.
-    fn judge_if(
+    fn update_blames(
         &mut self,
         has_changed: bool,
         source: ChangeSource,
@@ -221,9 +224,9 @@
             .filter(|(_, entry)| entry.record.crashes().len() >= MIN_BLAME_CRASHES)
             .map(|(part, entry)| (*part, entry.record.clone()))
             .collect();
-        let verdict = judge(&records);
-        self.explained = verdict.explained;
-        let before = std::mem::replace(&mut self.blames, verdict.blames);
+        let attribution = attribute_crashes(&records);
+        self.explained = attribution.explained;
+        let before = std::mem::replace(&mut self.blames, attribution.blames);
         let is_active = |blame: &&Blame| now < blame.last_crash + QUARANTINE_DURATION;
         self.blames.retain(|blame| is_active(&blame));
         let is_in = |blames: &[Blame], blame: &Blame| {
--- a/crates/transport/relay/src/crash.rs
+++ b/crates/transport/relay/src/crash.rs
@@ -69,8 +69,9 @@
         }
         let (control, upstream) = (&self.traffic.control, &self.traffic.upstream);
         let instance = &grant.instance;
-        let counts = self.head.route.may_retry() || control.accepts_work(instance.clone()).await;
-        counts && !upstream.is_reached_by_peer(grant.address, instance).await
+        let is_ambiguous =
+            self.head.route.may_retry() || control.accepts_work(instance.clone()).await;
+        is_ambiguous && !upstream.is_reached_by_peer(grant.address, instance).await
     }
 
     /// How far the current attempt's run has come, by what was received of it.
--- a/crates/transport/relay/tests/crashing_prompt_parts.rs
+++ b/crates/transport/relay/tests/crashing_prompt_parts.rs
@@ -1,8 +1,7 @@
 //! Prompt parts that crash each back end that starts to write a response to them.
 //!
 //! Requests with such a part come to all nodes, no two alike; sound ones share their caller, their
-//! route and all other parts. In one case the engines of a pool of nine crashed 126 times in a
-//! minute and a half, because only whole requests were blamed for crashes.
+//! route and all other parts.
 
 mod support;
 
