Say what updating a part's record does and reports

Cause: a comment described the update of a prompt part's record by who is told, not by what it does. Change: two comments. Measured: the quarantine crate and its tests compile; nothing else is affected.

--- a/crates/coordination/quarantine/src/part_quarantine.rs
+++ b/crates/coordination/quarantine/src/part_quarantine.rs
@@ -159,8 +159,8 @@
         self.update_blames(has_changed, ChangeSource::Peer, now)
     }
 
-    /// Changes the record of a part, with the sound runs that this node knows, and has other nodes
-    /// told if `change` returns true or the part was exonerated. Returns whether they are.
+    /// Applies the known sound runs and then `change` to the record of a part. The record is reported
+    /// to other nodes if either changed it. Returns whether one did.
     fn update(
         &mut self,
         part: PartKey,
--- a/crates/coordination/quarantine/tests/part_quarantine.rs
+++ b/crates/coordination/quarantine/tests/part_quarantine.rs
@@ -291,7 +291,7 @@
     }
 }
 
-/// A node that knows a part as sound tells one that reports crashes with it.
+/// A node with a sound run of a part reports it to a node that reports crashes with the part.
 #[test]
 fn a_report_of_a_crash_is_answered_with_the_sound_run() {
     let mut observer = PartQuarantine::default();
