--- a/review/common-2/worker.py
+++ b/review/common-2/worker.py
@@ -7,8 +7,8 @@
   surplus          share of answers after which a second answer comes late, in the place where the next
                    one is due (garble, "extra late")
   unframed         share of answers without a length, which end with their connection (garble, "unframed")
-  preempt_s        how long the streams that run now are put back, when their memory has run out (PROTOCOL.md:
-                   "preempted, even in the middle of its stream, and read anew"); the worker stays sound
+  preempt_s        how long the newest half of the streams that run now is put back, when memory has run out
+                   (PROTOCOL.md: "preempted, even in the middle of its stream, and read anew"); the worker stays sound
 """
 
 import json
@@ -20,10 +20,12 @@
 
 from standins import Connection
 
-options = {"work_ms": 30, "surplus": 0.0, "unframed": 0.0, "preempt_s": 0.0, "put_back_at": 0.0, "bytes": 800,
+options = {"work_ms": 30, "surplus": 0.0, "unframed": 0.0, "preempt_s": 0.0, "bytes": 800,
            "events": 0, "event_ms": 50}
 options.update(json.loads(sys.argv[1]))
 output = threading.Lock()
+running = []  # streams, the newest last
+put_back = set()
 NAME = options["id"]
 
 
@@ -114,11 +116,18 @@
     framing = "Connection: close" if is_unframed else "Transfer-Encoding: chunked"
     sock.sendall(head("200 OK", attempt, "X-Eiderferry-Server-Stamp: " + stamp(attempt),
                       "Content-Type: text/event-stream", framing))
-    put_back = options["put_back_at"]
+    running.append(attempt)
+    try:
+        send_events(sock, attempt, is_unframed, last_event)
+    finally:
+        running.remove(attempt)
+
+
+def send_events(sock, attempt, is_unframed, last_event):
     for number in range(last_event + 1, options["events"] + 1):
         time.sleep(options["event_ms"] / 1000)
-        if options["put_back_at"] != put_back:
-            put_back = options["put_back_at"]
+        if attempt in put_back:
+            put_back.discard(attempt)
             tell("puts a stream back", id=attempt, before_event=number)
             time.sleep(options["preempt_s"])
             tell("goes on with the stream", id=attempt)
@@ -131,9 +140,9 @@
 def follow_modes():
     for line in sys.stdin:
         mode = json.loads(line)
-        if "preempt_s" in mode:
-            mode["put_back_at"] = time.monotonic()
         options.update(mode)
+        if "preempt_s" in mode:
+            put_back.update(running[len(running) // 2:])
 
 
 listener = socket.create_server((options["ip"], 0), backlog=128)
