--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -124,15 +124,33 @@
         self.record = record
         self.items, self.history, self.revision = {}, [], 0
         self.changed = threading.Condition()
+        self.listener, self.open = None, set()
+        self.listen(ip)
+
+    def listen(self, ip):
+        """Serves at an address of its own from now on, besides those before."""
         self.listener = socket.create_server((ip, 0), backlog=256)
         self.address = "%s:%d" % self.listener.getsockname()
-        threading.Thread(target=self.accept, daemon=True).start()
+        threading.Thread(target=self.accept, args=(self.listener,), daemon=True).start()
+        return self.listener
 
-    def accept(self):
+    def accept(self, listener):
         while True:
-            sock, _ = self.listener.accept()
+            try:
+                sock, _ = listener.accept()
+            except OSError:
+                return
+            self.open.add(sock)
             threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
 
+    def leave(self, listener):
+        """Serves no more at an address that it had before."""
+        address = listener.getsockname()
+        listener.shutdown(socket.SHUT_RDWR)
+        listener.close()
+        for sock in [sock for sock in self.open if sock.getsockname() == address]:
+            sock.shutdown(socket.SHUT_RDWR)
+
     def write(self, key, value):
         """Writes a value, or removes the key if it is None. The time of the return is that of the
         acknowledgement."""
@@ -167,6 +185,7 @@
         except (OSError, EOFError):
             pass
         finally:
+            self.open.discard(sock)
             sock.close()
 
     def answer(self, path, query):
--- a/review/common-2/worker.py
+++ b/review/common-2/worker.py
@@ -4,15 +4,13 @@
 runs. Lines on its standard input change its mode (the troubles of the site files):
 
   work_ms          time that a request takes
-  surplus          share of answers after which a second answer comes late, in the place where the next
-                   one is due (garble, "extra late")
+  spoiled          share of answers of which some bytes are wrong: the name of the header with the worker's
+                   signature (garble)
   unframed         share of answers without a length, which end with their connection (garble, "unframed")
-  preempt_s        how long the newest half of the streams that run now is put back, when memory has run out
-                   (PROTOCOL.md: "preempted, even in the middle of its stream, and read anew"); the worker stays sound
 """
 
+import itertools
 import json
-import random
 import socket
 import sys
 import threading
@@ -20,12 +18,10 @@
 
 from standins import Connection
 
-options = {"work_ms": 30, "surplus": 0.0, "unframed": 0.0, "preempt_s": 0.0, "bytes": 800,
+options = {"work_ms": 30, "spoiled": 0.0, "unframed": 0.0, "bytes": 800,
            "events": 0, "event_ms": 50}
 options.update(json.loads(sys.argv[1]))
 output = threading.Lock()
-running = []  # streams, the newest last
-put_back = set()
 NAME = options["id"]
 
 
@@ -34,8 +30,13 @@
         print(json.dumps({"what": what, "at": time.monotonic(), **fields}), flush=True)
 
 
+counters = {name: itertools.count(1) for name in ("spoiled", "unframed")}
+
+
 def happens(option):
-    return random.random() < options[option]
+    """Whether it happens to this answer: to each 50th, for example, if the share is 0.02."""
+    share = options[option]
+    return share > 0 and next(counters[option]) % round(1 / share) == 0
 
 
 def stamp(attempt):
@@ -56,7 +57,6 @@
 def serve(sock):
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     connection = Connection(sock)
-    surplus_of = None
     try:
         while True:
             read = connection.read_head()
@@ -77,12 +77,6 @@
                                   "Content-Length: 0"))
                 continue
             tell("runs", id=attempt, path=path, tenant=headers.get("x-eiderferry-tenant"))
-            if surplus_of:
-                # A second answer to the request before, where the answer to this one is due.
-                tell("sends a surplus answer", id=surplus_of, before=attempt)
-                sock.sendall(head("421 Misdirected Request", surplus_of, "X-Eiderferry-Instance-Id: " + NAME,
-                                  "Content-Length: 0"))
-                surplus_of = None
             is_unframed = happens("unframed")
             if options["events"]:
                 answer_stream(sock, attempt, is_unframed, int(headers.get("last-event-id") or 0))
@@ -92,8 +86,6 @@
             tell("has answered", id=attempt, unframed=is_unframed)
             if is_unframed:
                 return
-            if happens("surplus"):
-                surplus_of = attempt
     except (OSError, EOFError):
         pass
     finally:
@@ -108,7 +100,11 @@
             sock.sendall(body[part * len(body) // 4:(part + 1) * len(body) // 4])
             time.sleep(options["work_ms"] / 1000)
         return
-    sock.sendall(head("200 OK", attempt, "X-Eiderferry-Server-Stamp: " + stamp(attempt), "Keep-Alive: timeout=9",
+    is_spoiled = happens("spoiled")
+    if is_spoiled:
+        tell("spoils an answer", id=attempt)
+    name = "X-Eiderferry-Serve#-Stamp" if is_spoiled else "X-Eiderferry-Server-Stamp"
+    sock.sendall(head("200 OK", attempt, name + ": " + stamp(attempt), "Keep-Alive: timeout=9",
                       "Content-Length: %d" % len(body)) + body)
 
 
@@ -116,21 +112,8 @@
     framing = "Connection: close" if is_unframed else "Transfer-Encoding: chunked"
     sock.sendall(head("200 OK", attempt, "X-Eiderferry-Server-Stamp: " + stamp(attempt),
                       "Content-Type: text/event-stream", framing))
-    running.append(attempt)
-    try:
-        send_events(sock, attempt, is_unframed, last_event)
-    finally:
-        running.remove(attempt)
-
-
-def send_events(sock, attempt, is_unframed, last_event):
     for number in range(last_event + 1, options["events"] + 1):
         time.sleep(options["event_ms"] / 1000)
-        if attempt in put_back:
-            put_back.discard(attempt)
-            tell("puts a stream back", id=attempt, before_event=number)
-            time.sleep(options["preempt_s"])
-            tell("goes on with the stream", id=attempt)
         event = b"id: %d\ndata: %s of %d\n\n" % (number, attempt.encode(), options["events"])
         sock.sendall(event if is_unframed else b"%x\r\n%s\r\n" % (len(event), event))
     if not is_unframed:
@@ -139,10 +122,7 @@
 
 def follow_modes():
     for line in sys.stdin:
-        mode = json.loads(line)
-        options.update(mode)
-        if "preempt_s" in mode:
-            put_back.update(running[len(running) // 2:])
+        options.update(json.loads(line))
 
 
 listener = socket.create_server((options["ip"], 0), backlog=128)
