--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -15,6 +15,7 @@
 mod request_share;
 mod round_robin;
 mod snapshot;
+mod source_outage;
 mod streams;
 mod tunnels;
 mod unknown_names;
@@ -39,6 +40,7 @@
 use leases::{FailedConnection, Lease};
 use quarantine::PendingCrashReports;
 use request_share::RequestShare;
+use source_outage::SourceOutage;
 
 use crate::load::registry::Registry;
 use crate::placement::locality::RoundTrips;
@@ -181,6 +183,7 @@
     /// Back ends and evacuations whose entries in the store expired, with the time at which they
     /// are removed here.
     expired_entries: BTreeMap<DocumentKey, Timestamp>,
+    source_outage: SourceOutage,
     /// Withheld back ends, with the time from which each may be released.
     withheld: BTreeMap<InstanceId, Timestamp>,
     zone_digests: ZoneDigests,
@@ -241,6 +244,7 @@
             now: Timestamp::default(),
             missing_documents: MissingDocuments::default(),
             expired_entries: BTreeMap::new(),
+            source_outage: SourceOutage::default(),
             withheld: BTreeMap::new(),
             zone_digests: ZoneDigests::default(),
             followed_caches: FollowedCaches::default(),
@@ -287,6 +291,7 @@
 
     /// Applies a document change received now.
     pub fn apply(&mut self, change: Change, now: Timestamp) -> ReceivedChange {
+        let change = self.with_recovery_grace(change, now);
         let (key, kind, revision) = (change.key.clone(), change.content.kind(), change.revision);
         let outcome = self.document_store.apply(change.clone());
         let mut unknown = Vec::new();
@@ -420,6 +425,7 @@
     /// Records that the platform confirmed, to this node or to a peer, that no change is newer than
     /// the known ones.
     pub fn record_confirmation(&mut self, known: &VersionVector, at: Timestamp) {
+        self.record_source_recovery(at);
         self.document_store.record_confirmation(known, at);
     }
 
@@ -433,6 +439,9 @@
         self.now = now;
         let change = self.peers.record_message(address, message, now);
         self.record_peer_table(message.table_stamp);
+        if let Some(age) = message.source_failed_ms {
+            self.record_reported_source_failure(age, now);
+        }
         self.apply_own_loads(message, now);
         self.apply_aggregation(address, message, now);
         self.apply_zone_digests(address, message, now);
@@ -449,8 +458,7 @@
             && knows_all
         {
             let at = now - Span::from_milliseconds(u64::from(age));
-            self.document_store
-                .record_confirmation(&message.version_vector, at);
+            self.record_confirmation(&message.version_vector, at);
         }
         ReceiveOutput {
             change,
--- a/crates/coordination/dispatch/src/dispatcher/messages.rs
+++ b/crates/coordination/dispatch/src/dispatcher/messages.rs
@@ -41,7 +41,7 @@
 const FORWARD_CROSS_ZONE_FANOUT: usize = 1;
 /// Allowance for a message's transit time and the rounding of ages: without it a confirmation that
 /// is forwarded back and forth would appear ever more recent.
-const TRANSIT_ALLOWANCE: Span = Span::from_milliseconds(10);
+pub(super) const TRANSIT_ALLOWANCE: Span = Span::from_milliseconds(10);
 /// Ticks between two updates of the probability that streams are lost.
 const LOSS_TICKS: u64 = 5;
 /// Ticks between two updates of the split of pools.
@@ -265,6 +265,7 @@
             crashing_requests: self.crashing_requests(now),
             limits: Vec::new(),
             crashing_parts: self.crashing_parts(now),
+            source_failed_ms: self.source_failure_age_ms(now),
         }
     }
 
--- a/crates/coordination/dispatch/src/fleet/message.rs
+++ b/crates/coordination/dispatch/src/fleet/message.rs
@@ -146,9 +146,12 @@
     pub crashing_requests: Vec<RequestReport>,
     /// Rate limits that back ends reported.
     pub limits: Vec<LimitReport>,
-    /// Prompt parts that back ends were running when they crashed. The last field: nodes of earlier
-    /// software don't send it.
+    /// Prompt parts that back ends were running when they crashed. Nodes of earlier software send
+    /// neither this field nor the next one.
     pub crashing_parts: Vec<PartReport>,
+    /// Time since a reader's call to the platform failed, in milliseconds, if the platform has
+    /// confirmed nothing since.
+    pub source_failed_ms: Option<u32>,
 }
 
 impl LoadReport {
--- a/crates/transport/relay/src/control/document_feed.rs
+++ b/crates/transport/relay/src/control/document_feed.rs
@@ -18,13 +18,15 @@
         Self { control }
     }
 
-    /// Waits until this node has to read from the source.
-    pub async fn wait_for_reader_role(&self) {
+    /// Waits until this node has to read from the source. Returns whether it had to already.
+    pub async fn wait_for_reader_role(&self) -> bool {
+        let mut is_continued = true;
         loop {
             let now = self.control.clock.now();
             if self.control.dispatcher.borrow().reader_role(now) == ReaderRole::Reader {
-                return;
+                return is_continued;
             }
+            is_continued = false;
             let has_no_documents = self.newest_revision().is_none();
             let pause = if has_no_documents {
                 START_CHECK_INTERVAL
@@ -41,14 +43,20 @@
         dispatcher.document_store().version_vector().newest()
     }
 
-    /// Whether the last confirmation known to any node is so old that the platform was probably
-    /// unavailable.
-    pub fn was_confirmation_overdue(&self) -> bool {
+    /// Records that a call to the source failed, and that the preceding one did not.
+    pub fn record_source_failure(&self) {
         let now = self.control.clock.now();
         self.control
             .dispatcher
-            .borrow()
-            .is_confirmation_overdue(now)
+            .borrow_mut()
+            .record_source_failure(now);
+    }
+
+    /// Whether calls of any node to the source have failed since its latest confirmation, and that
+    /// confirmation is so old that entries may have expired meanwhile.
+    pub fn is_source_outage_known(&self) -> bool {
+        let now = self.control.clock.now();
+        self.control.dispatcher.borrow().is_source_outage_known(now)
     }
 
     /// Applies changes; afterwards everything up to `revision` is known.
--- a/crates/transport/relay/src/gossip.rs
+++ b/crates/transport/relay/src/gossip.rs
@@ -115,12 +115,13 @@
     message.ok()
 }
 
-/// Decodes a message with a node's state. Nodes of earlier software omit its last list.
+/// Decodes a message with a node's state. Nodes of earlier software omit its last fields.
 fn decode_gossip(body: &[u8]) -> Result<Box<Gossip>, postcard::Error> {
+    /// An empty list and an absent number. Unused bytes at the end are ignored.
+    const EMPTY_FIELDS: &[u8] = &[0, 0];
     postcard::from_bytes(body).or_else(|error| match error {
         postcard::Error::DeserializeUnexpectedEnd => {
-            const EMPTY_LIST: &[u8] = &[0];
-            postcard::from_bytes(&[body, EMPTY_LIST].concat())
+            postcard::from_bytes(&[body, EMPTY_FIELDS].concat())
         }
         error => Err(error),
     })
