--- a/crates/transport/relay/src/attempts.rs
+++ b/crates/transport/relay/src/attempts.rs
@@ -10,7 +10,7 @@
 use crate::lease::Lease;
 use crate::local_reply::LocalReply;
 use crate::progress::Progress;
-use crate::request_head::RequestHead;
+use crate::request_head::{RequestHead, head_bytes};
 use crate::response_body::RelayBody;
 use crate::stream::StreamRelay;
 use crate::upstream::Connection;
@@ -31,6 +31,7 @@
 const FIRST_TABLE_TIMEOUT: Span = Span::from_milliseconds(250);
 /// Time between two checks for it.
 const FIRST_TABLE_CHECK_INTERVAL: Span = Span::from_milliseconds(10);
+
 /// Serves one request.
 pub(crate) async fn serve(
     traffic: Rc<Traffic>,
@@ -60,6 +61,9 @@
         let reply = LocalReply::NotRun(Reason::NotReady, NOT_READY_RETRY_AFTER);
         return Err((id, reply));
     };
+    if head_bytes(&parts) > table.limits().maximum_header_bytes {
+        return Err((id, LocalReply::HeadTooLarge));
+    }
     let head = RequestHead::read(&parts, &table, &traffic.header_names)
         .map_err(|reply| (id.clone(), reply))?;
     let deadline = started + head.remaining;
--- /dev/null
+++ b/crates/transport/relay/src/caller_connection.rs
@@ -0,0 +1,172 @@
+//! The state of one caller's connection while it waits for a request.
+//!
+//! A connection outlives configurations and may be older than the first one. Its limits are
+//! therefore looked up when they apply, not when it is accepted.
+
+use crate::control::SharedTable;
+use crate::memory_budget::{MemoryFull, MemoryKind, MemoryReservation};
+use crate::metrics;
+use crate::request_memory::{Memory, UNKNOWN_ROUTE};
+use eiderferry_clock::{Clock, duration};
+use eiderferry_routing::Limits;
+use eiderferry_types::{Span, Timestamp};
+use futures_lite::{AsyncRead, AsyncWrite};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+
+/// Read buffer of a connection in bytes, if no larger heads are configured when it is accepted.
+const MIN_HEAD_BUFFER_BYTES: usize = 65_536;
+/// Maximum number of header lines of a request. Memory for them is allocated for each request.
+pub(crate) const MAX_HEADER_LINES: usize = 1_024;
+/// Bytes of an incomplete head that are not counted against the memory budget.
+const UNCOUNTED_HEAD_BYTES: usize = 8_192;
+/// Idle timeout while no configuration is known.
+const DEFAULT_IDLE_TIMEOUT: Span = Span::from_milliseconds(30_000);
+/// Factor on the configured idle timeout, as callers may still rely on the longer one of an earlier
+/// configuration.
+const IDLE_TIMEOUT_FACTOR: f64 = 2.0;
+
+/// State shared by a connection's socket, its requests and its idle timer.
+pub(crate) struct CallerConnection {
+    table: SharedTable,
+    clock: Clock,
+    /// Maximum head in bytes that the connection can read.
+    pub head_buffer_bytes: usize,
+    /// Since when the connection has been waiting for a complete head; `None` during a request.
+    waiting_since: Cell<Option<Timestamp>>,
+    /// Bytes received while waiting.
+    received_bytes: Cell<usize>,
+    reservation: RefCell<MemoryReservation>,
+}
+
+impl CallerConnection {
+    pub fn new(table: SharedTable, clock: Clock, memory: &Memory) -> Rc<Self> {
+        let configured_bytes = {
+            let table = table.load();
+            let limits = table.as_ref().map(|table| table.limits());
+            limits.map_or(0, |limits| limits.maximum_header_bytes)
+        };
+        Rc::new(Self {
+            table,
+            clock,
+            head_buffer_bytes: configured_bytes.max(MIN_HEAD_BUFFER_BYTES),
+            waiting_since: Cell::new(Some(clock.now())),
+            received_bytes: Cell::new(0),
+            reservation: RefCell::new(MemoryReservation::empty(
+                &memory.budget,
+                MemoryKind::Head,
+                UNKNOWN_ROUTE,
+            )),
+        })
+    }
+
+    /// Records that a complete head has arrived.
+    pub fn begin_request(&self) {
+        self.waiting_since.set(None);
+        self.received_bytes.set(0);
+        let mut reservation = self.reservation.borrow_mut();
+        let bytes = reservation.bytes();
+        reservation.shrink(bytes);
+    }
+
+    /// Records that the response is complete, so the connection waits for the next request.
+    pub fn end_request(&self) {
+        self.waiting_since.set(Some(self.clock.now()));
+    }
+
+    /// Whether the configuration in force allows heads that this connection can't read.
+    pub fn has_small_buffer(&self) -> bool {
+        let table = self.table.load();
+        let limits = table.as_ref().map(|table| table.limits());
+        limits.is_some_and(|limits| limits.maximum_header_bytes > self.head_buffer_bytes)
+    }
+
+    /// Counts received bytes that may belong to an incomplete head.
+    fn record_received(&self, bytes: usize) -> Result<(), MemoryFull> {
+        if self.waiting_since.get().is_none() {
+            return Ok(());
+        }
+        let received = self.received_bytes.get() + bytes;
+        self.received_bytes.set(received);
+        let counted = received.saturating_sub(UNCOUNTED_HEAD_BYTES) as u64;
+        let mut reservation = self.reservation.borrow_mut();
+        let missing = counted.saturating_sub(reservation.bytes());
+        reservation.grow(missing)
+    }
+
+    /// Returns once the connection has waited for a complete head for longer than allowed.
+    pub async fn wait_for_idle_timeout(&self) {
+        loop {
+            let now = self.clock.now();
+            let timeout = {
+                let table = self.table.load();
+                idle_timeout(table.as_ref().map(|table| table.limits()))
+            };
+            let until = self.waiting_since.get().unwrap_or(now) + timeout;
+            if until <= now {
+                return;
+            }
+            smol::Timer::after(duration(now.until(until))).await;
+        }
+    }
+}
+
+fn idle_timeout(limits: Option<&Limits>) -> Span {
+    limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| {
+        let configured = limits.idle_timeout.max(limits.header_timeout);
+        configured.scaled(IDLE_TIMEOUT_FACTOR)
+    })
+}
+
+/// A socket whose received bytes are counted.
+pub(crate) struct CountedSocket<Socket> {
+    socket: Socket,
+    connection: Rc<CallerConnection>,
+}
+
+impl<Socket> CountedSocket<Socket> {
+    pub fn new(socket: Socket, connection: Rc<CallerConnection>) -> Self {
+        Self { socket, connection }
+    }
+}
+
+impl<Socket: AsyncRead + Unpin> AsyncRead for CountedSocket<Socket> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let count = ready!(Pin::new(&mut self.socket).poll_read(context, buffer))?;
+        Poll::Ready(match self.connection.record_received(count) {
+            Ok(()) => Ok(count),
+            Err(MemoryFull) => {
+                metrics::head_dropped();
+                Err(io::Error::new(
+                    io::ErrorKind::OutOfMemory,
+                    "no memory for the incomplete head of a request",
+                ))
+            }
+        })
+    }
+}
+
+impl<Socket: AsyncWrite + Unpin> AsyncWrite for CountedSocket<Socket> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_flush(context)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_close(context)
+    }
+}
--- a/crates/transport/relay/src/caller_socket.rs
+++ b/crates/transport/relay/src/caller_socket.rs
@@ -6,6 +6,7 @@
 //! ahead: 5 of 12 runs of `the_longest_answers_to_slow_callers_are_counted_until_they_are_taken`
 //! and its neighbour stalled with an empty socket. Such a connection is polled again.
 
+use crate::caller_connection::{CallerConnection, CountedSocket};
 use crate::response_body::{BrokenResponse, RelayBody};
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
@@ -38,14 +39,14 @@
 
 /// A caller's socket.
 pub(crate) struct CallerSocket {
-    inner: FuturesIo<TcpStream>,
+    inner: FuturesIo<CountedSocket<TcpStream>>,
     state: Rc<SendState>,
 }
 
 impl CallerSocket {
-    pub fn new(stream: TcpStream, state: Rc<SendState>) -> Self {
+    pub fn new(stream: TcpStream, connection: Rc<CallerConnection>, state: Rc<SendState>) -> Self {
         Self {
-            inner: FuturesIo::new(stream),
+            inner: FuturesIo::new(CountedSocket::new(stream, connection)),
             state,
         }
     }
@@ -89,14 +90,16 @@
     /// Why the body breaks off. Returned only after all earlier data was written, because a
     /// connection discards unwritten data when its body fails.
     pending_error: Option<BrokenResponse>,
+    connection: Rc<CallerConnection>,
     state: Rc<SendState>,
 }
 
 impl TrackedBody {
-    pub fn new(body: RelayBody, state: Rc<SendState>) -> Self {
+    pub fn new(body: RelayBody, connection: Rc<CallerConnection>, state: Rc<SendState>) -> Self {
         Self {
             body,
             pending_error: None,
+            connection,
             state,
         }
     }
@@ -146,5 +149,6 @@
 impl Drop for TrackedBody {
     fn drop(&mut self) {
         self.state.has_more.set(false);
+        self.connection.end_request();
     }
 }
--- a/crates/transport/relay/src/local_reply.rs
+++ b/crates/transport/relay/src/local_reply.rs
@@ -15,6 +15,8 @@
     UnknownKey,
     /// A header is missing or can't be parsed.
     BadHeader(&'static str),
+    /// The head is longer than allowed.
+    HeadTooLarge,
     /// The body is longer than allowed.
     BodyTooLarge,
     /// The body did not arrive completely.
@@ -52,6 +54,7 @@
             LocalReply::NoRoute => StatusCode::NOT_FOUND,
             LocalReply::UnknownKey => StatusCode::UNAUTHORIZED,
             LocalReply::BadHeader(_) | LocalReply::IncompleteBody => StatusCode::BAD_REQUEST,
+            LocalReply::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             LocalReply::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             LocalReply::NotRun(..) | LocalReply::NoMemory(_) | LocalReply::UnknownStream(_) => {
                 StatusCode::SERVICE_UNAVAILABLE
@@ -69,6 +72,7 @@
             LocalReply::NoRoute => "no_route",
             LocalReply::UnknownKey => "unknown_key",
             LocalReply::BadHeader(name) => name,
+            LocalReply::HeadTooLarge => "head_too_large",
             LocalReply::BodyTooLarge => "body_too_large",
             LocalReply::IncompleteBody => "body_broken",
             LocalReply::NotRun(reason, _) => reason.as_str(),
@@ -91,7 +95,10 @@
     fn closes_connection(&self) -> bool {
         matches!(
             self,
-            LocalReply::BodyTooLarge | LocalReply::IncompleteBody | LocalReply::NoMemory(_)
+            LocalReply::HeadTooLarge
+                | LocalReply::BodyTooLarge
+                | LocalReply::IncompleteBody
+                | LocalReply::NoMemory(_)
         )
     }
 
--- a/crates/transport/relay/src/memory_budget.rs
+++ b/crates/transport/relay/src/memory_budget.rs
@@ -10,6 +10,8 @@
 /// Fraction of the limit up to which new requests are accepted: the remainder is for the responses
 /// to those already accepted.
 const NEW_REQUESTS_FRACTION: f64 = 0.75;
+/// Fraction of the limit that incomplete heads may fill.
+const HEADS_FRACTION: f64 = 0.125;
 /// Fraction of the limit that events read ahead may fill. Below [`NEW_REQUESTS_FRACTION`], so that
 /// slow callers alone never make this node refuse requests.
 const READ_AHEAD_FRACTION: f64 = 0.5;
@@ -28,6 +30,8 @@
 /// What memory is held for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MemoryKind {
+    /// The incomplete head of a request.
+    Head,
     /// A request's body, until its exchange is over and no connection sends it any more.
     Body,
     /// A whole response, until the caller's connection has taken it.
@@ -38,11 +42,17 @@
 
 impl MemoryKind {
     /// All kinds, in the order in which usage is stored.
-    pub const ALL: [MemoryKind; 3] = [MemoryKind::Body, MemoryKind::Response, MemoryKind::Events];
+    pub const ALL: [MemoryKind; 4] = [
+        MemoryKind::Head,
+        MemoryKind::Body,
+        MemoryKind::Response,
+        MemoryKind::Events,
+    ];
 
     /// The name in metrics.
     pub fn as_str(self) -> &'static str {
         match self {
+            MemoryKind::Head => "head",
             MemoryKind::Body => "body",
             MemoryKind::Response => "answer",
             MemoryKind::Events => "events",
@@ -67,8 +77,8 @@
 struct Usage {
     total: AtomicU64,
     peak: AtomicU64,
-    by_kind: [AtomicU64; 3],
-    by_route: [[AtomicU64; ROUTE_LABELS.len()]; 3],
+    by_kind: [AtomicU64; MemoryKind::ALL.len()],
+    by_route: [[AtomicU64; ROUTE_LABELS.len()]; MemoryKind::ALL.len()],
 }
 
 /// How fast bytes were released recently.
@@ -151,6 +161,10 @@
         let total = self.used_bytes() + bytes;
         match kind {
             _ if !self.is_bounded() => true,
+            MemoryKind::Head => {
+                let heads = self.used_bytes_by_kind(kind) + bytes;
+                heads <= self.fraction_of_limit(HEADS_FRACTION) && total <= self.limit
+            }
             MemoryKind::Body => total <= self.fraction_of_limit(NEW_REQUESTS_FRACTION),
             MemoryKind::Response => total <= self.limit,
             MemoryKind::Events => {
--- a/crates/transport/relay/src/metrics.rs
+++ b/crates/transport/relay/src/metrics.rs
@@ -97,6 +97,11 @@
     metrics::counter!("eiderferry_places_unclaimed_total").increment(1);
 }
 
+/// A connection was closed because its incomplete head did not fit in the memory budget.
+pub(crate) fn head_dropped() {
+    metrics::counter!("eiderferry_heads_dropped_total").increment(1);
+}
+
 /// A lease was not released within its request's time.
 pub(crate) fn lease_expired() {
     metrics::counter!("eiderferry_places_expired_total").increment(1);
--- a/crates/transport/relay/src/request_head.rs
+++ b/crates/transport/relay/src/request_head.rs
@@ -100,6 +100,21 @@
     }
 }
 
+/// Length of a head in bytes, without optional white space.
+pub(crate) fn head_bytes(parts: &Parts) -> usize {
+    const REQUEST_LINE_SEPARATORS: usize = "  HTTP/1.1\r\n".len();
+    const LINE_SEPARATORS: usize = ":\r\n".len();
+    const END: usize = "\r\n".len();
+    let target = parts.uri.path_and_query();
+    let target = target.map_or(0, |target| target.as_str().len());
+    let lines = parts
+        .headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + LINE_SEPARATORS);
+    let request_line = parts.method.as_str().len() + target + REQUEST_LINE_SEPARATORS;
+    request_line + lines.sum::<usize>() + END
+}
+
 fn header_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok().map(str::trim)
 }
--- a/crates/transport/relay/src/request_memory.rs
+++ b/crates/transport/relay/src/request_memory.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 /// Label of a request whose route is not known yet.
-const UNKNOWN_ROUTE: &str = "unknown";
+pub(crate) const UNKNOWN_ROUTE: &str = "unknown";
 
 /// The memory budget of a traffic thread and the streams that are read ahead under it.
 #[derive(Default)]
--- a/crates/transport/relay/src/server.rs
+++ b/crates/transport/relay/src/server.rs
@@ -1,6 +1,7 @@
 //! Callers' connections, and the readiness and metrics endpoints.
 
 use crate::attempts;
+use crate::caller_connection::{CallerConnection, MAX_HEADER_LINES};
 use crate::caller_socket::{CallerSocket, SendState, TrackedBody};
 use crate::exchange::Traffic;
 use crate::local_reply::LocalReply;
@@ -27,14 +28,8 @@
 use std::task::Poll;
 use std::time::Duration;
 
-/// Idle timeout of connections opened before the configured limits are known, and of those to the
-/// readiness and metrics endpoints.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-/// Factor on the configured idle timeout, because a connection keeps its timeout while the
-/// configured one may grow.
-const IDLE_TIMEOUT_FACTOR: u32 = 2;
-/// Smallest read buffer that hyper accepts.
-const MINIMUM_HEAD_BUFFER_BYTES: usize = 8_192;
+/// Idle timeout of connections to the readiness and metrics endpoints.
+const ENDPOINT_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Retry-After of a request refused during a planned shutdown: at once, at another node.
@@ -105,33 +100,33 @@
 
     async fn serve_connection(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let limits = self.traffic.table.load_full();
-        let limits = limits.as_ref().map(|table| table.limits());
-        let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| {
-            eiderferry_clock::duration(limits.idle_timeout.max(limits.header_timeout))
-                * IDLE_TIMEOUT_FACTOR
-        });
-        let head_bytes = limits.map_or(MINIMUM_HEAD_BUFFER_BYTES, |limits| {
-            limits.maximum_header_bytes
-        });
+        let traffic = &self.traffic;
+        let caller = CallerConnection::new(traffic.table.clone(), traffic.clock, &traffic.memory);
         let server = Rc::clone(&self);
         let current: Rc<CurrentStream> = Rc::default();
         let service_stream = Rc::clone(&current);
         let send_state = Rc::<SendState>::default();
-        let socket = CallerSocket::new(stream, Rc::clone(&send_state));
+        let socket = CallerSocket::new(stream, Rc::clone(&caller), Rc::clone(&send_state));
         let service_state = Rc::clone(&send_state);
+        let service_caller = Rc::clone(&caller);
         let service = service_fn(move |request| {
             let (server, stream) = (Rc::clone(&server), Rc::clone(&service_stream));
             let state = Rc::clone(&service_state);
+            let caller = Rc::clone(&service_caller);
             async move {
-                let response = server.serve_request(request, &stream).await;
-                Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, state)))
+                caller.begin_request();
+                let mut response = server.serve_request(request, &stream).await;
+                if caller.has_small_buffer() {
+                    response = with_connection_close(response);
+                }
+                Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, caller, state)))
             }
         });
         let connection = http1::Builder::new()
-            .timer(SmolTimer::new())
-            .header_read_timeout(idle_timeout)
-            .max_buf_size(head_bytes.max(MINIMUM_HEAD_BUFFER_BYTES))
+            // The timeout of `CallerConnection` follows the configuration.
+            .header_read_timeout(None)
+            .max_buf_size(caller.head_buffer_bytes)
+            .max_headers(MAX_HEADER_LINES)
             .auto_date_header(false)
             .serve_connection(socket, service);
         let mut connection = std::pin::pin!(connection);
@@ -145,12 +140,14 @@
         };
         let serving = drive_connection(connection.as_mut(), &current, &send_state);
         let served = async {
-            serving.await;
+            serving.or(caller.wait_for_idle_timeout()).await;
             true
         };
         if !served.or(close_requested).await {
             connection.as_mut().graceful_shutdown();
-            drive_connection(connection, &current, &send_state).await;
+            drive_connection(connection, &current, &send_state)
+                .or(caller.wait_for_idle_timeout())
+                .await;
         }
     }
 
@@ -242,7 +239,7 @@
     {
         let connection = http1::Builder::new()
             .timer(SmolTimer::new())
-            .header_read_timeout(DEFAULT_IDLE_TIMEOUT)
+            .header_read_timeout(ENDPOINT_IDLE_TIMEOUT)
             .serve_connection(FuturesIo::new(stream), service);
         self.executor
             .spawn(async move {
--- a/crates/transport/relay/tests/support/documents.rs
+++ b/crates/transport/relay/tests/support/documents.rs
@@ -138,6 +138,27 @@
     }
 }
 
+/// Limits of the configuration in most tests.
+pub const LIMITS: Limits = Limits {
+    maximum_header_bytes: 16_384,
+    maximum_body_bytes: 300_000,
+    header_timeout: Span::from_milliseconds(3_000),
+    idle_timeout: Span::from_milliseconds(15_000),
+};
+
+/// A version of the table with these limits.
+pub fn table_with_limits(version: u64, limits: Limits) -> Change {
+    Change {
+        key: DocumentKey::Table,
+        revision: version.into(),
+        content: DocumentContent::Table(TableDocument {
+            version,
+            limits,
+            ..table(None)
+        }),
+    }
+}
+
 fn table(engine: Option<EngineSpecification>) -> TableDocument {
     let mut resumable = route("resumable", RouteKind::Streaming, 2);
     resumable.is_resumable = true;
@@ -173,12 +194,7 @@
             paced,
         ],
         pools: BTreeMap::from([(PoolName::from("pool"), pool)]),
-        limits: Limits {
-            maximum_header_bytes: 16_384,
-            maximum_body_bytes: 300_000,
-            header_timeout: Span::from_milliseconds(3_000),
-            idle_timeout: Span::from_milliseconds(15_000),
-        },
+        limits: LIMITS,
         tenants: vec![Tenant {
             name: "radio".to_owned(),
             keys: vec![API_KEY.to_owned()],
--- a/crates/transport/relay/tests/support/mod.rs
+++ b/crates/transport/relay/tests/support/mod.rs
@@ -17,7 +17,7 @@
 };
 pub use caller::{Caller, Response};
 pub use crashing_back_end::{BackEndThatStopsListening, CrashTrigger, CrashingBackEnd};
-pub use documents::{cache_protocol, header_names};
+pub use documents::{LIMITS, cache_protocol, header_names};
 pub use proxy::{PathProxy, PathState};
 pub use relay::{TUNNEL_PORT, TestRelay};
 
--- a/crates/transport/relay/tests/support/relay.rs
+++ b/crates/transport/relay/tests/support/relay.rs
@@ -2,14 +2,14 @@
 
 use super::documents::{
     CACHE_REPORTING_ENGINE, cache_protocol, configuration_documents, draining_back_ends,
-    header_names, replicating_engine,
+    header_names, replicating_engine, table_with_limits,
 };
 use super::{
     AMPLE_MEMORY_BUDGET, Caller, MockBackEnd, Response, SMALL_BUFFER_BYTES, TEST_TIMEOUT, write,
 };
 use eiderferry_dispatch::{Change, ColdRateLimit, Features, RetryBudgetSettings};
 use eiderferry_relay::{DocumentSource, MemoryBudget, Relay, RelaySettings, ShutdownSettings};
-use eiderferry_routing::{EngineSpecification, NodeName, ZoneName};
+use eiderferry_routing::{EngineSpecification, Limits, NodeName, ZoneName};
 use eiderferry_types::Span;
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
@@ -57,6 +57,8 @@
 struct Options {
     /// Delay after which the relay receives its configuration.
     configuration_delay: Duration,
+    /// Changes that the relay receives after its configuration, each with the delay before it.
+    later_changes: Vec<(Duration, Change)>,
     /// In bytes; 0 means no budget.
     memory_budget: u64,
     features: Features,
@@ -71,6 +73,7 @@
     fn default() -> Self {
         Self {
             configuration_delay: Duration::ZERO,
+            later_changes: Vec::new(),
             memory_budget: AMPLE_MEMORY_BUDGET,
             features: Features::ALL,
             node_number: 1,
@@ -190,6 +193,23 @@
         Self::start(Some(documents), Options::default())
     }
 
+    /// Starts a relay whose configured limits change after a delay.
+    pub fn with_changing_limits(
+        back_end: &MockBackEnd,
+        first: Limits,
+        delay: Duration,
+        second: Limits,
+    ) -> Self {
+        let options = Options {
+            later_changes: vec![
+                (Duration::ZERO, table_with_limits(3, first)),
+                (delay, table_with_limits(4, second)),
+            ],
+            ..Options::default()
+        };
+        Self::start_ready_with(&[back_end], None, options)
+    }
+
     /// Starts a relay that receives no configuration.
     pub fn without_configuration() -> Self {
         Self::start(None, Options::default())
@@ -254,6 +274,11 @@
                     smol::Timer::after(options.configuration_delay).await;
                     feed.apply_changes(documents, 2.into());
                 }
+                for (delay, change) in options.later_changes {
+                    smol::Timer::after(delay).await;
+                    let revision = change.revision;
+                    feed.apply_changes(vec![change], revision);
+                }
                 std::future::pending::<()>().await;
             })
         });
