Bound responses without an end

What callers saw: 504 at their deadlines where another back end could have answered, found by tests with back ends that send without an end. One event without an end filled memory without a limit.

Cause: interim responses and incomplete events had no bound, and each piece of an event began a new wait for it.

Bytes that complete no new event no longer extend the wait for one.

--- a/crates/transport/relay/src/cache_follower.rs
+++ b/crates/transport/relay/src/cache_follower.rs
@@ -5,6 +5,7 @@
 use crate::events;
 use crate::header_names::HeaderNames;
 use crate::notice::Notice;
+use crate::upstream::MAX_RESPONSE_HEAD_BYTES;
 use bytes::Bytes;
 use eiderferry_clock::duration;
 use eiderferry_dispatch::{CacheCall, CacheEvents, CacheListing, CacheResponse, DueCacheCall};
@@ -251,7 +252,10 @@
     async fn connect(&self, address: SocketAddr) -> Result<Connection, CallError> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        let (sender, connection) = http1::handshake(FuturesIo::new(stream)).await?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_RESPONSE_HEAD_BYTES)
+            .handshake(FuturesIo::new(stream))
+            .await?;
         let driver = self.executor.spawn(async move {
             // The call in progress sees the failure itself.
             let _ = connection.await;
--- a/crates/transport/relay/src/lib.rs
+++ b/crates/transport/relay/src/lib.rs
@@ -51,7 +51,7 @@
 pub use cache_follower::{CacheProtocol, MalformedResponse};
 pub use control::DocumentFeed;
 pub use eiderferry_clock::Clock;
-pub use event_stream::EventSplitter;
+pub use event_stream::{EventSplitter, MAX_EVENT_BYTES};
 pub use events::{
     document_invalid, history_compacted, reloaded, source_lost, source_recovered, source_restored,
 };
--- a/crates/transport/relay/src/observed_stream.rs
+++ b/crates/transport/relay/src/observed_stream.rs
@@ -1,4 +1,5 @@
-//! Connections that record that they have received bytes, and the check for silence of all.
+//! Connections that record that they have received bytes, the check for silence of all, and the
+//! limit of what precedes a response.
 
 use eiderferry_types::{Span, Timestamp};
 use futures_lite::{AsyncRead, AsyncWrite};
@@ -7,7 +8,7 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 /// Time without a byte from any back end, while responses are outstanding, after which direct
 /// connections are checked.
@@ -55,15 +56,49 @@
     }
 }
 
+/// Limit of the bytes that a connection receives before the end of a response's head. It also bounds
+/// series of interim responses, which the HTTP library reads without an end.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct HeadLimit(Rc<Cell<Option<usize>>>);
+
+impl HeadLimit {
+    /// Starts to count for the next response.
+    pub fn start(&self, bytes: usize) {
+        self.0.set(Some(bytes));
+    }
+
+    /// Stops counting: the head is complete.
+    pub fn stop(&self) {
+        self.0.set(None);
+    }
+
+    fn record(&self, bytes: usize) -> io::Result<()> {
+        let Some(remaining) = self.0.get() else {
+            return Ok(());
+        };
+        let remaining = remaining.checked_sub(bytes).ok_or_else(|| {
+            let text = "the response's head and the interim responses before it are too long";
+            io::Error::new(io::ErrorKind::InvalidData, text)
+        })?;
+        self.0.set(Some(remaining));
+        Ok(())
+    }
+}
+
 /// A connection that sets a flag when it receives bytes.
 pub(crate) struct ObservedStream {
     inner: TcpStream,
     received: ReceivedFlag,
+    head_limit: HeadLimit,
 }
 
 impl ObservedStream {
-    pub fn new(inner: TcpStream, received: ReceivedFlag) -> Self {
-        Self { inner, received }
+    pub fn new(inner: TcpStream, received: ReceivedFlag, head_limit: HeadLimit) -> Self {
+        Self {
+            inner,
+            received,
+            head_limit,
+        }
     }
 }
 
@@ -73,11 +108,11 @@
         context: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.inner).poll_read(context, buffer);
-        if matches!(result, Poll::Ready(Ok(count)) if count > 0) {
+        let count = ready!(Pin::new(&mut self.inner).poll_read(context, buffer))?;
+        if count > 0 {
             self.received.0.set(true);
         }
-        result
+        Poll::Ready(self.head_limit.record(count).map(|()| count))
     }
 }
 
--- a/crates/transport/relay/src/stream.rs
+++ b/crates/transport/relay/src/stream.rs
@@ -1,9 +1,10 @@
 //! Event streams, forwarded as they arrive and failed over to another back end when they break.
 
-use crate::event_stream::EventSplitter;
+use crate::event_stream::{EventSplitter, MAX_EVENT_BYTES};
 use crate::exchange::{AttemptEnd, Exchange};
 use crate::forwarding::response_for_caller;
 use crate::lease::Lease;
+use crate::memory_budget::{MemoryKind, MemoryReservation};
 use crate::response_body::{BrokenResponse, RelayBody};
 use crate::upstream::Connection;
 use crate::{events, metrics};
@@ -17,6 +18,9 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+/// Bytes of an incomplete event that are not counted against the memory budget.
+const UNCOUNTED_EVENT_BYTES: usize = 8_192;
+
 /// Next item of a stream.
 enum StreamItem {
     Events(Bytes),
@@ -41,9 +45,26 @@
     pub exchange: Exchange,
     pub source: Option<StreamSource>,
     pub splitter: EventSplitter,
+    /// Memory for the incomplete event in the splitter.
+    pub partial_event: MemoryReservation,
     pub first_events: Option<Bytes>,
 }
 
+/// Accounts for this many bytes of an incomplete event. Returns false if it is too long or the
+/// memory budget has no room for it.
+fn reserve_partial_event(reservation: &mut MemoryReservation, bytes: usize) -> bool {
+    if bytes > MAX_EVENT_BYTES {
+        return false;
+    }
+    let counted = bytes.saturating_sub(UNCOUNTED_EVENT_BYTES) as u64;
+    let reserved = reservation.bytes();
+    if counted <= reserved {
+        reservation.shrink(reserved - counted);
+        return true;
+    }
+    reservation.grow(counted - reserved).is_ok()
+}
+
 impl StreamRelay {
     /// Waits for the first event, then responds with the stream.
     pub async fn start(
@@ -55,6 +76,7 @@
         let (parts, body) = response.into_parts();
         let resumption = exchange.head.resumption.as_ref();
         let last_id = resumption.and_then(|resumption| resumption.last_event_id);
+        let partial_event = exchange.progress.memory.empty(MemoryKind::Events);
         let mut relay = Self {
             exchange,
             source: Some(StreamSource {
@@ -66,6 +88,7 @@
                 is_proven: false,
             }),
             splitter: EventSplitter::resuming_after(last_id),
+            partial_event,
             first_events: None,
         };
         let cancellations = relay.exchange.traffic.cancellations.clone();
@@ -163,11 +186,19 @@
         }
     }
 
-    /// The next complete events, or how the stream ended.
+    /// The next complete events, or how the stream ended. Bytes that complete no new event don't
+    /// extend the wait for one.
     async fn next_item(&mut self, is_first: bool) -> StreamItem {
+        let mut waiting_since = self.exchange.traffic.clock.now();
         loop {
+            let now = self.exchange.traffic.clock.now();
+            let remaining = now.until(self.exchange.deadline);
+            let waited = now.since(waiting_since);
             let event_timeout = self.response_timeout(is_first);
-            let remaining = self.remaining();
+            let event_timeout = Span(event_timeout.0.saturating_sub(waited.0));
+            if remaining == Span::ZERO {
+                return StreamItem::TimedOut;
+            }
             let Some(source) = &mut self.source else {
                 return StreamItem::Broken(Outcome::IncompleteResponse);
             };
@@ -176,12 +207,18 @@
                 clock.sleep(event_timeout.min(remaining)).await;
                 None
             };
-            let frame = async { Some(source.body.frame().await) }.or(timeout).await;
+            let frame = async { Some(source.body.frame().await) };
+            let frame = if event_timeout == Span::ZERO {
+                None
+            } else {
+                frame.or(timeout).await
+            };
             match frame {
                 None if event_timeout < remaining => {
                     if self.should_abandon_source().await {
                         return StreamItem::Broken(Outcome::TimedOut);
                     }
+                    waiting_since = now;
                 }
                 None => return StreamItem::TimedOut,
                 Some(Some(Err(_))) => return StreamItem::Broken(Outcome::IncompleteResponse),
@@ -202,7 +239,13 @@
                     };
                     let before = self.splitter.emitted_events();
                     let events = self.splitter.push(&data);
-                    if !events.is_empty() {
+                    if events.is_empty() {
+                        let bytes = self.splitter.partial_event_bytes();
+                        if !reserve_partial_event(&mut self.partial_event, bytes) {
+                            return StreamItem::Broken(Outcome::IncompleteResponse);
+                        }
+                    } else {
+                        self.partial_event.shrink(self.partial_event.bytes());
                         let count = self.splitter.emitted_events() - before;
                         let now = self.exchange.traffic.clock.now();
                         source.pacing.record(count, now);
@@ -218,11 +261,6 @@
         }
     }
 
-    fn remaining(&self) -> Span {
-        let now = self.exchange.traffic.clock.now();
-        now.until(self.exchange.deadline)
-    }
-
     /// Longest wait for the next event before the stream fails over.
     fn response_timeout(&self, is_first: bool) -> Span {
         let may_be_taken_over = !is_first && self.exchange.replica.is_some();
--- a/crates/transport/relay/src/upstream.rs
+++ b/crates/transport/relay/src/upstream.rs
@@ -1,7 +1,7 @@
 //! Connections to back ends.
 
 use crate::connector::Connector;
-use crate::observed_stream::{ObservedStream, SilenceCheck};
+use crate::observed_stream::{HeadLimit, ObservedStream, SilenceCheck};
 use bytes::Bytes;
 use eiderferry_clock::boot_time;
 use eiderferry_dispatch::{ConnectionPath, Grant, Outcome};
@@ -11,6 +11,7 @@
 use http_body::Body;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
 use quick_error::quick_error;
 use smol::net::TcpStream;
@@ -31,6 +32,11 @@
 const MAXIMUM_IDLE_NOT_RETRYABLE: Duration = Duration::from_millis(700);
 /// Fraction used of the idle time that a back end allows.
 const IDLE_FRACTION: f64 = 0.7;
+/// Maximum head of a response in bytes, and the read buffer of a connection.
+pub(crate) const MAX_RESPONSE_HEAD_BYTES: usize = 65_536;
+/// Maximum bytes of interim responses and the head after them. A read may return the whole head and
+/// a part of the body.
+const MAX_BYTES_BEFORE_BODY: usize = 2 * MAX_RESPONSE_HEAD_BYTES;
 /// Back ends with outstanding responses to which one such check connects.
 const SILENCE_CHECK_BACK_ENDS: usize = 3;
 
@@ -109,6 +115,7 @@
 /// A connection to a back end; closed when dropped.
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    head_limit: HeadLimit,
     path: ConnectionPath,
     /// The socket that the driver task uses.
     socket: Arc<Async<std::net::TcpStream>>,
@@ -118,6 +125,19 @@
     key: PoolKey,
 }
 
+impl Connection {
+    /// Sends a request and waits for the head of its response.
+    async fn request(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.head_limit.start(MAX_BYTES_BEFORE_BODY);
+        let response = self.sender.try_send_request(request).await;
+        self.head_limit.stop();
+        response
+    }
+}
+
 /// A body sent to a back end, counted until its response has been read or given up.
 struct OutstandingBody {
     pools: Pools,
@@ -228,7 +248,7 @@
         let key = (grant.address, grant.instance.clone());
         let body = self.reserve_body(&key, request.body().size_hint().lower())?;
         while let Some(mut connection) = self.take_idle(&key, may_retry).await {
-            match connection.sender.try_send_request(request).await {
+            match connection.request(request).await {
                 Ok(response) => {
                     connection.body = Some(body);
                     return Ok((response, connection));
@@ -240,7 +260,7 @@
             }
         }
         let mut connection = self.connect(key, grant.connections).await?;
-        match connection.sender.try_send_request(request).await {
+        match connection.request(request).await {
             Ok(response) => {
                 connection.body = Some(body);
                 Ok((response, connection))
@@ -293,8 +313,10 @@
             .await
             .map_err(SendError::Unreachable)?;
         let socket = stream.clone().into();
-        let stream = ObservedStream::new(stream, self.silence.received());
+        let head_limit = HeadLimit::default();
+        let stream = ObservedStream::new(stream, self.silence.received(), head_limit.clone());
         let handshake = http1::Builder::new()
+            .max_buf_size(MAX_RESPONSE_HEAD_BYTES)
             .handshake(FuturesIo::new(stream))
             .await;
         let (sender, connection) = handshake.map_err(SendError::Incomplete)?;
@@ -305,6 +327,7 @@
         });
         Ok(Connection {
             sender,
+            head_limit,
             path,
             socket,
             _driver: driver,
