--- a/crates/transport/relay/src/sending.rs
+++ b/crates/transport/relay/src/sending.rs
@@ -12,6 +12,7 @@
 use futures_lite::FutureExt;
 use http::{Response, StatusCode, header};
 use hyper::body::Incoming;
+use std::ops::RangeInclusive;
 
 /// Timeout of an attempt whose request may be retried, as a multiple of the target latency.
 const ATTEMPT_TIMEOUT_TARGETS: u64 = 2;
@@ -23,6 +24,10 @@
 /// Expected times to the first event that are added to the timeout for it.
 const FIRST_EVENT_TIMEOUT_EXPECTED: u64 = 2;
 
+/// Statuses of final responses. RFC 9110 defines none above; 101 is one only after a request for
+/// another protocol, and such requests are not forwarded.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Where a run is resumed that began at another back end.
 pub(crate) struct ResumePoint {
     /// Number of the last event that was forwarded.
@@ -157,7 +162,9 @@
             return Err(Outcome::Shed);
         }
         self.may_have_run = true;
-        if !id_matches || response.headers().contains_key(header::CONTENT_ENCODING) {
+        let is_final = FINAL_STATUSES.contains(&response.status().as_u16());
+        let is_encoded = response.headers().contains_key(header::CONTENT_ENCODING);
+        if !id_matches || !is_final || is_encoded {
             return Err(Outcome::IncompleteResponse);
         }
         if lease.grant.has_limit && notice.limit == StatedLimit::NotStated {
