Keep what a connection holds unwritten at 16 KiB

The buffer of a caller's connection grew from the configured head (16 KiB) to 64 KiB, and the HTTP library uses the size for what it has not written, too. That memory is in no account. A body now returns its next data only while less than 16 KiB of it are unwritten, as before. The tests of slow readers, streams and responses pass.

--- a/crates/transport/relay/src/caller_socket.rs
+++ b/crates/transport/relay/src/caller_socket.rs
@@ -19,6 +19,10 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
+/// Bytes of a body that a connection may hold unwritten. They are in no memory account, and the
+/// connection's own buffer is as large as the longest head that it reads.
+const MAX_UNFLUSHED_BYTES: usize = 16_384;
+
 /// State of sending on one connection.
 #[derive(Default)]
 pub(crate) struct SendState {
@@ -26,8 +30,8 @@
     has_more: Cell<bool>,
     /// The socket accepted bytes in this poll and has not blocked since.
     has_written: Cell<bool>,
-    /// All data that the body has returned was written to the socket.
-    is_flushed: Cell<bool>,
+    /// Bytes that the body has returned since all was last written to the socket.
+    unflushed_bytes: Cell<usize>,
 }
 
 impl SendState {
@@ -75,7 +79,7 @@
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         // Called once there is nothing left to write.
-        self.state.is_flushed.set(true);
+        self.state.unflushed_bytes.set(0);
         Pin::new(&mut self.inner).poll_flush(context)
     }
 
@@ -105,7 +109,7 @@
     }
 
     fn poll_pending_error(&mut self) -> Poll<Option<Result<Frame<Bytes>, BrokenResponse>>> {
-        if !self.state.is_flushed.get() {
+        if self.state.unflushed_bytes.get() > 0 {
             self.state.has_more.set(true);
             return Poll::Pending;
         }
@@ -124,15 +128,24 @@
         if self.pending_error.is_some() {
             return self.poll_pending_error();
         }
+        if self.state.unflushed_bytes.get() >= MAX_UNFLUSHED_BYTES {
+            self.state.has_more.set(true);
+            return Poll::Pending;
+        }
         let frame = Pin::new(&mut self.body).poll_frame(context);
         if let Poll::Ready(Some(Err(error))) = frame {
             self.pending_error = Some(error);
             return self.poll_pending_error();
         }
-        let has_data = matches!(frame, Poll::Ready(Some(Ok(_))));
-        if has_data {
-            self.state.is_flushed.set(false);
-        }
+        let has_data = match &frame {
+            Poll::Ready(Some(Ok(frame))) => {
+                let bytes = frame.data_ref().map_or(0, Bytes::len);
+                let unflushed_bytes = &self.state.unflushed_bytes;
+                unflushed_bytes.set(unflushed_bytes.get() + bytes);
+                true
+            }
+            _ => false,
+        };
         self.state.has_more.set(has_data && !self.is_end_stream());
         frame
     }
