Refuse requests that have not run once a stop refuses new ones (LOST)

What callers saw: a request whose body ended late in a planned stop was sent to a back end and answered 502 when the process ended, though it could have run at another node. For one that may not be repeated that is final.

Cause: only the head's arrival was compared with the phase of the stop.

Change: the phase is checked before each attempt of a request that can't have run; it then gets 503 with Retry-After.

--- a/crates/transport/relay/src/attempts.rs
+++ b/crates/transport/relay/src/attempts.rs
@@ -9,7 +9,7 @@
 };
 use crate::lease::Lease;
 use crate::local_reply::LocalReply;
-use crate::progress::Progress;
+use crate::progress::{NOT_RUN_IN_SHUTDOWN, Progress};
 use crate::request_head::{RequestHead, head_bytes};
 use crate::response_body::RelayBody;
 use crate::stream::StreamRelay;
@@ -129,6 +129,9 @@
             return self.conclude_with(None, reply);
         }
         loop {
+            if !self.may_have_run && self.progress.is_refusing() {
+                return self.conclude_with(None, NOT_RUN_IN_SHUTDOWN);
+            }
             let lease = match self.request_lease().await {
                 Ok(lease) => lease,
                 Err(reply) => return self.conclude_with(fallback, reply),
--- a/crates/transport/relay/src/node.rs
+++ b/crates/transport/relay/src/node.rs
@@ -174,7 +174,7 @@
         let server = Rc::new(Server {
             traffic,
             executor: Rc::clone(&executor),
-            phase: Cell::new(Phase::Serving),
+            phase: Rc::new(Cell::new(Phase::Serving)),
             open_requests: Cell::new(0),
             open_tunnels: Cell::new(0),
             close_connections: connections_closing,
--- a/crates/transport/relay/src/server.rs
+++ b/crates/transport/relay/src/server.rs
@@ -4,12 +4,10 @@
 use crate::caller_connection::{CallerConnection, MAX_HEADER_LINES};
 use crate::caller_socket::{CallerSocket, SendState, TrackedBody};
 use crate::exchange::Traffic;
-use crate::local_reply::LocalReply;
-use crate::progress::Progress;
+use crate::progress::{NOT_RUN_IN_SHUTDOWN, Progress};
 use crate::read_ahead::{CallerStream, CurrentStream, ReadAhead, poll_read_ahead};
 use crate::request_memory::RequestMemory;
 use crate::response_body::RelayBody;
-use eiderferry_types::{Reason, Span};
 use futures_lite::FutureExt;
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response, StatusCode};
@@ -32,8 +30,6 @@
 const ENDPOINT_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Retry-After of a request refused during a planned shutdown: at once, at another node.
-const SHUTDOWN_RETRY_AFTER: Span = Span::from_milliseconds(50);
 
 /// Phase of a planned shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,7 +46,7 @@
 pub(crate) struct Server {
     pub traffic: Rc<Traffic>,
     pub executor: Rc<LocalExecutor<'static>>,
-    pub phase: Cell<Phase>,
+    pub phase: Rc<Cell<Phase>>,
     pub open_requests: Cell<u32>,
     /// Tunnels that this node provides to peers.
     pub open_tunnels: Cell<u32>,
@@ -157,12 +153,11 @@
         current: &CurrentStream,
     ) -> Response<RelayBody> {
         if self.phase.get() == Phase::Refusing {
-            let reply = LocalReply::NotRun(Reason::Draining, SHUTDOWN_RETRY_AFTER);
-            return with_connection_close(reply.response());
+            return with_connection_close(NOT_RUN_IN_SHUTDOWN.response());
         }
         let open = OpenRequest::new(Rc::clone(&self));
         let memory = RequestMemory::new(Rc::clone(&self.traffic.memory));
-        let progress = Progress::new(Rc::clone(&memory));
+        let progress = Progress::new(Rc::clone(&self.phase), Rc::clone(&memory));
         let shutdown = async {
             let _ = self.force_stop.recv().await;
             progress.shutdown_reply().response()
