--- a/crates/transport/relay/src/caller_socket.rs
+++ b/crates/transport/relay/src/caller_socket.rs
@@ -8,12 +8,13 @@
 
 use crate::caller_connection::{CallerConnection, CountedSocket};
 use crate::response_body::{BrokenResponse, RelayBody};
+use crate::server::OpenRequest;
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -32,6 +33,8 @@
     has_written: Cell<bool>,
     /// Bytes that the body has returned since all was last written to the socket.
     unflushed_bytes: Cell<usize>,
+    /// Requests whose responses were handed over and may not be written yet.
+    unwritten: RefCell<Vec<OpenRequest>>,
 }
 
 impl SendState {
@@ -80,6 +83,7 @@
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         // Called once there is nothing left to write.
         self.state.unflushed_bytes.set(0);
+        self.state.unwritten.borrow_mut().clear();
         Pin::new(&mut self.inner).poll_flush(context)
     }
 
@@ -94,15 +98,23 @@
     /// Why the body breaks off. Returned only after all earlier data was written, because a
     /// connection discards unwritten data when its body fails.
     pending_error: Option<BrokenResponse>,
+    open: Option<OpenRequest>,
     connection: Rc<CallerConnection>,
     state: Rc<SendState>,
 }
 
 impl TrackedBody {
-    pub fn new(body: RelayBody, connection: Rc<CallerConnection>, state: Rc<SendState>) -> Self {
+    /// `open` counts the request as open until its response is written.
+    pub fn new(
+        body: RelayBody,
+        open: Option<OpenRequest>,
+        connection: Rc<CallerConnection>,
+        state: Rc<SendState>,
+    ) -> Self {
         Self {
             body,
             pending_error: None,
+            open,
             connection,
             state,
         }
@@ -162,6 +174,7 @@
 impl Drop for TrackedBody {
     fn drop(&mut self) {
         self.state.has_more.set(false);
+        self.state.unwritten.borrow_mut().extend(self.open.take());
         self.connection.end_request();
     }
 }
--- a/crates/transport/relay/src/server.rs
+++ b/crates/transport/relay/src/server.rs
@@ -111,11 +111,13 @@
             let caller = Rc::clone(&service_caller);
             async move {
                 caller.begin_request();
-                let mut response = server.serve_request(request, &stream).await;
+                let (mut response, open) = server.serve_request(request, &stream).await;
                 if caller.has_small_buffer() {
                     response = with_connection_close(response);
                 }
-                Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, caller, state)))
+                Ok::<_, Infallible>(
+                    response.map(|body| TrackedBody::new(body, open, caller, state)),
+                )
             }
         });
         let connection = http1::Builder::new()
@@ -151,9 +153,10 @@
         self: Rc<Self>,
         request: Request<Incoming>,
         current: &CurrentStream,
-    ) -> Response<RelayBody> {
+    ) -> (Response<RelayBody>, Option<OpenRequest>) {
         if self.phase.get() == Phase::Refusing {
-            return with_connection_close(NOT_RUN_IN_SHUTDOWN.response());
+            let refusal = with_connection_close(NOT_RUN_IN_SHUTDOWN.response());
+            return (refusal, None);
         }
         let open = OpenRequest::new(Rc::clone(&self));
         let memory = RequestMemory::new(Rc::clone(&self.traffic.memory));
@@ -170,15 +173,16 @@
             RelayBody::Stream(chunks) if memory.shared.budget.is_bounded() => {
                 let stream = ReadAhead::new(chunks, memory);
                 current.replace(Rc::downgrade(&stream));
-                hold_until_sent(RelayBody::Stream(Box::pin(CallerStream(stream))), open)
+                RelayBody::Stream(Box::pin(CallerStream(stream)))
             }
-            body => hold_until_sent(body, open),
+            body => body,
         });
-        if self.phase.get() == Phase::Serving {
+        let response = if self.phase.get() == Phase::Serving {
             response
         } else {
             with_connection_close(response)
-        }
+        };
+        (response, Some(open))
     }
 
     /// Serves the readiness endpoint; never returns.
@@ -274,18 +278,3 @@
     })
     .await;
 }
-
-/// Counts a request as open until its response stream has been sent.
-fn hold_until_sent(body: RelayBody, open: OpenRequest) -> RelayBody {
-    match body {
-        RelayBody::Buffered(bytes) => RelayBody::Buffered(bytes),
-        RelayBody::Stream(chunks) => {
-            let counted =
-                futures_lite::stream::unfold((chunks, open), |(mut chunks, open)| async {
-                    let chunk = futures_lite::StreamExt::next(&mut chunks).await?;
-                    Some((chunk, (chunks, open)))
-                });
-            RelayBody::Stream(Box::pin(counted))
-        }
-    }
-}
--- a/crates/transport/relay/tests/planned_stops.rs
+++ b/crates/transport/relay/tests/planned_stops.rs
@@ -3,12 +3,15 @@
 mod support;
 
 use rstest::rstest;
-use std::time::Duration;
-use support::{API_KEY, HOST, MockBackEnd, TestRelay, write};
+use std::time::{Duration, Instant};
+use support::{API_KEY, HOST, MockBackEnd, TestRelay, back_end_responding_with, write};
 
 /// Time after the beginning of a stop at which the relay refuses new requests, and before which it
 /// terminates those under way.
 const REFUSING: Duration = Duration::from_millis(600);
+/// Longer than the socket buffers between a relay and its caller.
+const LONG_BODY_BYTES: usize = 3 * 1024 * 1024;
+
 /// Guards against requests that are sent to a back end so late in a stop that they can only be cut.
 #[rstest]
 #[case::not_repeatable("/write/1")]
@@ -38,6 +41,39 @@
     relay.wait_for_exit();
 }
 
+/// Guards against a process that ends while a whole response is still being written.
+#[test]
+fn a_whole_response_is_written_to_its_end_before_the_process_ends() {
+    let back_end = back_end_responding_with("x".repeat(LONG_BODY_BYTES).leak());
+    let mut relay = TestRelay::with_back_ends(&[&back_end]);
+    let mut caller = relay.connect();
+    caller.send("GET", "/read/1", "", "");
+    assert!(caller.wait_for_response());
+    relay.begin_shutdown();
+    std::thread::sleep(2 * REFUSING);
+    let response = caller.read_response();
+    assert_eq!(response.status, 200);
+    assert!(response.is_complete);
+    assert_eq!(response.body.len(), LONG_BODY_BYTES);
+    relay.wait_for_exit();
+}
+
+/// The process does not wait for callers that have read their responses.
+#[test]
+fn a_stop_without_open_requests_ends_soon() {
+    let back_end = back_end_responding_with("ok");
+    let mut relay = TestRelay::with_back_ends(&[&back_end]);
+    let mut callers = [(); 4].map(|()| relay.connect());
+    for caller in &mut callers {
+        caller.send("GET", "/read/1", "", "");
+        assert_eq!(caller.read_response().status, 200);
+    }
+    relay.begin_shutdown();
+    let started_at = Instant::now();
+    relay.wait_for_exit();
+    assert!(started_at.elapsed() < Duration::from_millis(1_300));
+}
+
 #[test]
 fn a_pipelined_request_is_not_sent_after_a_response_that_closes_the_connection() {
     let back_end = MockBackEnd::start(|stream, request, _| {
