--- a/crates/transport/relay/src/caller_connection.rs
+++ b/crates/transport/relay/src/caller_connection.rs
@@ -10,11 +10,12 @@
 use eiderferry_clock::{Clock, duration};
 use eiderferry_routing::Limits;
 use eiderferry_types::{Span, Timestamp};
-use futures_lite::{AsyncRead, AsyncWrite};
+use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
 use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
 use std::io;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, ready};
 
 /// Read buffer of a connection in bytes, if no larger heads are configured when it is accepted.
@@ -40,6 +41,9 @@
     /// Bytes received while waiting.
     received_bytes: Cell<usize>,
     reservation: RefCell<MemoryReservation>,
+    /// Closed when the connection has to make room for a new one.
+    eviction: async_channel::Sender<Infallible>,
+    evicted: async_channel::Receiver<Infallible>,
 }
 
 impl CallerConnection {
@@ -49,9 +53,12 @@
             let limits = table.as_ref().map(|table| table.limits());
             limits.map_or(0, |limits| limits.maximum_header_bytes)
         };
+        let (eviction, evicted) = async_channel::bounded(1);
         Rc::new(Self {
             table,
             clock,
+            eviction,
+            evicted,
             head_buffer_bytes: configured_bytes.max(MIN_HEAD_BUFFER_BYTES),
             waiting_since: Cell::new(Some(clock.now())),
             received_bytes: Cell::new(0),
@@ -97,8 +104,16 @@
         reservation.grow(missing)
     }
 
-    /// Returns once the connection has waited for a complete head for longer than allowed.
-    pub async fn wait_for_idle_timeout(&self) {
+    /// Returns once the connection has waited for a complete head for longer than allowed, or has to
+    /// make room for another.
+    pub async fn wait_for_end_of_waiting(&self) {
+        let evicted = async {
+            let _ = self.evicted.recv().await;
+        };
+        self.wait_for_idle_timeout().or(evicted).await;
+    }
+
+    async fn wait_for_idle_timeout(&self) {
         loop {
             let now = self.clock.now();
             let timeout = {
@@ -114,6 +129,46 @@
     }
 }
 
+/// The open connections of callers. Without a limit, callers that wait would take the descriptors
+/// that connections to back ends, peers and the document source need.
+pub(crate) struct CallerConnections {
+    max_count: usize,
+    open: RefCell<Vec<Weak<CallerConnection>>>,
+}
+
+impl CallerConnections {
+    pub fn new(max_count: usize) -> Self {
+        Self {
+            max_count,
+            open: RefCell::default(),
+        }
+    }
+
+    /// Adds a connection. At the limit, evicts the connection that has waited longest for a request;
+    /// returns false if all serve requests.
+    pub fn add(&self, connection: &Rc<CallerConnection>) -> bool {
+        let mut open = self.open.borrow_mut();
+        if open.len() >= self.max_count {
+            open.retain(|connection| connection.strong_count() > 0);
+        }
+        if open.len() >= self.max_count {
+            let waiting = open.iter().enumerate().filter_map(|(index, connection)| {
+                let waiting_since = connection.upgrade()?.waiting_since.get()?;
+                Some((waiting_since, index))
+            });
+            let Some((_, index)) = waiting.min() else {
+                return false;
+            };
+            if let Some(evicted) = open.swap_remove(index).upgrade() {
+                metrics::caller_evicted();
+                evicted.eviction.close();
+            }
+        }
+        open.push(Rc::downgrade(connection));
+        true
+    }
+}
+
 fn idle_timeout(limits: Option<&Limits>) -> Span {
     limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| {
         let configured = limits.idle_timeout.max(limits.header_timeout);
--- a/crates/transport/relay/src/metrics.rs
+++ b/crates/transport/relay/src/metrics.rs
@@ -102,6 +102,11 @@
     metrics::counter!("eiderferry_heads_dropped_total").increment(1);
 }
 
+/// A caller's connection was closed because the limit of connections was reached.
+pub(crate) fn caller_evicted() {
+    metrics::counter!("eiderferry_callers_evicted_total").increment(1);
+}
+
 /// A lease was not released within its request's time.
 pub(crate) fn lease_expired() {
     metrics::counter!("eiderferry_places_expired_total").increment(1);
--- a/crates/transport/relay/src/node.rs
+++ b/crates/transport/relay/src/node.rs
@@ -1,6 +1,7 @@
 //! Threads and sockets of a relay.
 
 use crate::cache_follower::CacheFollower;
+use crate::caller_connection::CallerConnections;
 use crate::cancellation::Cancellations;
 use crate::connector::Connector;
 use crate::control::{Control, ControlHandle, DocumentFeed, SharedTable};
@@ -175,6 +176,7 @@
             traffic,
             executor: Rc::clone(&executor),
             phase: Rc::new(Cell::new(Phase::Serving)),
+            callers: CallerConnections::new(self.settings.max_caller_connections),
             open_requests: Cell::new(0),
             open_tunnels: Cell::new(0),
             close_connections: connections_closing,
@@ -234,6 +236,9 @@
             .spawn(Rc::clone(server).accept_callers(callers))
             .detach();
         executor.spawn(run_housekeeping(Rc::clone(server))).detach();
+        executor
+            .spawn(run_serving_reports(Rc::clone(server)))
+            .detach();
         executor.spawn(run_path_checks(Rc::clone(server))).detach();
         Ok(())
     }
--- a/crates/transport/relay/src/server.rs
+++ b/crates/transport/relay/src/server.rs
@@ -1,9 +1,10 @@
 //! Callers' connections, and the readiness and metrics endpoints.
 
 use crate::attempts;
-use crate::caller_connection::{CallerConnection, MAX_HEADER_LINES};
+use crate::caller_connection::{CallerConnection, CallerConnections, MAX_HEADER_LINES};
 use crate::caller_socket::{CallerSocket, SendState, TrackedBody};
 use crate::exchange::Traffic;
+use crate::metrics;
 use crate::progress::{NOT_RUN_IN_SHUTDOWN, Progress};
 use crate::read_ahead::{CallerStream, CurrentStream, ReadAhead, poll_read_ahead};
 use crate::request_memory::RequestMemory;
@@ -47,6 +48,7 @@
     pub traffic: Rc<Traffic>,
     pub executor: Rc<LocalExecutor<'static>>,
     pub phase: Rc<Cell<Phase>>,
+    pub callers: CallerConnections,
     pub open_requests: Cell<u32>,
     /// Tunnels that this node provides to peers.
     pub open_tunnels: Cell<u32>,
@@ -98,6 +100,10 @@
         let _ = stream.set_nodelay(true);
         let traffic = &self.traffic;
         let caller = CallerConnection::new(traffic.table.clone(), traffic.clock, &traffic.memory);
+        if !self.callers.add(&caller) {
+            metrics::caller_evicted();
+            return;
+        }
         let server = Rc::clone(&self);
         let current: Rc<CurrentStream> = Rc::default();
         let service_stream = Rc::clone(&current);
@@ -138,13 +144,13 @@
         };
         let serving = drive_connection(connection.as_mut(), &current, &send_state);
         let served = async {
-            serving.or(caller.wait_for_idle_timeout()).await;
+            serving.or(caller.wait_for_end_of_waiting()).await;
             true
         };
         if !served.or(close_requested).await {
             connection.as_mut().graceful_shutdown();
             drive_connection(connection, &current, &send_state)
-                .or(caller.wait_for_idle_timeout())
+                .or(caller.wait_for_end_of_waiting())
                 .await;
         }
     }
--- a/crates/transport/relay/src/settings.rs
+++ b/crates/transport/relay/src/settings.rs
@@ -52,6 +52,9 @@
     /// Maximum bytes of bodies, responses and events held in memory; 0 disables the limit and
     /// reading ahead.
     pub memory_budget: u64,
+    /// Maximum connections of callers. At the limit, a new one takes the place of the connection that
+    /// has waited longest for a request.
+    pub max_caller_connections: usize,
     /// Times of a planned shutdown.
     pub shutdown: ShutdownSettings,
     /// Protocol for asking engines which prompt parts they have cached.
--- a/crates/transport/relay/tests/support/relay.rs
+++ b/crates/transport/relay/tests/support/relay.rs
@@ -61,6 +61,7 @@
     later_changes: Vec<(Duration, Change)>,
     /// In bytes; 0 means no budget.
     memory_budget: u64,
+    max_caller_connections: usize,
     features: Features,
     /// Distinguishes the relays of a fleet.
     node_number: usize,
@@ -75,6 +76,7 @@
             configuration_delay: Duration::ZERO,
             later_changes: Vec::new(),
             memory_budget: AMPLE_MEMORY_BUDGET,
+            max_caller_connections: 10_000,
             features: Features::ALL,
             node_number: 1,
             seeds: Vec::new(),
@@ -143,6 +145,15 @@
         Self::start_ready_with(back_ends, None, options)
     }
 
+    /// Starts a relay that accepts up to this many connections of callers.
+    pub fn with_max_caller_connections(back_end: &MockBackEnd, count: usize) -> Self {
+        let options = Options {
+            max_caller_connections: count,
+            ..Options::default()
+        };
+        Self::start_ready_with(&[back_end], None, options)
+    }
+
     /// Starts a relay with engines that keep replicas for each other.
     pub fn with_replicating_engines(engines: &[&MockBackEnd]) -> Self {
         Self::start_ready_with(engines, Some(replicating_engine()), Options::default())
@@ -254,6 +265,7 @@
             },
             link_mbps: 100,
             memory_budget: options.memory_budget,
+            max_caller_connections: options.max_caller_connections,
             propagation_deadline: Span::from_milliseconds(2_000),
             regions: BTreeMap::new(),
             features: options.features,
