--- a/crates/transport/relay/src/attempts.rs
+++ b/crates/transport/relay/src/attempts.rs
@@ -39,9 +39,10 @@
     progress: Progress,
 ) -> Response<RelayBody> {
     let started = traffic.clock.now();
-    match prepare(traffic, request, started, progress).await {
+    match prepare(Rc::clone(&traffic), request, started, progress).await {
         Ok(exchange) => exchange.run().await,
         Err((id, reply)) => {
+            traffic.serving.record(reply.reason());
             metrics::local_reply(reply.reason());
             events::replied_locally(&id, &reply, Span::ZERO);
             reply.response()
--- a/crates/transport/relay/src/control.rs
+++ b/crates/transport/relay/src/control.rs
@@ -202,6 +202,9 @@
                 drop(dispatcher);
                 self.start_lookup(lookup, reply);
             }
+            Command::FewServed(report) => {
+                events::few_requests_served(&report, &dispatcher.snapshot(now));
+            }
             Command::Stop => dispatcher.stop(),
         }
     }
--- a/crates/transport/relay/src/control/commands.rs
+++ b/crates/transport/relay/src/control/commands.rs
@@ -2,6 +2,7 @@
 
 use crate::notice::Notice;
 use crate::pending_decision::PendingDecision;
+use crate::serving_monitor::ServingReport;
 use eiderferry_dispatch::{
     CrashedRun, Decision, Demand, LeaseId, LookupResult, Outcome, StreamId, StreamPacing,
     TunnelPeer,
@@ -58,6 +59,8 @@
         streams: Vec<StreamId>,
         reply: async_channel::Sender<LookupResult>,
     },
+    /// Few of the requests of the last seconds were served.
+    FewServed(ServingReport),
     /// A planned shutdown has begun.
     Stop,
 }
@@ -156,6 +159,10 @@
         result.unwrap_or(LookupResult::Unanswered)
     }
 
+    pub fn report_few_served(&self, report: ServingReport) {
+        self.enqueue(Command::FewServed(report));
+    }
+
     pub fn stop(&self) {
         self.enqueue(Command::Stop);
     }
--- a/crates/transport/relay/src/events.rs
+++ b/crates/transport/relay/src/events.rs
@@ -10,10 +10,11 @@
 use crate::metrics;
 use crate::notice::Notice;
 use crate::resumption::{FoundStream, Resumption};
+use crate::serving_monitor::ServingReport;
 use eiderferry_dispatch::{
     ApplyOutcome, CacheUpdate, ColdRole, CrashedRun, DocumentKey, ExpiredLease, Grant,
     HealthChange, LimitChange, LimitRole, LookupResult, Outcome, PartChange, PeerChange,
-    QuarantineChange, ReceivedChange, RetrySource, Revision, SplitChange, StreamPacing,
+    QuarantineChange, ReceivedChange, RetrySource, Revision, Snapshot, SplitChange, StreamPacing,
     UnknownName, VersionSource, WarmupChange,
 };
 use eiderferry_routing::{InstanceId, SoftwareVersion};
@@ -29,6 +30,28 @@
     log::info!(event = "started", node = node, zone = zone, listen:% = address; "started");
 }
 
+/// Few of the requests of the last seconds were served: how they ended, and what this node knows of
+/// the platform, its peers and the back ends.
+pub(crate) fn few_requests_served(report: &ServingReport, state: &Snapshot) {
+    let unserved = report.unserved.iter();
+    let unserved: Vec<String> = unserved
+        .map(|(outcome, count)| format!("{outcome}:{count}"))
+        .collect();
+    log::warn!(
+        event = "few_requests_served", ended = report.ended, served = report.served,
+        unserved = unserved.join(",").as_str(),
+        table_version = state.table_version,
+        confirmation_age_ms = (state.confirmed_age_seconds * 1_000.0) as u64,
+        peers = state.live_peers, silent_zones = state.silent_zones,
+        back_ends = state.back_ends, ejected = state.ejected_back_ends,
+        cold = state.cold_back_ends, limited = state.limited_back_ends,
+        evacuated_zones = state.evacuated_zones, leases = state.leases,
+        quarantined_requests = state.quarantine.quarantined,
+        quarantined_parts = state.part_quarantine.quarantined;
+        "few requests were served"
+    );
+}
+
 /// A planned shutdown has begun or entered its next phase.
 pub(crate) fn stopping(phase: &'static str, open_requests: u32) {
     log::info!(event = "stopping", phase = phase, open = open_requests; "stopping");
--- a/crates/transport/relay/src/exchange.rs
+++ b/crates/transport/relay/src/exchange.rs
@@ -10,6 +10,7 @@
 use crate::request_head::RequestHead;
 use crate::request_memory::Memory;
 use crate::response_body::RelayBody;
+use crate::serving_monitor::ServingMonitor;
 use crate::upstream::Upstream;
 use crate::{events, metrics};
 use eiderferry_clock::Clock;
@@ -38,6 +39,7 @@
     pub header_names: HeaderNames,
     pub cancellations: Cancellations,
     pub clock: Clock,
+    pub serving: ServingMonitor,
 }
 
 /// A replica that another engine keeps of a run.
@@ -122,6 +124,7 @@
         let elapsed = self.elapsed();
         events::replied_locally(&self.head.id, &reply, elapsed);
         metrics::local_reply(reply.reason());
+        self.traffic.serving.record(reply.reason());
         metrics::request(&self.head.route, self.head.rank, reply.reason(), elapsed);
         reply.response()
     }
@@ -137,6 +140,7 @@
             self.record_version();
         }
         let elapsed = self.elapsed();
+        self.traffic.serving.record(outcome);
         events::ended(&self.head.id, outcome, self.status, self.attempts, elapsed);
         metrics::request(&self.head.route, self.head.rank, outcome, elapsed);
     }
--- a/crates/transport/relay/src/lib.rs
+++ b/crates/transport/relay/src/lib.rs
@@ -42,6 +42,7 @@
 mod resumption;
 mod sending;
 mod server;
+mod serving_monitor;
 mod settings;
 mod stream;
 mod tunnel;
--- a/crates/transport/relay/src/node.rs
+++ b/crates/transport/relay/src/node.rs
@@ -11,6 +11,7 @@
 use crate::memory_budget::MemoryBudget;
 use crate::request_memory::Memory;
 use crate::server::{Phase, Server};
+use crate::serving_monitor::ServingMonitor;
 use crate::settings::{RelaySettings, ShutdownSettings};
 use crate::tunnel::TunnelClient;
 use crate::upstream::Upstream;
@@ -37,6 +38,8 @@
 const CLOCK_START_OFFSET: Span = Span::from_milliseconds(3_600_000);
 /// Time between two runs of the housekeeping, which closes expired idle connections.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Window in which it is counted how many requests are served.
+const SERVING_WINDOW: Duration = Duration::from_secs(5);
 /// Time between two checks of the paths to back ends.
 const PATH_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Send buffer of one caller's connection. The kernel allocates twice this, for its own bookkeeping
@@ -171,6 +174,7 @@
             header_names: self.settings.header_names.clone(),
             cancellations: self.cancellations.clone(),
             clock: self.clock,
+            serving: ServingMonitor::default(),
         });
         let server = Rc::new(Server {
             traffic,
@@ -276,6 +280,15 @@
     }
 }
 
+async fn run_serving_reports(server: Rc<Server>) {
+    loop {
+        Timer::after(SERVING_WINDOW).await;
+        if let Some(report) = server.traffic.serving.end_window() {
+            server.traffic.control.report_few_served(report);
+        }
+    }
+}
+
 async fn run_path_checks(server: Rc<Server>) {
     loop {
         Timer::after(PATH_CHECK_INTERVAL).await;
