Name and separate the parts of a caller's connection; one constant for the grace

The limit of connections gets a module of its own, the counted socket stands with the socket, and the grace after an outage is defined once.

A stream whose source may only be taken over by a replica checked twice for each wait whether its source is down: the second wait began at a time in the past.

--- a/crates/coordination/dispatch/src/dispatcher.rs
+++ b/crates/coordination/dispatch/src/dispatcher.rs
@@ -30,6 +30,7 @@
 pub use quarantine::{CrashedRun, QuarantineChanges, SOUND_WRITING_TIME};
 pub use reader_role::ReaderRole;
 pub use snapshot::Snapshot;
+pub use source_outage::SOURCE_RECOVERY_GRACE;
 pub use streams::{StreamLookup, StreamOutput};
 pub use unknown_names::UnknownName;
 
--- a/crates/coordination/dispatch/src/dispatcher/source_outage.rs
+++ b/crates/coordination/dispatch/src/dispatcher/source_outage.rs
@@ -11,8 +11,9 @@
 use crate::{Change, DocumentContent, DocumentKey};
 use eiderferry_types::{Span, Timestamp};
 
-/// Time after the source's recovery within which live back ends write their expired entries again.
-const RECOVERY_GRACE: Span = Span::from_milliseconds(2_000);
+/// Time after the source's recovery within which back ends that are alive and reach it write their
+/// expired entries again.
+pub const SOURCE_RECOVERY_GRACE: Span = Span::from_milliseconds(2_000);
 
 /// What a node knows of the latest outage.
 #[derive(Clone, Copy, Debug, Default)]
@@ -77,10 +78,10 @@
     /// Time left for back ends to write their expired entries again.
     fn remaining_recovery_grace(&self, now: Timestamp) -> Option<Span> {
         if self.is_source_outage_known(now) {
-            return Some(RECOVERY_GRACE);
+            return Some(SOURCE_RECOVERY_GRACE);
         }
         let recovered_at = self.source_outage.recovered_at?;
-        let remaining = now.until(recovered_at + RECOVERY_GRACE);
+        let remaining = now.until(recovered_at + SOURCE_RECOVERY_GRACE);
         (remaining > Span::ZERO).then_some(remaining)
     }
 }
--- a/crates/coordination/dispatch/src/lib.rs
+++ b/crates/coordination/dispatch/src/lib.rs
@@ -19,7 +19,8 @@
 pub use dispatcher::{
     CacheUpdate, CrashedRun, Dispatcher, DispatcherSettings, DueCacheCall, ExpiredLease,
     LeaseRelease, NoticeSource, QuarantineChanges, ReaderRole, ReceiveOutput, ReceivedChange,
-    SOUND_WRITING_TIME, Snapshot, StreamLookup, StreamOutput, TICK, TickOutput, UnknownName,
+    SOUND_WRITING_TIME, SOURCE_RECOVERY_GRACE, Snapshot, StreamLookup, StreamOutput, TICK,
+    TickOutput, UnknownName,
 };
 pub use documents::document_service::{Admission, DocumentService, TransferId};
 pub use documents::document_store::{
--- a/crates/transport/relay/src/caller_connection.rs
+++ b/crates/transport/relay/src/caller_connection.rs
@@ -5,18 +5,14 @@
 
 use crate::control::SharedTable;
 use crate::memory_budget::{MemoryFull, MemoryKind, MemoryReservation};
-use crate::metrics;
 use crate::request_memory::{Memory, UNKNOWN_ROUTE};
 use eiderferry_clock::{Clock, duration};
 use eiderferry_routing::Limits;
 use eiderferry_types::{Span, Timestamp};
-use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
+use futures_lite::FutureExt;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
-use std::io;
-use std::pin::Pin;
-use std::rc::{Rc, Weak};
-use std::task::{Context, Poll, ready};
+use std::rc::Rc;
 
 /// Read buffer of a connection in bytes, if no larger heads are configured when it is accepted.
 const MIN_HEAD_BUFFER_BYTES: usize = 65_536;
@@ -92,7 +88,7 @@
     }
 
     /// Counts received bytes that may belong to an incomplete head.
-    fn record_received(&self, bytes: usize) -> Result<(), MemoryFull> {
+    pub fn record_received(&self, bytes: usize) -> Result<(), MemoryFull> {
         if self.waiting_since.get().is_none() {
             return Ok(());
         }
@@ -104,6 +100,16 @@
         reservation.grow(missing)
     }
 
+    /// Since when the connection has been waiting for a request; `None` during a request.
+    pub fn waiting_since(&self) -> Option<Timestamp> {
+        self.waiting_since.get()
+    }
+
+    /// Ends the connection unless a request has begun.
+    pub fn evict(&self) {
+        self.eviction.close();
+    }
+
     /// Returns once the connection has waited for a complete head for longer than allowed, or has to
     /// make room for another.
     pub async fn wait_for_end_of_waiting(&self) {
@@ -129,99 +135,9 @@
     }
 }
 
-/// The open connections of callers. Without a limit, callers that wait would take the descriptors
-/// that connections to back ends, peers and the document source need.
-pub(crate) struct CallerConnections {
-    max_count: usize,
-    open: RefCell<Vec<Weak<CallerConnection>>>,
-}
-
-impl CallerConnections {
-    pub fn new(max_count: usize) -> Self {
-        Self {
-            max_count,
-            open: RefCell::default(),
-        }
-    }
-
-    /// Adds a connection. At the limit, evicts the connection that has waited longest for a request;
-    /// returns false if all serve requests.
-    pub fn add(&self, connection: &Rc<CallerConnection>) -> bool {
-        let mut open = self.open.borrow_mut();
-        if open.len() >= self.max_count {
-            open.retain(|connection| connection.strong_count() > 0);
-        }
-        if open.len() >= self.max_count {
-            let waiting = open.iter().enumerate().filter_map(|(index, connection)| {
-                let waiting_since = connection.upgrade()?.waiting_since.get()?;
-                Some((waiting_since, index))
-            });
-            let Some((_, index)) = waiting.min() else {
-                return false;
-            };
-            if let Some(evicted) = open.swap_remove(index).upgrade() {
-                metrics::caller_evicted();
-                evicted.eviction.close();
-            }
-        }
-        open.push(Rc::downgrade(connection));
-        true
-    }
-}
-
 fn idle_timeout(limits: Option<&Limits>) -> Span {
     limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| {
         let configured = limits.idle_timeout.max(limits.header_timeout);
         configured.scaled(IDLE_TIMEOUT_FACTOR)
     })
 }
-
-/// A socket whose received bytes are counted.
-pub(crate) struct CountedSocket<Socket> {
-    socket: Socket,
-    connection: Rc<CallerConnection>,
-}
-
-impl<Socket> CountedSocket<Socket> {
-    pub fn new(socket: Socket, connection: Rc<CallerConnection>) -> Self {
-        Self { socket, connection }
-    }
-}
-
-impl<Socket: AsyncRead + Unpin> AsyncRead for CountedSocket<Socket> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        let count = ready!(Pin::new(&mut self.socket).poll_read(context, buffer))?;
-        Poll::Ready(match self.connection.record_received(count) {
-            Ok(()) => Ok(count),
-            Err(MemoryFull) => {
-                metrics::head_dropped();
-                Err(io::Error::new(
-                    io::ErrorKind::OutOfMemory,
-                    "no memory for the incomplete head of a request",
-                ))
-            }
-        })
-    }
-}
-
-impl<Socket: AsyncWrite + Unpin> AsyncWrite for CountedSocket<Socket> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write(context, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_flush(context)
-    }
-
-    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_close(context)
-    }
-}
--- a/crates/transport/relay/src/caller_socket.rs
+++ b/crates/transport/relay/src/caller_socket.rs
@@ -6,10 +6,13 @@
 //! ahead: 5 of 12 runs of `the_longest_answers_to_slow_callers_are_counted_until_they_are_taken`
 //! and its neighbour stalled with an empty socket. Such a connection is polled again.
 
-use crate::caller_connection::{CallerConnection, CountedSocket};
+use crate::caller_connection::CallerConnection;
+use crate::memory_budget::MemoryFull;
+use crate::metrics;
 use crate::response_body::{BrokenResponse, RelayBody};
 use crate::server::OpenRequest;
 use bytes::Bytes;
+use futures_lite::{AsyncRead, AsyncWrite};
 use http_body::{Body, Frame, SizeHint};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use smol::net::TcpStream;
@@ -18,7 +21,7 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 /// Bytes of a body that a connection may hold unwritten. They are in no memory account, and the
 /// connection's own buffer is as large as the longest head that it reads.
@@ -46,14 +49,17 @@
 
 /// A caller's socket.
 pub(crate) struct CallerSocket {
-    inner: FuturesIo<CountedSocket<TcpStream>>,
+    inner: FuturesIo<CountedSocket>,
     state: Rc<SendState>,
 }
 
 impl CallerSocket {
     pub fn new(stream: TcpStream, connection: Rc<CallerConnection>, state: Rc<SendState>) -> Self {
         Self {
-            inner: FuturesIo::new(CountedSocket::new(stream, connection)),
+            inner: FuturesIo::new(CountedSocket {
+                socket: stream,
+                connection,
+            }),
             state,
         }
     }
@@ -92,6 +98,50 @@
     }
 }
 
+/// A socket whose received bytes are counted.
+struct CountedSocket {
+    socket: TcpStream,
+    connection: Rc<CallerConnection>,
+}
+
+impl AsyncRead for CountedSocket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let count = ready!(Pin::new(&mut self.socket).poll_read(context, buffer))?;
+        Poll::Ready(match self.connection.record_received(count) {
+            Ok(()) => Ok(count),
+            Err(MemoryFull) => {
+                metrics::head_dropped();
+                Err(io::Error::new(
+                    io::ErrorKind::OutOfMemory,
+                    "no memory for the incomplete head of a request",
+                ))
+            }
+        })
+    }
+}
+
+impl AsyncWrite for CountedSocket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_flush(context)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_close(context)
+    }
+}
+
 /// The body of a response that a connection is sending.
 pub(crate) struct TrackedBody {
     body: RelayBody,
--- a/crates/transport/relay/src/lib.rs
+++ b/crates/transport/relay/src/lib.rs
@@ -11,6 +11,7 @@
 mod buffered_body;
 mod cache_follower;
 mod caller_connection;
+mod caller_limit;
 mod caller_socket;
 mod cancellation;
 mod connecting;
--- a/crates/transport/relay/src/node.rs
+++ b/crates/transport/relay/src/node.rs
@@ -1,7 +1,7 @@
 //! Threads and sockets of a relay.
 
 use crate::cache_follower::CacheFollower;
-use crate::caller_connection::CallerConnections;
+use crate::caller_limit::CallerConnections;
 use crate::cancellation::Cancellations;
 use crate::connector::Connector;
 use crate::control::{Control, ControlHandle, DocumentFeed, SharedTable};
--- a/crates/transport/relay/src/server.rs
+++ b/crates/transport/relay/src/server.rs
@@ -1,7 +1,8 @@
 //! Callers' connections, and the readiness and metrics endpoints.
 
 use crate::attempts;
-use crate::caller_connection::{CallerConnection, CallerConnections, MAX_HEADER_LINES};
+use crate::caller_connection::{CallerConnection, MAX_HEADER_LINES};
+use crate::caller_limit::CallerConnections;
 use crate::caller_socket::{CallerSocket, SendState, TrackedBody};
 use crate::exchange::Traffic;
 use crate::metrics;
--- a/crates/transport/relay/src/stream.rs
+++ b/crates/transport/relay/src/stream.rs
@@ -218,7 +218,7 @@
                     if self.should_abandon_source().await {
                         return StreamItem::Broken(Outcome::TimedOut);
                     }
-                    waiting_since = now;
+                    waiting_since = clock.now();
                 }
                 None => return StreamItem::TimedOut,
                 Some(Some(Err(_))) => return StreamItem::Broken(Outcome::IncompleteResponse),
