--- a/crates/transport/relay/tests/support/relay.rs
+++ b/crates/transport/relay/tests/support/relay.rs
@@ -62,6 +62,8 @@
     /// In bytes; 0 means no budget.
     memory_budget: u64,
     max_caller_connections: usize,
+    /// Time from the beginning of a shutdown to its end at the latest.
+    terminate_after: Span,
     features: Features,
     /// Distinguishes the relays of a fleet.
     node_number: usize,
@@ -77,6 +79,7 @@
             later_changes: Vec::new(),
             memory_budget: AMPLE_MEMORY_BUDGET,
             max_caller_connections: 10_000,
+            terminate_after: Span::from_milliseconds(1_500),
             features: Features::ALL,
             node_number: 1,
             seeds: Vec::new(),
@@ -145,6 +148,15 @@
         Self::start_ready_with(back_ends, None, options)
     }
 
+    /// Starts a relay whose shutdown may take so long that only open requests end it.
+    pub fn with_long_shutdown(back_end: &MockBackEnd) -> Self {
+        let options = Options {
+            terminate_after: Span::from_seconds(TEST_TIMEOUT.as_secs_f64()),
+            ..Options::default()
+        };
+        Self::start_ready_with(&[back_end], None, options)
+    }
+
     /// Starts a relay that accepts up to this many connections of callers.
     pub fn with_max_caller_connections(back_end: &MockBackEnd, count: usize) -> Self {
         let options = Options {
@@ -275,7 +287,7 @@
             },
             shutdown: ShutdownSettings {
                 refuse_after: Span::from_milliseconds(300),
-                terminate_after: Span::from_milliseconds(1_500),
+                terminate_after: options.terminate_after,
             },
             cache_protocol: cache_protocol(),
             header_names: header_names(),
