A connection that has to make room finishes a request that has begun

Why: one that was chosen while it waited could begin a request before its task ran, and was then closed without an answer.

Change: it is closed with that response instead.

Result: the tests of connection limits, planned stops, callers and waiting callers pass.

--- a/crates/transport/relay/src/caller_connection.rs
+++ b/crates/transport/relay/src/caller_connection.rs
@@ -80,8 +80,13 @@
         self.waiting_since.set(Some(self.clock.now()));
     }
 
+    /// Whether the connection has to close after its next response.
+    pub fn must_close(&self) -> bool {
+        self.evicted.is_closed() || self.has_small_buffer()
+    }
+
     /// Whether the configuration in force allows heads that this connection can't read.
-    pub fn has_small_buffer(&self) -> bool {
+    fn has_small_buffer(&self) -> bool {
         let table = self.table.load();
         let limits = table.as_ref().map(|table| table.limits());
         limits.is_some_and(|limits| limits.maximum_header_bytes > self.head_buffer_bytes)
@@ -105,7 +110,7 @@
         self.waiting_since.get()
     }
 
-    /// Ends the connection unless a request has begun.
+    /// Ends the connection at once, or with its response if a request has begun.
     pub fn evict(&self) {
         self.eviction.close();
     }
@@ -115,6 +120,9 @@
     pub async fn wait_for_end_of_waiting(&self) {
         let evicted = async {
             let _ = self.evicted.recv().await;
+            if self.waiting_since.get().is_none() {
+                std::future::pending::<()>().await;
+            }
         };
         self.wait_for_idle_timeout().or(evicted).await;
     }
--- a/crates/transport/relay/src/server.rs
+++ b/crates/transport/relay/src/server.rs
@@ -119,7 +119,7 @@
             async move {
                 caller.begin_request();
                 let (mut response, open) = server.serve_request(request, &stream).await;
-                if caller.has_small_buffer() {
+                if caller.must_close() {
                     response = with_connection_close(response);
                 }
                 Ok::<_, Infallible>(
--- a/crates/transport/relay/tests/connection_limits.rs
+++ b/crates/transport/relay/tests/connection_limits.rs
@@ -8,7 +8,8 @@
 use rstest::rstest;
 use std::time::{Duration, Instant};
 use support::{
-    Caller, LIMITS, MockBackEnd, Response, TEST_TIMEOUT, TestRelay, back_end_responding_with, write,
+    Caller, LIMITS, MockBackEnd, Response, TEST_TIMEOUT, TestRelay, back_end_responding_with,
+    ok_response, write,
 };
 
 /// Delay before the configuration, or before its change.
@@ -161,3 +162,29 @@
     drop(callers);
     wait_until(|| held() == 0, "heads are held after their callers left");
 }
+
+#[test]
+fn at_the_limit_a_new_connection_replaces_the_one_that_has_waited_longest() {
+    const HELD_PATH: &str = "/read/held";
+    let back_end = MockBackEnd::start(|stream, request, _| {
+        if request.head.contains(HELD_PATH) {
+            std::thread::sleep(Duration::from_millis(1_000));
+        }
+        write(stream, &ok_response(request, "ok"));
+        true
+    });
+    let relay = TestRelay::with_max_caller_connections(&back_end, 3);
+    let [mut held, mut first, mut second] = [(); 3].map(|()| {
+        let mut caller = relay.connect();
+        // Connections are accepted and begin to wait in this order.
+        assert_eq!(call_with_head(&mut caller, 10).status, 200);
+        caller
+    });
+    held.send("GET", HELD_PATH, "", "");
+    wait_until(|| back_end.request_count() == 4, "the request is not sent");
+    let mut new = relay.connect();
+    assert_eq!(call_with_head(&mut new, 10).status, 200);
+    assert_eq!(call_with_head(&mut first, 10).status, 0);
+    assert_eq!(call_with_head(&mut second, 10).status, 200);
+    assert_eq!(held.read_response().status, 200);
+}
