--- a/crates/coordination/dispatch/tests/source_outage.rs
+++ b/crates/coordination/dispatch/tests/source_outage.rs
@@ -8,6 +8,8 @@
 use support::source::Source;
 
 const ENGINE: &str = "engine-0";
+/// A node that reads the source as soon as it starts.
+const SEED: usize = 0;
 /// Time without confirmations after which an outage may have removed live back ends' entries.
 const OUTAGE_MS: u64 = 4_000;
 /// Time in which a removal that one node has read reaches all nodes.
@@ -124,3 +126,23 @@
     source.run(&mut fleet, PROPAGATION_MS);
     assert!(nodes_that_use_the_engine(&fleet).is_empty());
 }
+
+/// Guards against a lost removal: a node that has started lists the documents and so knows no earlier
+/// removals, but its peers take what it passes on for complete.
+#[test]
+fn a_removal_reaches_nodes_whose_first_news_come_from_a_node_that_has_started_since() {
+    let mut source = Source::default();
+    let mut fleet = settled_fleet(&mut source);
+    stop_readers(&mut fleet);
+    fleet.stopped_nodes.insert(SEED);
+    source.remove_back_end(ENGINE);
+    source.write_back_end("engine-2", 2, false);
+    fleet.stopped_nodes.remove(&SEED);
+    fleet.restart(SEED);
+    // The source responds before the peers do.
+    fleet.isolated_nodes.insert(SEED);
+    source.run(&mut fleet, 100);
+    fleet.isolated_nodes.remove(&SEED);
+    source.run(&mut fleet, 3_000);
+    assert!(nodes_that_use_the_engine(&fleet).is_empty());
+}
