--- a/crates/coordination/dispatch/src/dispatcher/source_outage.rs
+++ b/crates/coordination/dispatch/src/dispatcher/source_outage.rs
@@ -25,7 +25,8 @@
 }
 
 impl Dispatcher {
-    /// Records that a call of this node to the source failed, and that the preceding one did not.
+    /// Records that a call of this node to the source failed. Only the first failure after a
+    /// response is recorded: it tells when this node's calls began to fail.
     pub fn record_source_failure(&mut self, now: Timestamp) {
         self.source_outage.failed_at = self.source_outage.failed_at.max(Some(now));
     }
--- a/crates/transport/relay/src/caller_socket.rs
+++ b/crates/transport/relay/src/caller_socket.rs
@@ -23,8 +23,8 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
-/// Bytes of a body that a connection may hold unwritten. They are in no memory account, and the
-/// connection's own buffer is as large as the longest head that it reads.
+/// Maximum bytes of a body that a connection holds unwritten. The memory budget does not count them,
+/// and the HTTP library alone would hold as many as its read buffer has.
 const MAX_UNFLUSHED_BYTES: usize = 16_384;
 
 /// State of sending on one connection.
--- a/crates/transport/relay/src/control/document_feed.rs
+++ b/crates/transport/relay/src/control/document_feed.rs
@@ -43,7 +43,7 @@
         dispatcher.document_store().version_vector().newest()
     }
 
-    /// Records that a call to the source failed, and that the preceding one did not.
+    /// Records that a call to the source failed. To be called for the first failure after a response.
     pub fn record_source_failure(&self) {
         let now = self.control.clock.now();
         self.control
--- a/crates/transport/relay/src/serving_monitor.rs
+++ b/crates/transport/relay/src/serving_monitor.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 
-/// Fewest ended requests in a window from which something is concluded.
+/// Minimum number of ended requests in a window that is reported.
 const MIN_REQUESTS: u32 = 10;
 /// A window in which fewer than one request in this many is served is reported.
 const REPORTED_FRACTION: u32 = 4;
